docs, internal: design page, messages and interfaces

Cause: the parts of the system need one agreed design and one set of interfaces before they are written. Ruled out: one process type with all roles (a disk and a runner queue fail differently), and split credits per entry host for runners (counts would lag). Change: design page, root interfaces, protobuf messages, OpenAPI document, frame and mesh with a test of a session gone silent, style checker. Conclusion: roles can now be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+TOOLS := tools/bin
+
+.PHONY: build test check generate demo tools
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+# Formatter, linters and the house rules that they don't know.
+check: tools
+	@test -z "$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v -E '(_gen|\.pb)\.go$$'))" || \
+		{ $(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v -E '(_gen|\.pb)\.go$$'); echo "gofumpt would change these files"; exit 1; }
+	go vet ./...
+	$(TOOLS)/staticcheck ./...
+	cd tools && go run ./stylec ..
+
+tools:
+	cd tools && go build -o bin/ honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
+
+generate:
+	cd tools && go build -o bin/ github.com/ogen-go/ogen/cmd/ogen github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/$(TOOLS):$$PATH go generate ./...
+
+demo: build
+	go run ./cmd/demo
--- /dev/null
+++ b/error.go
@@ -0,0 +1,124 @@
+package trail
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Error is a failure with a stable code and a verdict. Its arguments stay
+// apart from its text, as cockroachdb/errors keeps them, and its place names
+// what it is about: a JSON pointer, a file with a line, an object.
+type Error struct {
+	code       string
+	verdict    Verdict
+	place      string
+	retryAfter time.Duration
+	// Never nil.
+	cause error
+}
+
+// NewError returns an error with a kebab-case code. The text is a sentence
+// without a final stop, formatted with arguments.
+func NewError(code string, verdict Verdict, text string, arguments ...any) *Error {
+	return &Error{
+		code:    code,
+		verdict: verdict,
+		cause:   errors.NewWithDepthf(1, text, arguments...),
+	}
+}
+
+// WrapError returns an error whose cause stays reachable by errors.Is and
+// errors.As. The cause's own verdict is replaced.
+func WrapError(cause error, code string, verdict Verdict, text string, arguments ...any) *Error {
+	return &Error{
+		code:    code,
+		verdict: verdict,
+		cause:   errors.WrapWithDepthf(1, cause, text, arguments...),
+	}
+}
+
+// At returns a copy of the error that names its place.
+func (e *Error) At(place string) *Error {
+	d := *e
+	d.place = place
+	return &d
+}
+
+// RetryAfter returns a copy of the error that tells the caller when to come
+// back.
+func (e *Error) RetryAfter(wait time.Duration) *Error {
+	d := *e
+	d.retryAfter = wait
+	return &d
+}
+
+// Error returns the place and the text.
+func (e *Error) Error() string {
+	if e.place == "" {
+		return e.cause.Error()
+	}
+	return e.place + ": " + e.cause.Error()
+}
+
+// Message returns the text without the place.
+func (e *Error) Message() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Code returns the stable code.
+func (e *Error) Code() string { return e.code }
+
+// Verdict says whether the failed request may have run.
+func (e *Error) Verdict() Verdict { return e.verdict }
+
+// Place returns what the error is about, or the empty string.
+func (e *Error) Place() string { return e.place }
+
+// Wait returns when the caller may come back, 0 when it should not.
+func (e *Error) Wait() time.Duration { return e.retryAfter }
+
+// VerdictOf returns the verdict of the outermost Error in the chain of err.
+// An error without a verdict counts as MayHaveRun, nil as Ran.
+func VerdictOf(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	var t *Error
+	if errors.As(err, &t) {
+		return t.verdict
+	}
+	return MayHaveRun
+}
+
+// CodeOf returns the code of the outermost Error in the chain of err, or
+// "internal".
+func CodeOf(err error) string {
+	var t *Error
+	if errors.As(err, &t) {
+		return t.code
+	}
+	return "internal"
+}
+
+// Errors collects the faults of one text, so that all are reported at once.
+type Errors []*Error
+
+// Error returns one line for each fault.
+func (e Errors) Error() string {
+	l := make([]string, 0, len(e))
+	for _, f := range e {
+		l = append(l, f.Error())
+	}
+	return strings.Join(l, "\n")
+}
+
+// OrNil returns the collection as an error, nil when it is empty.
+func (e Errors) OrNil() error {
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/state/object/object.go
@@ -0,0 +1,51 @@
+package object
+
+import (
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Object is one object of the platform. It is immutable.
+type Object struct {
+	// Kebab case, plural: "jobs".
+	kind string
+	// Unique within the kind.
+	name string
+	// Assigned by the platform and increasing over all objects; 0 for an
+	// object that is not stored yet.
+	version int64
+	// JSON, at most 1 MB.
+	value []byte
+}
+
+// New returns an object with a JSON value.
+func New(kind, name string, version int64, value []byte) Object {
+	return Object{kind: kind, name: name, version: version, value: value}
+}
+
+// Encode returns an object whose value is the protojson form of m.
+func Encode(kind, name string, version int64, m proto.Message) (Object, error) {
+	b, e := protojson.Marshal(m)
+	if e != nil {
+		return Object{}, e
+	}
+	return New(kind, name, version, b), nil
+}
+
+// Decode reads the value into m. Unknown fields are skipped, because a newer
+// process may have written them.
+func (o Object) Decode(m proto.Message) error {
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(o.value, m)
+}
+
+// Kind returns the plural kind in kebab case.
+func (o Object) Kind() string { return o.kind }
+
+// Name returns the name within the kind.
+func (o Object) Name() string { return o.name }
+
+// Version returns the platform's version, 0 when the object is not stored.
+func (o Object) Version() int64 { return o.version }
+
+// Value returns the JSON value. It must not be changed.
+func (o Object) Value() []byte { return o.value }
--- /dev/null
+++ b/internal/transport/mesh/mesh_test.go
@@ -0,0 +1,111 @@
+package mesh_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/frame"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+// pipes is a network of in-memory connections with one listener.
+type pipes struct {
+	accept chan net.Conn
+	// Ends of the connections dialled so far, to cut or silence them.
+	dialled []*silent
+}
+
+// silent is a connection that can stop passing bytes without closing.
+type silent struct {
+	net.Conn
+	mute chan struct{}
+}
+
+func (s *silent) Write(b []byte) (int, error) {
+	select {
+	case <-s.mute:
+		return len(b), nil
+	default:
+		return s.Conn.Write(b)
+	}
+}
+
+func (p *pipes) DialContext(c context.Context, _, _ string) (net.Conn, error) {
+	a, b := net.Pipe()
+	s := &silent{a, make(chan struct{})}
+	p.dialled = append(p.dialled, s)
+	select {
+	case p.accept <- b:
+		return s, nil
+	case <-c.Done():
+		return nil, c.Err()
+	}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	n, ok := <-p.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return n, nil
+}
+
+func (p *pipes) Close() error { close(p.accept); return nil }
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A session that has gone silent must not make its peer unreachable: the next
+// exchange runs on a new connection.
+func TestSilentSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f := context.WithCancel(t.Context())
+		l := &log.Logger{Handler: discard.New()}
+		p := &pipes{accept: make(chan net.Conn)}
+		s := mesh.New(c, wire.Hello_builder{MemberId: proto("sched-1")}.Build(), p, l)
+		go func() {
+			_ = s.Serve(c, p, func(_ context.Context, s *frame.Stream, o *wire.Open, from *wire.Hello) {
+				_ = s.Send(wire.Report_builder{MemberId: proto(from.GetMemberId())}.Build())
+			})
+		}()
+		m := mesh.New(c, wire.Hello_builder{MemberId: proto("entry-1")}.Build(), p, l)
+		check := func() {
+			t.Helper()
+			s, e := m.Open(c, "10.0.0.1:1", wire.Open_builder{Report: &wire.ReportRequest{}}.Build())
+			if e != nil {
+				t.Fatal(e)
+			}
+			r := &wire.Report{}
+			e = s.Recv(r)
+			if e != nil {
+				t.Fatal(e)
+			}
+			if d := cmp.Diff("entry-1", r.GetMemberId()); d != "" {
+				t.Fatal(d)
+			}
+			if d := cmp.Diff(io.EOF, s.Recv(r), cmp.Comparer(func(a, b error) bool { return a == b })); d != "" {
+				t.Fatal(d)
+			}
+		}
+		check()
+		close(p.dialled[0].mute)
+		// Two missed keepalives and the write timeout close the session.
+		time.Sleep(20 * time.Second)
+		check()
+		if d := cmp.Diff(2, len(p.dialled)); d != "" {
+			t.Fatal(d)
+		}
+		f()
+		synctest.Wait()
+	})
+}
+
+func proto(s string) *string { return &s }
--- /dev/null
+++ b/store.go
@@ -0,0 +1,63 @@
+package trail
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// Errors of a Store, found with errors.Is. Every error of a Store also has a
+// verdict: NotRun when the change did not and will not take effect, MayHaveRun
+// when the answer was lost; the caller then reads the object back and looks
+// for its own attempt id.
+var (
+	// ErrConflict means that the object has another version than the one given.
+	ErrConflict = errors.New("object has changed")
+	// ErrExists means that an object to be created is already there.
+	ErrExists = errors.New("object exists")
+	// ErrNotFound means that the object is not there.
+	ErrNotFound = errors.New("object not found")
+	// ErrTooOld means that a watch must start from a new list.
+	ErrTooOld = errors.New("version is too old to watch from")
+	// ErrUnavailable means that the platform did not answer or refused for
+	// its call rate.
+	ErrUnavailable = errors.New("platform is unavailable")
+)
+
+// Store is the platform's object API, the only place where the processes agree
+// on anything. Values are at most 1 MB. Each call counts against the
+// platform's rate, a waiting watch as one.
+type Store interface {
+	// Get reads one object.
+	Get(c context.Context, kind, name string) (object.Object, error)
+	// List reads all objects of a kind and the version of the list.
+	List(c context.Context, kind string) ([]object.Object, int64, error)
+	// Create stores a new object and returns it with its version.
+	Create(c context.Context, o object.Object) (object.Object, error)
+	// Update replaces the object if the platform's version is still o's.
+	Update(c context.Context, o object.Object) (object.Object, error)
+	// Delete removes the object if the platform's version is still o's.
+	Delete(c context.Context, o object.Object) error
+	// Watch reports the changes of a kind after a version until c ends or the
+	// platform closes the watch; then the channel is closed.
+	Watch(c context.Context, kind string, after int64) (<-chan Change, error)
+}
+
+// Change is one change of an object.
+type Change struct {
+	object  object.Object
+	deleted bool
+}
+
+// NewChange returns a change to o, or its deletion.
+func NewChange(o object.Object, deleted bool) Change {
+	return Change{object: o, deleted: deleted}
+}
+
+// Object returns the object as it is after the change.
+func (c Change) Object() object.Object { return c.object }
+
+// Deleted says whether the object was removed.
+func (c Change) Deleted() bool { return c.deleted }
