state, coordination/view: services text, settings and the agreed view

Cause: every role needs its settings, the services text and the platform's configuration, members and hosts, without a watch for each process.

Change: spec, conf, view; two schedulers of a data centre watch, the others subscribe to them; every part is monotonic by the platform's version. Measured: TestConfigNeverReverts fails with != in place of > in the merge (version 6 replaced 7) and passes with >. Conclusion: no order of answers reverts the configuration in one process.

--- /dev/null
+++ b/internal/coordination/view/relay.go
@@ -0,0 +1,143 @@
+package view
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bulrushtrail.example/trail/internal/coordination/owner"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/frame"
+)
+
+const (
+	// Schedulers of each data centre that watch the platform. The second one
+	// covers the time until the first one's loss is noticed.
+	watchersPerDataCentre = 2
+	// How long a process that reaches no watcher watches the platform itself
+	// before it tries the watchers again.
+	directPeriod = 30 * time.Second
+	// A platform that has not answered for so long at start is taken as down.
+	startPeriod = 3 * time.Second
+)
+
+// watchers returns the members of this data centre that watch the platform.
+func (v *Views) watchers(members []*wire.Member) []*wire.Member {
+	var l []*wire.Member
+	for _, m := range owner.Rank(members, "sched", "watch", v.self.GetDataCentre()) {
+		if m.GetDataCentre() == v.self.GetDataCentre() && len(l) < watchersPerDataCentre {
+			l = append(l, m)
+		}
+	}
+	return l
+}
+
+// follow keeps the view current from the best source: the platform for a
+// watcher, else a watcher.
+func (v *Views) follow(c context.Context) {
+	for c.Err() == nil {
+		w := v.watchers(v.Latest().GetMembers())
+		d, f := context.WithCancel(c)
+		go v.whileWatchers(d, f, w)
+		switch {
+		case len(w) == 0:
+			go v.askPeers(d)
+			v.watchPlatform(d)
+		case slices.ContainsFunc(w, v.isSelf):
+			v.watchPlatform(d)
+		default:
+			v.relay(d, w)
+		}
+		f()
+	}
+}
+
+func (v *Views) isSelf(m *wire.Member) bool { return m.GetId() == v.self.GetId() }
+
+// whileWatchers ends the current source when other members become the
+// watchers.
+func (v *Views) whileWatchers(c context.Context, stop func(), w []*wire.Member) {
+	for n := range v.Subscribe(c) {
+		if !slices.EqualFunc(w, v.watchers(n.GetMembers()), sameProcess) {
+			stop()
+			return
+		}
+	}
+}
+
+func sameProcess(a, b *wire.Member) bool {
+	return a.GetId() == b.GetId() && a.GetIncarnation() == b.GetIncarnation() && a.GetPeerAddress() == b.GetPeerAddress()
+}
+
+// relay follows one watcher after the other, and the platform for a while when
+// none answers.
+func (v *Views) relay(c context.Context, watchers []*wire.Member) {
+	for _, w := range watchers {
+		e := v.subscribeTo(c, w.GetPeerAddress())
+		if c.Err() != nil {
+			return
+		}
+		v.l.WithError(e).WithField("watcher", w.GetId()).Warn("view: watcher lost")
+	}
+	d, f := context.WithTimeout(c, directPeriod)
+	defer f()
+	v.watchPlatform(d)
+}
+
+// askPeers learns the view from the peers of the settings when the platform
+// does not answer at start.
+func (v *Views) askPeers(c context.Context) {
+	if !pause(c, startPeriod) {
+		return
+	}
+	for c.Err() == nil && v.Latest().GetMembersVersion() == 0 {
+		for _, p := range v.peers {
+			d, f := context.WithTimeout(c, directPeriod)
+			_ = v.subscribeTo(d, p)
+			f()
+		}
+		if !pause(c, platformRetry) {
+			return
+		}
+	}
+}
+
+// subscribeTo applies what the peer sends until the stream ends.
+func (v *Views) subscribeTo(c context.Context, address string) error {
+	s, e := v.m.Open(c, address, wire.Open_builder{Watch: &wire.WatchRequest{}}.Build())
+	if e != nil {
+		return e
+	}
+	f := context.AfterFunc(c, func() { _ = s.SetDeadline(time.Now()) })
+	defer f()
+	defer s.Close()
+	for {
+		n := &wire.View{}
+		e = s.Recv(n)
+		if e != nil {
+			return e
+		}
+		v.publish(c, n)
+	}
+}
+
+// ServeWatch sends the parts of the view that have changed to a subscriber
+// until its side closes.
+func (v *Views) ServeWatch(c context.Context, s *frame.Stream, _ *wire.WatchRequest) {
+	c, f := context.WithCancel(c)
+	defer f()
+	go func() {
+		// The subscriber sends nothing: the read ends when it leaves.
+		_ = s.Recv(&wire.WatchRequest{})
+		f()
+	}()
+	t := &wire.View{}
+	for n := range v.Subscribe(c) {
+		w := newer(n, t)
+		t = n
+		e := s.Send(w)
+		if e != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/view/views.go
@@ -0,0 +1,149 @@
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+// Views is the view of one process. It implements trail.Views.
+type Views struct {
+	// Never nil; replaced as a whole, so that readers need no lock.
+	latest atomic.Pointer[wire.View]
+	self   *wire.Member
+	store  trail.Store
+	m      *mesh.Mesh
+	peers  []string
+	l      log.Interface
+	// To the task that owns the subscriptions.
+	updates     chan *wire.View
+	subscribers chan subscriber
+	done        chan struct{}
+	// Set by Leave: the member object is not created again.
+	leaving atomic.Bool
+	version prometheus.Gauge
+}
+
+type subscriber struct {
+	c    context.Context
+	feed chan *wire.View
+}
+
+// New starts the view of the process self, which registers itself at the
+// platform as soon as that answers. Peers are addresses to ask while the
+// platform is down.
+func New(c context.Context, self *wire.Member, store trail.Store, m *mesh.Mesh, peers []string, l log.Interface, r prometheus.Registerer) *Views {
+	v := &Views{
+		self: self, store: store, m: m, peers: peers, l: l,
+		updates: make(chan *wire.View), subscribers: make(chan subscriber), done: make(chan struct{}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bulrushtrail_config_version", Help: "Version of the configuration in force."}),
+	}
+	r.MustRegister(v.version)
+	v.latest.Store(&wire.View{})
+	go v.run(c)
+	go v.follow(c)
+	go v.register(c)
+	go v.probe(c)
+	return v
+}
+
+// Latest returns the newest snapshot.
+func (v *Views) Latest() *wire.View { return v.latest.Load() }
+
+// Subscribe returns a channel that holds the newest snapshot until c ends.
+func (v *Views) Subscribe(c context.Context) <-chan *wire.View {
+	s := subscriber{c, make(chan *wire.View, 1)}
+	select {
+	case v.subscribers <- s:
+	case <-v.done:
+		close(s.feed)
+	}
+	return s.feed
+}
+
+// Wait returns once a configuration and the members are known, or c ends.
+func (v *Views) Wait(c context.Context) error {
+	c, f := context.WithCancel(c)
+	defer f()
+	for w := range v.Subscribe(c) {
+		if w.GetMembersVersion() > 0 {
+			return nil
+		}
+	}
+	return c.Err()
+}
+
+func (v *Views) run(c context.Context) {
+	defer close(v.done)
+	s := map[subscriber]bool{}
+	defer func() {
+		for t := range s {
+			close(t.feed)
+		}
+	}()
+	g := make(chan subscriber)
+	for {
+		select {
+		case <-c.Done():
+			return
+		case n := <-v.updates:
+			v.apply(n, s)
+		case t := <-v.subscribers:
+			s[t] = true
+			t.feed <- v.latest.Load()
+			context.AfterFunc(t.c, func() {
+				select {
+				case g <- t:
+				case <-v.done:
+				}
+			})
+		case t := <-g:
+			delete(s, t)
+			close(t.feed)
+		}
+	}
+}
+
+func (v *Views) apply(n *wire.View, subscribers map[subscriber]bool) {
+	w, o := merge(v.latest.Load(), n)
+	if !o {
+		return
+	}
+	if w.GetConfig().GetVersion() > v.latest.Load().GetConfig().GetVersion() {
+		v.l.WithField("version", w.GetConfig().GetVersion()).Info("view: configuration in force")
+		v.version.Set(float64(w.GetConfig().GetVersion()))
+	}
+	v.latest.Store(w)
+	for s := range subscribers {
+		select {
+		case <-s.feed:
+		default:
+		}
+		s.feed <- w
+	}
+}
+
+// publish hands parts of a view to the task.
+func (v *Views) publish(c context.Context, n *wire.View) {
+	select {
+	case v.updates <- n:
+	case <-c.Done():
+	}
+}
+
+// pause waits, and returns whether c is still open.
+func pause(c context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-c.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/coordination/view/views_test.go
@@ -0,0 +1,114 @@
+package view_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/view"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+// platform answers with configurations in the order in which the test sends
+// them, as a watch or a list that is out of date would.
+type platform struct {
+	trail.Store
+	lists chan int64
+	// Each watch of the configuration, for the test to send on.
+	watches chan chan trail.Change
+}
+
+func config(version int64) object.Object {
+	return object.New("configs", "current", version, fmt.Appendf(nil, `{"services":[{"name":"v%d"}]}`, version))
+}
+
+func (p *platform) List(c context.Context, kind string) ([]object.Object, int64, error) {
+	if kind != "configs" {
+		<-c.Done()
+		return nil, 0, trail.ErrUnavailable
+	}
+	select {
+	case v := <-p.lists:
+		return []object.Object{config(v)}, v, nil
+	case <-c.Done():
+		return nil, 0, trail.ErrUnavailable
+	}
+}
+
+func (p *platform) Watch(c context.Context, _ string, _ int64) (<-chan trail.Change, error) {
+	w := make(chan trail.Change)
+	select {
+	case p.watches <- w:
+		return w, nil
+	case <-c.Done():
+		return nil, trail.ErrUnavailable
+	}
+}
+
+func (p *platform) Create(context.Context, object.Object) (object.Object, error) {
+	return object.Object{}, trail.ErrUnavailable
+}
+
+type unreachable struct{}
+
+func (unreachable) DialContext(context.Context, string, string) (net.Conn, error) {
+	return nil, net.ErrClosed
+}
+
+// A watch that answers out of order, or a list that lags, must not put an
+// older configuration in force again.
+func TestConfigNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f := context.WithCancel(t.Context())
+		l := &log.Logger{Handler: discard.New()}
+		p := &platform{lists: make(chan int64), watches: make(chan chan trail.Change)}
+		m := mesh.New(c, &wire.Hello{}, unreachable{}, l)
+		s := wire.Member_builder{Id: proto.String("sched-1"), Role: proto.String("sched"), DataCentre: proto.String("regina")}.Build()
+		v := view.New(c, s, p, m, nil, l, prometheus.NewRegistry())
+		k := checker(t, v)
+		p.lists <- 5
+		k(5)
+		w := <-p.watches
+		w <- trail.NewChange(config(7), false)
+		k(7)
+		w <- trail.NewChange(config(6), false)
+		k(7)
+		// The watch ends, and the next one starts from a copy that lags.
+		close(w)
+		w = <-p.watches
+		w <- trail.NewChange(config(3), false)
+		k(7)
+		w <- trail.NewChange(config(8), false)
+		k(8)
+		close(w)
+		f()
+		synctest.Wait()
+	})
+}
+
+func checker(t *testing.T, v *view.Views) func(version int64) {
+	return func(w int64) {
+		t.Helper()
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		g := v.Latest().GetConfig()
+		if d := cmp.Diff(w, g.GetVersion()); d != "" {
+			t.Fatal(d)
+		}
+		if d := cmp.Diff(fmt.Sprintf("v%d", w), g.GetText().GetServices()[0].GetName()); d != "" {
+			t.Fatal(d)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/conf/file.go
@@ -0,0 +1,40 @@
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	trail "bulrushtrail.example/trail"
+)
+
+// ParseFile is a config file parser for ff. The file is one JSON object whose
+// keys are flag names. All unknown keys and bad values are reported together.
+func ParseFile(r io.Reader, set func(name, value string) error) error {
+	d := json.NewDecoder(r)
+	d.UseNumber()
+	var m map[string]any
+	e := d.Decode(&m)
+	if e != nil {
+		return trail.WrapError(e, codeSetting, trail.NotRun, "settings file is not a JSON object")
+	}
+	k := make([]string, 0, len(m))
+	for n := range m {
+		k = append(k, n)
+	}
+	slices.Sort(k)
+	var l trail.Errors
+	for _, n := range k {
+		switch v := m[n].(type) {
+		case string, bool, json.Number:
+			e = set(n, fmt.Sprint(v))
+		default:
+			e = fmt.Errorf("value is not a string, number or boolean")
+		}
+		if e != nil {
+			l = fault(l, n, "%v", e)
+		}
+	}
+	return l.OrNil()
+}
--- /dev/null
+++ b/internal/state/conf/settings.go
@@ -0,0 +1,224 @@
+package conf
+
+import (
+	"encoding/json"
+	"flag"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	trail "bulrushtrail.example/trail"
+)
+
+const (
+	codeSetting = "setting"
+	// The longest an online request may run, so that no planned stop cuts one.
+	defaultDrainTimeout = 120 * time.Second
+	defaultBodyBytes    = 8 << 20
+	defaultFileBytes    = 256 << 20
+	defaultConnections  = 10000
+	defaultCopies       = 2
+)
+
+// Settings are the settings of one process. Check must have accepted them
+// before they are used.
+type Settings struct {
+	// One of "entry", "sched", "depot".
+	role string
+	// Unique among all processes of the system.
+	memberID   string
+	dataCentre string
+	// IP and port that other processes of the system reach this one at.
+	peerAddress string
+	// IP and port of metrics and health checks.
+	adminAddress string
+	// IP and port of the callers' and operators' API; entries only.
+	httpAddress string
+	platformURL string
+	// Peer addresses, comma-separated, to learn the newest configuration from
+	// when the platform does not answer at start.
+	peers string
+	// Folder for bulk data; depots only.
+	dataFolder string
+	// JSON object from caller key to caller name; empty lets each key name
+	// its caller, which is for trials only.
+	callersFile   string
+	operatorKey   string
+	drainTimeout  time.Duration
+	bodyBytes     int64
+	fileBytes     int64
+	connections   int
+	copies        int
+	logLevel      string
+	unnamedCaller bool
+	callers       map[string]string
+}
+
+// New registers the settings of a role as flags of f.
+func New(f *flag.FlagSet, role string) *Settings {
+	s := &Settings{role: role}
+	f.StringVar(&s.memberID, "member-id", "", "name of this process, unique in the system")
+	f.StringVar(&s.dataCentre, "data-centre", "", "data centre of this host")
+	f.StringVar(&s.peerAddress, "peer-address", "", "IP:port for other processes of the system")
+	f.StringVar(&s.adminAddress, "admin-address", "", "IP:port for /metrics, /readyz and /livez")
+	f.StringVar(&s.platformURL, "platform-url", "", "URL of the platform's object API")
+	f.StringVar(&s.peers, "peers", "", "comma-separated peer addresses to learn the configuration from while the platform is down")
+	f.DurationVar(&s.drainTimeout, "drain-timeout", defaultDrainTimeout, "longest graceful shutdown")
+	f.StringVar(&s.logLevel, "log-level", "info", "debug, info, warn or error")
+	f.IntVar(&s.copies, "copies", defaultCopies, "copies of bulk data on disk; 1 is for trials only")
+	switch role {
+	case "entry":
+		f.StringVar(&s.httpAddress, "http-address", "", "IP:port of the API for callers and operators")
+		f.StringVar(&s.callersFile, "callers-file", "", "JSON file: object from caller key to caller name")
+		f.BoolVar(&s.unnamedCaller, "unnamed-callers", false, "accept any key as its caller's name; for trials only")
+		f.StringVar(&s.operatorKey, "operator-key", "", "key of the operators' API; best set by environment")
+		f.Int64Var(&s.bodyBytes, "body-bytes", defaultBodyBytes, "largest body of a request, in bytes")
+		f.Int64Var(&s.fileBytes, "file-bytes", defaultFileBytes, "largest uploaded file, in bytes")
+		f.IntVar(&s.connections, "connections", defaultConnections, "most connections open at a time")
+	case "depot":
+		f.StringVar(&s.dataFolder, "data-folder", "", "folder for bulk data")
+	}
+	return s
+}
+
+// Check names every fault of the settings. It reads the callers file.
+func (s *Settings) Check() error {
+	var l trail.Errors
+	l = required(l, "member-id", s.memberID)
+	l = required(l, "data-centre", s.dataCentre)
+	l = address(l, "peer-address", s.peerAddress)
+	l = address(l, "admin-address", s.adminAddress)
+	u, e := url.Parse(s.platformURL)
+	if e != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		l = fault(l, "platform-url", "%q is not an http or https URL", s.platformURL)
+	}
+	for _, p := range s.Peers() {
+		l = address(l, "peers", p)
+	}
+	if s.drainTimeout <= 0 {
+		l = fault(l, "drain-timeout", "%v is not positive", s.drainTimeout)
+	}
+	if s.copies != 1 && s.copies != defaultCopies {
+		l = fault(l, "copies", "%d is neither 1 nor 2", s.copies)
+	}
+	switch s.logLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		l = fault(l, "log-level", "%q is not debug, info, warn or error", s.logLevel)
+	}
+	switch s.role {
+	case "entry":
+		l = s.checkEntry(l)
+	case "depot":
+		l = required(l, "data-folder", s.dataFolder)
+	}
+	return l.OrNil()
+}
+
+func (s *Settings) checkEntry(l trail.Errors) trail.Errors {
+	l = address(l, "http-address", s.httpAddress)
+	l = required(l, "operator-key", s.operatorKey)
+	if s.bodyBytes <= 0 || s.bodyBytes > defaultBodyBytes {
+		l = fault(l, "body-bytes", "%d is not between 1 and %d", s.bodyBytes, int64(defaultBodyBytes))
+	}
+	if s.fileBytes <= 0 {
+		l = fault(l, "file-bytes", "%d is not positive", s.fileBytes)
+	}
+	if s.connections <= 0 {
+		l = fault(l, "connections", "%d is not positive", s.connections)
+	}
+	if s.unnamedCaller {
+		if s.callersFile != "" {
+			l = fault(l, "callers-file", "unnamed-callers is set too")
+		}
+		return l
+	}
+	b, e := os.ReadFile(s.callersFile)
+	if e != nil {
+		return fault(l, "callers-file", "%v", e)
+	}
+	e = json.Unmarshal(b, &s.callers)
+	if e != nil {
+		return fault(l, "callers-file", "%v", e)
+	}
+	if len(s.callers) == 0 {
+		l = fault(l, "callers-file", "no caller is named")
+	}
+	return l
+}
+
+func fault(l trail.Errors, flag, text string, arguments ...any) trail.Errors {
+	return append(l, trail.NewError(codeSetting, trail.NotRun, text, arguments...).At(flag))
+}
+
+func required(l trail.Errors, flag, value string) trail.Errors {
+	if value == "" {
+		return fault(l, flag, "not set")
+	}
+	return l
+}
+
+// address accepts IP numbers only: processes don't depend on name lookup.
+func address(l trail.Errors, flag, value string) trail.Errors {
+	_, e := netip.ParseAddrPort(value)
+	if e != nil {
+		return fault(l, flag, "%q is not IP:port", value)
+	}
+	return l
+}
+
+// Role returns "entry", "sched" or "depot".
+func (s *Settings) Role() string { return s.role }
+
+// MemberID returns the name of the process.
+func (s *Settings) MemberID() string { return s.memberID }
+
+// DataCentre returns the data centre of the host.
+func (s *Settings) DataCentre() string { return s.dataCentre }
+
+// PeerAddress returns the IP and port for other processes.
+func (s *Settings) PeerAddress() string { return s.peerAddress }
+
+// AdminAddress returns the IP and port of metrics and health checks.
+func (s *Settings) AdminAddress() string { return s.adminAddress }
+
+// HTTPAddress returns the IP and port of an entry's API.
+func (s *Settings) HTTPAddress() string { return s.httpAddress }
+
+// PlatformURL returns the URL of the object API.
+func (s *Settings) PlatformURL() string { return s.platformURL }
+
+// Peers returns the addresses to learn the configuration from.
+func (s *Settings) Peers() []string {
+	return strings.FieldsFunc(s.peers, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// DataFolder returns a depot's folder.
+func (s *Settings) DataFolder() string { return s.dataFolder }
+
+// Callers returns the caller's name by its key; empty when each key names its
+// caller.
+func (s *Settings) Callers() map[string]string { return s.callers }
+
+// OperatorKey returns the key of the operators' API.
+func (s *Settings) OperatorKey() string { return s.operatorKey }
+
+// DrainTimeout returns the longest graceful shutdown.
+func (s *Settings) DrainTimeout() time.Duration { return s.drainTimeout }
+
+// BodyBytes returns the largest body of a request.
+func (s *Settings) BodyBytes() int64 { return s.bodyBytes }
+
+// FileBytes returns the largest uploaded file.
+func (s *Settings) FileBytes() int64 { return s.fileBytes }
+
+// Connections returns the most connections open at a time.
+func (s *Settings) Connections() int { return s.connections }
+
+// Copies returns the number of copies of bulk data.
+func (s *Settings) Copies() int { return s.copies }
+
+// LogLevel returns debug, info, warn or error.
+func (s *Settings) LogLevel() string { return s.logLevel }
--- /dev/null
+++ b/internal/state/conf/settings_test.go
@@ -0,0 +1,60 @@
+package conf_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/peterbourgon/ff/v3"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/state/conf"
+)
+
+func places(e error) []string {
+	var l trail.Errors
+	_ = errors.As(e, &l)
+	var p []string
+	for _, f := range l {
+		p = append(p, f.Place())
+	}
+	slices.Sort(p)
+	return p
+}
+
+// A process must not start with half of its settings: all faults are named.
+func TestCheck(t *testing.T) {
+	f := flag.NewFlagSet("entry", flag.ContinueOnError)
+	s := conf.New(f, "entry")
+	e := ff.Parse(f, []string{"-peer-address", "localhost:1", "-copies", "3", "-log-level", "loud"})
+	if e != nil {
+		t.Fatal(e)
+	}
+	w := []string{"admin-address", "callers-file", "copies", "data-centre", "http-address", "log-level", "member-id", "operator-key", "peer-address", "platform-url"}
+	if d := cmp.Diff(w, places(s.Check())); d != "" {
+		t.Error(d)
+	}
+}
+
+// A misspelt key would otherwise leave a default in force unnoticed.
+func TestFile(t *testing.T) {
+	p := filepath.Join(t.TempDir(), "settings.json")
+	e := os.WriteFile(p, []byte(`{"member-id":"entry-1","data-center":"regina","copies":"many","peers":["a"]}`), 0o600)
+	if e != nil {
+		t.Fatal(e)
+	}
+	f := flag.NewFlagSet("entry", flag.ContinueOnError)
+	s := conf.New(f, "entry")
+	f.String("config", "", "")
+	e = ff.Parse(f, []string{"-config", p}, ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(conf.ParseFile))
+	if d := cmp.Diff([]string{"copies", "data-center", "peers"}, places(e)); d != "" {
+		t.Error(d, e)
+	}
+	if d := cmp.Diff("entry-1", s.MemberID()); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -89,6 +89,25 @@
 	return nil, trail.NewError("peer-unreachable", trail.NotRun, "peer %s closes its sessions", address)
 }
 
+// Ping returns the round-trip time to the process at address, over a new
+// connection when the old one is broken.
+func (m *Mesh) Ping(c context.Context, address string) (time.Duration, error) {
+	var b *yamux.Session
+	var e error
+	for range 2 {
+		s, f := m.session(c, address, b)
+		if f != nil {
+			return 0, f
+		}
+		d, f := s.Ping()
+		if f == nil {
+			return d, nil
+		}
+		b, e = s, f
+	}
+	return 0, e
+}
+
 func (m *Mesh) session(c context.Context, address string, broken *yamux.Session) (*yamux.Session, error) {
 	r := request{address: address, broken: broken, reply: make(chan result, 1)}
 	select {
