coordination/depot, bulk, recall: depot role and its clients

Cause: segments and answers must be on two hosts before they are acknowledged. Ruled out: streaming a segment to two depots from the writer, because a writer far from both would send it twice. Change: a depot stores, syncs and copies on; the clients choose pairs in different data centres and read from any copy.

--- /dev/null
+++ b/internal/coordination/bulk/client.go
@@ -0,0 +1,135 @@
+package bulk
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"slices"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+const (
+	// MaxSegmentBytes bounds one segment, because it is held in memory until
+	// two depots have it. A larger file is several segments.
+	MaxSegmentBytes = 64 << 20
+	chunkBytes      = 64 << 10
+	defaultCopies   = 2
+)
+
+// Client implements trail.Bulk.
+type Client struct {
+	dataCentre string
+	// 1 or 2.
+	copies  int
+	m       *mesh.Mesh
+	v       trail.Views
+	l       log.Interface
+	results *prometheus.CounterVec
+}
+
+var _ trail.Bulk = (*Client)(nil)
+
+// New returns a client that prefers depots of its own data centre for the
+// first copy and for reads.
+func New(dataCentre string, m *mesh.Mesh, v trail.Views, l log.Interface, r prometheus.Registerer) *Client {
+	return &Client{
+		dataCentre: dataCentre, copies: defaultCopies, m: m, v: v, l: l,
+		results: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_bulk_operations_total",
+			Help: "Segments stored and read by result.",
+		}, []string{"operation", "result"}),
+	}
+}
+
+// WithCopies returns a client that stores so many copies, 1 or 2. One copy is
+// for installations with a single depot, which lose data with its disk.
+func (k *Client) WithCopies(copies int) *Client {
+	n := *k
+	n.copies = min(max(copies, 1), defaultCopies)
+	return &n
+}
+
+// Put implements trail.Bulk. The errors have the codes "segment-too-large",
+// "depots-unavailable" or "input-broken", and the verdict NotRun.
+func (k *Client) Put(c context.Context, r io.Reader) (*wire.Segment, error) {
+	b, e := io.ReadAll(io.LimitReader(r, MaxSegmentBytes+1))
+	if e != nil {
+		return nil, trail.WrapError(e, "input-broken", trail.NotRun, "the bytes of a segment could not be read")
+	}
+	if len(b) > MaxSegmentBytes {
+		return nil, trail.NewError("segment-too-large", trail.NotRun, "a segment is larger than %d bytes", MaxSegmentBytes)
+	}
+	h := sha256.Sum256(b)
+	g := &wire.Segment{}
+	g.SetId(uuid.NewString())
+	g.SetDigest(hex.EncodeToString(h[:]))
+	g.SetSizeBytes(int64(len(b)))
+	x := map[string]bool{}
+	for {
+		p, e := k.pair(g.GetId(), x)
+		if e != nil {
+			k.results.WithLabelValues("put", "refused").Inc()
+			return nil, e
+		}
+		w, f, e := k.send(c, p, g, bytes.NewReader(b))
+		if e == nil {
+			k.results.WithLabelValues("put", "stored").Inc()
+			k.l.WithFields(log.Fields{"segment": g.GetId(), "bytes": len(b), "depots": w.GetDepots()}).Info("bulk: segment stored")
+			return w, nil
+		}
+		if c.Err() != nil {
+			return nil, trail.WrapError(c.Err(), "cancelled", trail.NotRun, "storing a segment was cancelled")
+		}
+		x[f] = true
+		k.results.WithLabelValues("put", "retried").Inc()
+		k.l.WithFields(log.Fields{"segment": g.GetId(), "pair": ids(p), "failed": f}).WithError(e).
+			Warn("bulk: depot excluded, another pair is tried")
+	}
+}
+
+// Get implements trail.Bulk. The errors have the code "segment-unavailable",
+// or "segment-corrupt" when a large segment turns out to be wrong at its end.
+func (k *Client) Get(c context.Context, s *wire.Segment, offset, length int64) (io.ReadCloser, error) {
+	r := &reader{k: k, c: c, g: s, copies: k.holders(s), next: offset, end: -1}
+	if length > 0 {
+		r.end = offset + length
+	}
+	w := offset == 0 && (length == 0 || length == s.GetSizeBytes()) && s.GetDigest() != ""
+	var e error
+	var o io.ReadCloser = r
+	switch {
+	case w && s.GetSizeBytes() <= maxBufferedBytes:
+		o, e = r.buffered()
+	case w:
+		r.hash = sha256.New()
+		e = r.connect()
+	default:
+		e = r.connect()
+	}
+	if e != nil {
+		_ = r.Close()
+		k.results.WithLabelValues("get", "failed").Inc()
+		return nil, e
+	}
+	k.results.WithLabelValues("get", "opened").Inc()
+	return o, nil
+}
+
+func ids(l []*wire.Member) []string {
+	r := make([]string, 0, len(l))
+	for _, m := range l {
+		r = append(r, m.GetId())
+	}
+	slices.Sort(r)
+	return r
+}
--- /dev/null
+++ b/internal/coordination/bulk/pair.go
@@ -0,0 +1,58 @@
+package bulk
+
+import (
+	"slices"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/owner"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const role = "depot"
+
+// pair chooses the depots for a segment, without the excluded ones. The first
+// one is in the client's own data centre where possible, the second one in
+// another. While depots of two data centres are members, two of one data
+// centre are not taken, even when the others fail.
+func (k *Client) pair(id string, excluded map[string]bool) ([]*wire.Member, error) {
+	l := owner.Rank(k.v.Latest().GetMembers(), role, id, k.dataCentre)
+	s := slices.ContainsFunc(l, func(m *wire.Member) bool { return m.GetDataCentre() != l[0].GetDataCentre() })
+	n := len(l)
+	l = slices.DeleteFunc(l, func(m *wire.Member) bool { return excluded[m.GetId()] })
+	if len(l) > 0 && k.copies == 1 {
+		return l[:1], nil
+	}
+	for i, a := range l {
+		for _, b := range l[i+1:] {
+			if !s || a.GetDataCentre() != b.GetDataCentre() {
+				return []*wire.Member{a, b}, nil
+			}
+		}
+	}
+	return nil, trail.NewError("depots-unavailable", trail.NotRun,
+		"no %d depots can take a segment: %d are members, %d failed", k.copies, n, len(excluded)).RetryAfter(retryAfter)
+}
+
+// holders returns the depots that may have a copy: first those that the
+// segment names, then all others, because copies are moved when a host goes
+// away. Leaving depots still serve reads.
+func (k *Client) holders(s *wire.Segment) []*wire.Member {
+	var l []*wire.Member
+	for _, m := range k.v.Latest().GetMembers() {
+		if m.GetRole() == role {
+			l = append(l, m)
+		}
+	}
+	o := func(m *wire.Member) int {
+		n := 0
+		if !slices.Contains(s.GetDepots(), m.GetId()) {
+			n += 2
+		}
+		if m.GetDataCentre() != k.dataCentre {
+			n++
+		}
+		return n
+	}
+	slices.SortStableFunc(l, func(a, b *wire.Member) int { return o(a) - o(b) })
+	return l
+}
