standin/plat, protocol/objapi: platform stand-in and its client

Cause: claims, jobs and views need the object API and its failures. Ruled out: reused connections for writes (net/http may find one closed or silent after the write has begun, and the verdict is then unknown), and one watch request of 30 s (a silent connection would hide a configuration change for longer than the 4 s that the design allows). Change: stand-in with conditional updates, watches, call budget, lagging host list and switchable faults, as subcommand `platform` of `cmd/standin`; client with a connection for each write, one repetition for reads, and watches in legs of 2 s. Conclusion: refused, lost and silent calls each have a test of sentinel error and verdict.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,18 @@
+// Command standin runs the stand-ins of the systems around bulrushtrail.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bulrushtrail.example/trail/internal/standin/progrm"
+)
+
+func main() {
+	c, f := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	s := progrm.Run(c, os.Args[1:], os.Stderr)
+	f()
+	os.Exit(s)
+}
--- /dev/null
+++ b/internal/protocol/objapi/client_test.go
@@ -0,0 +1,295 @@
+package objapi_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/objapi"
+	"bulrushtrail.example/trail/internal/standin/plat"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// network has in-memory connections to one server.
+type network struct {
+	accept chan net.Conn
+	closed chan struct{}
+	// Whether dials fail.
+	down atomic.Bool
+	// Dials so far.
+	dials atomic.Int32
+	// Connections dialled while it is set pass no bytes to the client.
+	mute atomic.Bool
+}
+
+type muted struct {
+	net.Conn
+	n *network
+}
+
+func (m muted) Read(b []byte) (int, error) {
+	n, e := m.Conn.Read(b)
+	if e == nil && m.n.mute.Load() {
+		// Swallows the bytes and waits for the other side to close.
+		for e == nil {
+			n, e = m.Conn.Read(b)
+		}
+	}
+	return n, e
+}
+
+func (n *network) DialContext(context.Context, string, string) (net.Conn, error) {
+	n.dials.Add(1)
+	if n.down.Load() {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	n.accept <- b
+	return muted{a, n}, nil
+}
+
+func (n *network) Accept() (net.Conn, error) {
+	select {
+	case a := <-n.accept:
+		return a, nil
+	case <-n.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (n *network) Close() error { close(n.closed); return nil }
+
+func (n *network) Addr() net.Addr { return &net.TCPAddr{} }
+
+// start runs a platform and returns a client of it.
+func start(c context.Context, t *testing.T, writesPerSecond int) (*objapi.Client, *network) {
+	l := &log.Logger{Handler: discard.New()}
+	n := &network{accept: make(chan net.Conn), closed: make(chan struct{})}
+	s := &http.Server{Handler: plat.New(c, 1000, writesPerSecond, time.Second, l, prometheus.NewRegistry())}
+	go func() { _ = s.Serve(n) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return objapi.New("http://platform", n, l, prometheus.NewRegistry()), n
+}
+
+func control(t *testing.T, n *network, method, path, body string) {
+	t.Helper()
+	q, _ := http.NewRequestWithContext(t.Context(), method, "http://platform/control/"+path, bytes.NewBufferString(body))
+	r, e := (&http.Client{Transport: &http.Transport{DialContext: n.DialContext, DisableKeepAlives: true}}).Do(q)
+	if e != nil || r.StatusCode >= 300 {
+		t.Fatal(r, e)
+	}
+	_ = r.Body.Close()
+}
+
+// run runs a test under the paused clock and ends what it started.
+func run(t *testing.T, writesPerSecond int, f func(c context.Context, t *testing.T, s *objapi.Client, n *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		c, g := context.WithCancel(t.Context())
+		s, n := start(c, t, writesPerSecond)
+		f(c, t, s, n)
+		g()
+		// Idle connections end after 30 s.
+		time.Sleep(time.Minute)
+	})
+}
+
+func expect(t *testing.T, e, want error, v trail.Verdict) {
+	t.Helper()
+	if !errors.Is(e, want) {
+		t.Errorf("error %v is not %v", e, want)
+	}
+	if d := cmp.Diff(v.String(), trail.VerdictOf(e).String()); d != "" {
+		t.Errorf("%v: %s", e, d)
+	}
+}
+
+func value(s string) []byte { return []byte(`{"v":"` + s + `"}`) }
+
+// A wrong sentinel or verdict makes a writer give up a change that is in
+// force, or repeat one.
+func TestRefusals(t *testing.T) {
+	run(t, 1000, func(c context.Context, t *testing.T, s *objapi.Client, _ *network) {
+		a, e := s.Create(c, object.New("jobs", "a/1", 0, value("1")))
+		if e != nil {
+			t.Fatal(e)
+		}
+		_, e = s.Create(c, a)
+		expect(t, e, trail.ErrExists, trail.NotRun)
+		b, e := s.Update(c, object.New("jobs", "a/1", a.Version(), value("2")))
+		if e != nil {
+			t.Fatal(e)
+		}
+		_, e = s.Update(c, a)
+		expect(t, e, trail.ErrConflict, trail.NotRun)
+		expect(t, s.Delete(c, a), trail.ErrConflict, trail.NotRun)
+		o, e := s.Get(c, "jobs", "a/1")
+		if d := cmp.Diff(string(b.Value()), string(o.Value())); e != nil || d != "" {
+			t.Error(e, d)
+		}
+		l, v, e := s.List(c, "jobs")
+		if d := cmp.Diff([]int64{b.Version(), b.Version(), 1}, []int64{o.Version(), v, int64(len(l))}); e != nil || d != "" {
+			t.Error(e, d)
+		}
+		e = s.Delete(c, b)
+		if e != nil {
+			t.Error(e)
+		}
+		_, e = s.Get(c, "jobs", "a/1")
+		expect(t, e, trail.ErrNotFound, trail.NotRun)
+		_, e = s.Update(c, b)
+		expect(t, e, trail.ErrNotFound, trail.NotRun)
+		_, e = s.Create(c, object.New("jobs", "b", 0, bytes.Repeat([]byte("1"), 1<<20+1)))
+		expect(t, e, trail.ErrUnavailable, trail.NotRun)
+		_, e = s.Create(c, object.New("jobs", "b", 0, bytes.Repeat([]byte("1"), 1<<20)))
+		if e != nil {
+			t.Error(e)
+		}
+	})
+}
+
+// A write must be reported as not run when it was, and never be sent twice.
+func TestFaultsOfWrites(t *testing.T) {
+	run(t, 2, func(c context.Context, t *testing.T, s *objapi.Client, n *network) {
+		n.down.Store(true)
+		_, e := s.Create(c, object.New("jobs", "a", 0, value("1")))
+		expect(t, e, trail.ErrUnavailable, trail.NotRun)
+		n.down.Store(false)
+		control(t, n, "POST", "faults", `{"outage":"refuse"}`)
+		_, e = s.Create(c, object.New("jobs", "a", 0, value("1")))
+		expect(t, e, trail.ErrUnavailable, trail.NotRun)
+		control(t, n, "POST", "faults", `{"outage":"close"}`)
+		d := n.dials.Load()
+		_, e = s.Create(c, object.New("jobs", "a", 0, value("1")))
+		expect(t, e, trail.ErrUnavailable, trail.MayHaveRun)
+		if d := cmp.Diff(d+1, n.dials.Load()); d != "" {
+			t.Error("connections for one write", d)
+		}
+		control(t, n, "POST", "faults", `{"lost-answers":{"writes":1,"kind":"jobs"}}`)
+		_, e = s.Create(c, object.New("jobs", "a", 0, value("1")))
+		expect(t, e, trail.ErrUnavailable, trail.MayHaveRun)
+		a, e := s.Get(c, "jobs", "a")
+		if e != nil {
+			t.Fatal("a lost answer lost the change", e)
+		}
+		_, e = s.Update(c, a)
+		if e != nil {
+			t.Fatal(e)
+		}
+		_, e = s.Update(c, a)
+		expect(t, e, trail.ErrUnavailable, trail.NotRun)
+		var r *trail.Error
+		if !errors.As(e, &r) || r.Wait() != time.Second {
+			t.Error("used-up budget has no retry-after", e)
+		}
+		time.Sleep(time.Second)
+		control(t, n, "POST", "faults", `{"delay-ms":60000}`)
+		b := time.Now()
+		_, e = s.Update(c, a)
+		expect(t, e, trail.ErrUnavailable, trail.MayHaveRun)
+		if d := cmp.Diff(2*time.Second, time.Since(b)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// An established connection that goes silent must not make the platform
+// unreachable while new ones work.
+func TestSilentConnection(t *testing.T) {
+	run(t, 1000, func(c context.Context, t *testing.T, s *objapi.Client, n *network) {
+		a, e := s.Create(c, object.New("jobs", "a", 0, value("1")))
+		if e != nil {
+			t.Fatal(e)
+		}
+		w, e := s.Watch(c, "jobs", a.Version())
+		if e != nil {
+			t.Fatal(e)
+		}
+		_, e = s.Get(c, "jobs", "a")
+		if e != nil {
+			t.Fatal(e)
+		}
+		n.mute.Store(true)
+		// The first try of the read runs into its bound on a silent connection.
+		time.AfterFunc(500*time.Millisecond, func() { n.mute.Store(false) })
+		_, e = s.Get(c, "jobs", "a")
+		if e != nil {
+			t.Error(e)
+		}
+		_, e = s.Update(c, a)
+		if e != nil {
+			t.Error(e)
+		}
+		b := time.Now()
+		<-w
+		if time.Since(b) > 4*time.Second {
+			t.Error("change arrived after", time.Since(b))
+		}
+	})
+}
+
+// A watch must neither skip nor repeat a change across its requests, and must
+// tell when it can't go on.
+func TestWatch(t *testing.T) {
+	run(t, 10000, func(c context.Context, t *testing.T, s *objapi.Client, n *network) {
+		w, e := s.Watch(c, "jobs", 0)
+		if e != nil {
+			t.Fatal(e)
+		}
+		var o object.Object
+		for i := range 5 {
+			o = object.New("jobs", "a", o.Version(), value("1"))
+			if i == 0 {
+				o, e = s.Create(c, o)
+			} else {
+				o, e = s.Update(c, o)
+			}
+			if e != nil {
+				t.Fatal(e)
+			}
+			g := <-w
+			if d := cmp.Diff(o.Version(), g.Object().Version()); d != "" {
+				t.Error(d)
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		e = s.Delete(c, o)
+		if g := <-w; e != nil || !g.Deleted() {
+			t.Error(e, g)
+		}
+		control(t, n, "PUT", "hosts/h", `{"name":"h"}`)
+		h, e := s.Watch(c, "hosts", 0)
+		b := time.Now()
+		if g := <-h; e != nil || g.Object().Name() != "h" || time.Since(b) != time.Second {
+			t.Error("host list does not lag by 1 s", e, time.Since(b))
+		}
+		for range 1100 {
+			a, e := s.Create(c, object.New("files", "f", 0, value("1")))
+			if e != nil {
+				t.Fatal(e)
+			}
+			e = s.Delete(c, a)
+			if e != nil {
+				t.Fatal(e)
+			}
+		}
+		_, e = s.Watch(c, "files", 0)
+		expect(t, e, trail.ErrTooOld, trail.NotRun)
+		control(t, n, "POST", "faults", `{"outage":"refuse"}`)
+		_, x := <-w
+		if x {
+			t.Error("watch goes on in an outage")
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/objapi/json.go
@@ -0,0 +1,39 @@
+package objapi
+
+import (
+	"encoding/json"
+
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// document is one object as it stands in requests and answers.
+type document struct {
+	Kind     string          `json:"kind,omitempty"`
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+}
+
+type metadata struct {
+	Name            string `json:"name,omitempty"`
+	ResourceVersion int64  `json:"resourceVersion,string,omitempty"`
+}
+
+type documents struct {
+	Metadata metadata   `json:"metadata"`
+	Items    []document `json:"items"`
+}
+
+type deleteOptions struct {
+	Preconditions metadata `json:"preconditions"`
+}
+
+// watchEvent is one line of a watch.
+type watchEvent struct {
+	// ADDED, MODIFIED or DELETED; other types are skipped.
+	Type   string   `json:"type"`
+	Object document `json:"object"`
+}
+
+func (d document) object(kind string) object.Object {
+	return object.New(kind, d.Metadata.Name, d.Metadata.ResourceVersion, d.Spec)
+}
