--- /dev/null
+++ b/internal/coordination/decide/decision.go
@@ -0,0 +1,105 @@
+package decide
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// Kinds of decisions.
+const (
+	// KindDispatch starts an attempt at a backend server.
+	KindDispatch = "dispatch"
+	// KindCancel ends an attempt whose call goes on: it waits again.
+	KindCancel = "cancel"
+	// KindReject ends a call. The verdict is NotRun unless an earlier attempt
+	// of the call may have run.
+	KindReject = "reject"
+)
+
+// Decision is one decision about one call.
+type Decision struct {
+	kind string
+	key  uint64
+	r    *wire.Call
+	// Empty for a rejection.
+	attempt string
+	host    string
+	address string
+	// Reason of a dispatch or cancellation, or the code of a rejection.
+	reason       string
+	alternatives []string
+	verdict      trail.Verdict
+	retryAfter   time.Duration
+}
+
+// Dispatch returns the decision to run a call at a host. The alternatives are
+// the other hosts that could have taken the call.
+func Dispatch(key uint64, r *wire.Call, attempt, host, address, reason string, alternatives []string) Decision {
+	return Decision{
+		kind:         KindDispatch,
+		key:          key,
+		r:            r,
+		attempt:      attempt,
+		host:         host,
+		address:      address,
+		reason:       reason,
+		alternatives: alternatives,
+	}
+}
+
+// Cancel returns the decision to end an attempt whose call goes on.
+func Cancel(key uint64, r *wire.Call, attempt, host, reason string) Decision {
+	return Decision{kind: KindCancel, key: key, r: r, attempt: attempt, host: host, reason: reason}
+}
+
+// Reject returns the decision to end a call. A retryAfter of 0 means that the
+// caller should not come back with it.
+func Reject(key uint64, r *wire.Call, code string, verdict trail.Verdict, retryAfter time.Duration) Decision {
+	return Decision{kind: KindReject, key: key, r: r, reason: code, verdict: verdict, retryAfter: retryAfter}
+}
+
+// Kind returns one of the kinds above.
+func (d Decision) Kind() string { return d.kind }
+
+// Key identifies the call at its scheduler.
+func (d Decision) Key() uint64 { return d.key }
+
+// Call returns the request, which must not be changed.
+func (d Decision) Call() *wire.Call { return d.r }
+
+// Attempt returns the attempt id of a dispatch or a cancellation.
+func (d Decision) Attempt() string { return d.attempt }
+
+// Host returns the name of the backend server.
+func (d Decision) Host() string { return d.host }
+
+// Address returns the IP and port of the backend server of a dispatch.
+func (d Decision) Address() string { return d.address }
+
+// Reason returns why, or the code of a rejection, in kebab case.
+func (d Decision) Reason() string { return d.reason }
+
+// Alternatives returns the names of the other hosts of a dispatch.
+func (d Decision) Alternatives() []string { return d.alternatives }
+
+// Verdict returns whether a rejected call may have run.
+func (d Decision) Verdict() trail.Verdict { return d.verdict }
+
+// RetryAfter returns when a rejected caller may come back, 0 for never.
+func (d Decision) RetryAfter() time.Duration { return d.retryAfter }
+
+// String returns the decision as one line of a golden session.
+func (d Decision) String() string {
+	switch d.kind {
+	case KindDispatch:
+		return fmt.Sprintf("dispatch call=%d attempt=%s host=%s reason=%s alternatives=%s",
+			d.key, d.attempt, d.host, d.reason, strings.Join(d.alternatives, ","))
+	case KindCancel:
+		return fmt.Sprintf("cancel call=%d attempt=%s host=%s reason=%s", d.key, d.attempt, d.host, d.reason)
+	}
+	return fmt.Sprintf("reject call=%d code=%s verdict=%s retry-after=%s", d.key, d.reason, d.verdict, d.retryAfter)
+}
--- /dev/null
+++ b/internal/coordination/poison/record.go
@@ -0,0 +1,148 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	// Crashes at different backend servers after which a request is rejected.
+	rejectAfter = 2
+	// A suspect that is not sent again within this time is forgotten.
+	suspectLifetime = 10 * time.Minute
+	// Bound on the memory for suspects. The oldest one is forgotten first.
+	maxSuspects = 4096
+)
+
+// Record holds the crashes by fingerprint.
+type Record struct {
+	crashes map[uint64]*crash
+	// Changes with each change that other processes should know.
+	version int64
+}
+
+type crash struct {
+	fingerprint uint64
+	// Names of different hosts.
+	hosts    []string
+	last     time.Time
+	rejected bool
+}
+
+// New returns an empty record.
+func New() *Record { return &Record{crashes: map[uint64]*crash{}} }
+
+// Crashed counts the loss of a host that was running the request, and returns
+// whether the request is rejected from now on.
+func (r *Record) Crashed(now time.Time, fingerprint uint64, host string) bool {
+	k := r.crashes[fingerprint]
+	if k == nil {
+		r.forget(now)
+		k = &crash{fingerprint: fingerprint}
+		r.crashes[fingerprint] = k
+	}
+	k.last = now
+	if !slices.Contains(k.hosts, host) {
+		k.hosts = append(k.hosts, host)
+	}
+	if len(k.hosts) >= rejectAfter {
+		k.rejected = true
+	}
+	r.version++
+	return k.rejected
+}
+
+// Completed clears a suspect. A rejected request stays rejected.
+func (r *Record) Completed(fingerprint uint64) {
+	k := r.crashes[fingerprint]
+	if k == nil || k.rejected {
+		return
+	}
+	delete(r.crashes, fingerprint)
+	r.version++
+}
+
+// Rejected returns whether the request must not run again.
+func (r *Record) Rejected(fingerprint uint64) bool {
+	k := r.crashes[fingerprint]
+	return k != nil && k.rejected
+}
+
+// Suspect returns whether the request was running when a host was lost and has
+// not completed since.
+func (r *Record) Suspect(fingerprint uint64) bool {
+	k := r.crashes[fingerprint]
+	return k != nil && !k.rejected
+}
+
+// Hosts returns the names of the hosts that were lost while they ran the
+// request.
+func (r *Record) Hosts(fingerprint uint64) []string {
+	k := r.crashes[fingerprint]
+	if k == nil {
+		return nil
+	}
+	return k.hosts
+}
+
+// Merge adds crashes that other processes have seen. A host that both sides
+// name counts once.
+func (r *Record) Merge(now time.Time, l []*wire.Crash) {
+	for _, w := range l {
+		k := r.crashes[w.GetFingerprint()]
+		if k == nil {
+			k = &crash{fingerprint: w.GetFingerprint(), last: now}
+			r.crashes[k.fingerprint] = k
+		}
+		for _, h := range w.GetHosts() {
+			if !slices.Contains(k.hosts, h) {
+				k.hosts = append(k.hosts, h)
+			}
+		}
+		k.rejected = k.rejected || w.GetRejected() || len(k.hosts) >= rejectAfter
+	}
+}
+
+// Version changes when Crashes would return something else.
+func (r *Record) Version() int64 { return r.version }
+
+// Crashes returns all records in the order of their fingerprints.
+func (r *Record) Crashes() []*wire.Crash {
+	l := make([]*wire.Crash, 0, len(r.crashes))
+	for _, k := range r.crashes {
+		m := k.last.UnixMilli()
+		l = append(l, wire.Crash_builder{
+			Fingerprint: &k.fingerprint,
+			Hosts:       slices.Clone(k.hosts),
+			LastUnixMs:  &m,
+			Rejected:    &k.rejected,
+		}.Build())
+	}
+	slices.SortFunc(l, func(a, b *wire.Crash) int { return cmp.Compare(a.GetFingerprint(), b.GetFingerprint()) })
+	return l
+}
+
+// forget removes old suspects, and the oldest one when there are too many.
+func (r *Record) forget(now time.Time) {
+	var o *crash
+	n := 0
+	for f, k := range r.crashes {
+		if k.rejected {
+			continue
+		}
+		if now.Sub(k.last) > suspectLifetime {
+			delete(r.crashes, f)
+			continue
+		}
+		n++
+		if o == nil || k.last.Before(o.last) {
+			o = k
+		}
+	}
+	if n >= maxSuspects {
+		delete(r.crashes, o.fingerprint)
+	}
+}
