transport/bksrv: calls to backend servers over HTTP/1.1

Cause: schedulers need one place that runs a call at a backend server and says whether a call that failed may have run. Ruled out: http.Client (follows redirects), kept connections for non-idempotent calls (net/http repeats some requests on them: the test of a kept connection shows an idempotent one run twice), and errors for calls that broke after they were written (an error has no mark for a lost backend server, which the crash counts need). Change: Client is a trail.Caller over net/http with progress timeouts, a count of writes that tells "nothing was written", and a reader beside the stream for tokens and [DONE]. Conclusion: a call that did not run is an error, everything later is an End.

--- /dev/null
+++ b/internal/transport/bksrv/client_test.go
@@ -0,0 +1,333 @@
+package bksrv_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/bksrv"
+)
+
+// script is a backend server's part of one connection.
+type script func(n net.Conn, r *bufio.Reader)
+
+// pipes dials in-memory connections, each served by the next script, the last
+// one repeatedly.
+type pipes struct {
+	scripts []script
+	dials   int
+}
+
+func (p *pipes) DialContext(c context.Context, _, _ string) (net.Conn, error) {
+	s := p.scripts[min(p.dials, len(p.scripts)-1)]
+	p.dials++
+	if s == nil {
+		<-c.Done()
+		return nil, c.Err()
+	}
+	a, b := net.Pipe()
+	go func() {
+		defer b.Close()
+		s(b, bufio.NewReader(b))
+	}()
+	return a, nil
+}
+
+// answers reads one request and writes text.
+func answers(text string) script {
+	return func(n net.Conn, r *bufio.Reader) {
+		q, e := http.ReadRequest(r)
+		if e != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(n, text)
+	}
+}
+
+// silent goes on reading after what s does and never closes.
+func silent(s script) script {
+	return func(n net.Conn, r *bufio.Reader) {
+		s(n, r)
+		_, _ = io.Copy(io.Discard, r)
+	}
+}
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	token      = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	role       = "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"
+	done       = "data: [DONE]\n\n"
+	last       = "0\r\n\r\n"
+)
+
+// chunked frames texts, one chunk each.
+func chunked(texts ...string) string {
+	var b strings.Builder
+	for _, t := range texts {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(t), t)
+	}
+	return b.String()
+}
+
+// outcome is what a receiver sees of one call.
+type outcome struct {
+	Status  int32
+	Body    string
+	Verdict string
+	Code    string
+	Tokens  int64
+	Crashed bool
+	Wait    time.Duration
+	// Time from the call to its end.
+	Took time.Duration
+}
+
+func client(p *pipes) *bksrv.Client {
+	return bksrv.New(p, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry())
+}
+
+func call(m func(*wire.Call)) *wire.Call {
+	r := &wire.Call{}
+	r.SetAttemptId("attempt-1")
+	r.SetMethod("POST")
+	r.SetPath("/v1/chat/completions")
+	r.SetModel("fit-assistant")
+	r.SetBody([]byte(`{"model":"fit-assistant"}`))
+	if m != nil {
+		m(r)
+	}
+	return r
+}
+
+// run makes one call and checks the order of its replies and their offsets.
+func run(t *testing.T, s *bksrv.Client, r *wire.Call) outcome {
+	t.Helper()
+	var o outcome
+	b := time.Now()
+	a, e := s.Call(t.Context(), "10.0.0.1:80", r)
+	if e != nil {
+		var f *trail.Error
+		if !errors.As(e, &f) {
+			t.Fatalf("error without a verdict: %v", e)
+		}
+		return outcome{Verdict: f.Verdict().String(), Code: f.Code(), Wait: f.Wait(), Took: time.Since(b)}
+	}
+	defer a.Close()
+	for {
+		m, e := a.Recv()
+		if e == io.EOF {
+			o.Took = time.Since(b)
+			return o
+		}
+		if e != nil || o.Verdict != "" {
+			t.Fatalf("reply %v, error %v after the end", m, e)
+		}
+		if d := cmp.Diff("attempt-1", m.GetAttemptId()); d != "" {
+			t.Fatal(d)
+		}
+		switch {
+		case m.HasHead():
+			o.Status = m.GetHead().GetStatus()
+		case m.HasData():
+			if d := cmp.Diff(int64(len(o.Body)), m.GetData().GetOffset()); d != "" {
+				t.Fatal(d)
+			}
+			o.Body += string(m.GetData().GetChunk())
+		case m.HasEnd():
+			n := m.GetEnd()
+			o.Verdict = n.GetVerdict().String()
+			o.Code, o.Tokens, o.Crashed = n.GetCode(), n.GetTokens(), n.GetCrashed()
+		}
+	}
+}
+
+// net/http repeats a request by itself when a kept connection turns out to be
+// closed. A non-idempotent call that did so would run twice (P6).
+func TestKeptConnectionClosed(t *testing.T) {
+	q := 0
+	f := func(r *bufio.Reader) {
+		a, e := http.ReadRequest(r)
+		if e != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, a.Body)
+		q++
+	}
+	g := func(_ net.Conn, r *bufio.Reader) { f(r) }
+	for n, k := range map[string]struct {
+		nonIdempotent bool
+		then          script
+		want          outcome
+		// Requests that backend servers have read whole, the first call's
+		// among them, and connections.
+		requests, dials int
+	}{
+		"non-idempotent": {true, g, outcome{Verdict: mayHaveRun, Code: "backend-lost", Crashed: true}, 2, 2},
+		"idempotent":     {false, g, outcome{Verdict: mayHaveRun, Code: "backend-lost", Crashed: true}, 3, 2},
+		// The failed dial must not hide that the first connection was lost.
+		"then unreachable": {false, nil, outcome{Verdict: mayHaveRun, Code: "backend-lost", Crashed: true, Took: time.Second}, 2, 2},
+	} {
+		t.Run(n, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q = 0
+				p := &pipes{scripts: []script{
+					// Answers the first request, closes on the second.
+					func(n net.Conn, r *bufio.Reader) {
+						f(r)
+						_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+						f(r)
+					},
+					k.then,
+				}}
+				s := client(p)
+				o := run(t, s, call(nil))
+				if d := cmp.Diff(ran, o.Verdict); d != "" {
+					t.Fatal(d)
+				}
+				o = run(t, s, call(func(r *wire.Call) {
+					r.SetNonIdempotent(k.nonIdempotent)
+					// Marks the request as one that net/http may repeat.
+					h := &wire.Header{}
+					h.SetName("Idempotency-Key")
+					h.SetValues([]string{"order-1"})
+					r.SetHeaders([]*wire.Header{h})
+				}))
+				if d := cmp.Diff(k.want, o); d != "" {
+					t.Fatal(d)
+				}
+				if d := cmp.Diff([]int{k.requests, k.dials}, []int{q, p.dials}); d != "" {
+					t.Fatal(d)
+				}
+				// Ends the connection that is still kept.
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// A token that waits for the next one is late by the time between tokens.
+func TestTokensPassedOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{scripts: []script{func(n net.Conn, r *bufio.Reader) {
+			answers(streamHead)(n, r)
+			for _, x := range []string{token, token, done} {
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(n, chunked(x))
+			}
+			_, _ = io.WriteString(n, last)
+		}}}
+		b := time.Now()
+		a, e := client(p).Call(t.Context(), "10.0.0.1:80", call(nil))
+		if e != nil {
+			t.Fatal(e)
+		}
+		var l []time.Duration
+		for {
+			m, e := a.Recv()
+			if e != nil {
+				break
+			}
+			if m.HasData() {
+				l = append(l, time.Since(b))
+			}
+		}
+		if d := cmp.Diff([]time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, l); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// A call that was given up must reach the backend server as a closed
+// connection, or the engine goes on generating for nobody (P2, P3).
+func TestCloseCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := false
+		p := &pipes{scripts: []script{func(n net.Conn, r *bufio.Reader) {
+			silent(answers(streamHead+chunked(token)))(n, r)
+			x = true
+		}}}
+		a, e := client(p).Call(t.Context(), "10.0.0.1:80", call(nil))
+		if e != nil {
+			t.Fatal(e)
+		}
+		for range 2 {
+			_, e = a.Recv()
+			if e != nil {
+				t.Fatal(e)
+			}
+		}
+		_ = a.Close()
+		synctest.Wait()
+		if d := cmp.Diff(true, x); d != "" {
+			t.Fatal(d)
+		}
+		m, e := a.Recv()
+		if d := cmp.Diff("cancelled", m.GetEnd().GetCode()); e != nil || d != "" {
+			t.Fatal(e, d)
+		}
+	})
+}
+
+// A header of one connection that is passed on can change how the next
+// connection is framed; a missing one changes the request.
+func TestHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h http.Header
+		p := &pipes{scripts: []script{func(n net.Conn, r *bufio.Reader) {
+			q, e := http.ReadRequest(r)
+			if e != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, q.Body)
+			h = q.Header
+			_, _ = io.WriteString(n, "HTTP/1.1 204 No Content\r\n\r\n")
+		}}}
+		o := run(t, client(p), call(func(r *wire.Call) {
+			r.SetNonIdempotent(true)
+			r.SetResumeOffset(12)
+			var l []*wire.Header
+			for _, x := range [][2]string{
+				{"Connection", "X-Hop"},
+				{"X-Hop", "1"},
+				{"Transfer-Encoding", "gzip"},
+				{"Upgrade", "h2c"},
+				{"X-Request-Id", "caller-1"},
+				{"User-Agent", "shop"},
+				{"Accept-Language", "es-MX"},
+				{"Content-Length", "3"},
+			} {
+				m := &wire.Header{}
+				m.SetName(x[0])
+				m.SetValues(x[1:])
+				l = append(l, m)
+			}
+			r.SetHeaders(l)
+		}))
+		if d := cmp.Diff(outcome{Status: 204, Verdict: ran}, o); d != "" {
+			t.Fatal(d)
+		}
+		w := http.Header{
+			"X-Request-Id": {"attempt-1"}, "Resume-Offset": {"12"}, "User-Agent": {"shop"}, "Accept-Language": {"es-MX"},
+			"Content-Length": {"25"}, "Connection": {"close"},
+		}
+		if d := cmp.Diff(w, h); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
