--- a/internal/command/tool/run.go
+++ b/internal/command/tool/run.go
@@ -2,13 +2,102 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"bulrushtrail.example/trail/internal/state/conf"
 )
 
+const (
+	envPrefix = "BULRUSHTRAIL"
+	// Exit statuses.
+	statusFailed = 1
+	statusUsage  = 2
+)
+
+// usage is an error in the command line.
+type usage struct{ error }
+
 // Run runs one command line without the program name and returns the exit
-// status. Cancelling c asks a role to shut down gracefully.
-func Run(_ context.Context, _ []string, _, w io.Writer) int {
-	_, _ = fmt.Fprintln(w, "bulrushtrail: no command given; -help lists them")
-	return 2
+// status: 0 for success, 1 for a failure, 2 for a usage error. Cancelling c
+// asks a role to shut down gracefully.
+func Run(c context.Context, arguments []string, out, diagnostics io.Writer) int {
+	r := root(out, diagnostics)
+	e := r.Parse(arguments)
+	if errors.Is(e, flag.ErrHelp) {
+		return 0
+	}
+	if e != nil {
+		_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", e)
+		return statusUsage
+	}
+	e = r.Run(c)
+	var u usage
+	switch {
+	case e == nil, errors.Is(e, flag.ErrHelp):
+		return 0
+	case errors.As(e, &u):
+		_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", u)
+		return statusUsage
+	}
+	_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", e)
+	return statusFailed
+}
+
+func root(out, diagnostics io.Writer) *ffcli.Command {
+	f := flag.NewFlagSet("bulrushtrail", flag.ContinueOnError)
+	f.SetOutput(diagnostics)
+	s := []*ffcli.Command{
+		role("entry", "serve the HTTP API for callers and operators", diagnostics),
+		role("sched", "own backend servers, claims and jobs", diagnostics),
+		role("depot", "keep bulk data on this host's disk", diagnostics),
+	}
+	s = append(s, operators(out, diagnostics)...)
+	return &ffcli.Command{
+		Name:       "bulrushtrail",
+		ShortUsage: "bulrushtrail <command> [flags]",
+		ShortHelp:  "serve online requests and batch jobs from one fleet",
+		LongHelp: "The roles entry, sched and depot run until SIGTERM and then shut down gracefully.\n" +
+			"All other commands talk to an entry and are for operators.\n" +
+			"Each flag can also be set by an environment variable (" + envPrefix + "_MEMBER_ID for\n" +
+			"-member-id) and, for the roles, in the JSON file that -config names.",
+		FlagSet:     f,
+		Subcommands: s,
+		Exec: func(context.Context, []string) error {
+			return usage{errors.New("no such command; bulrushtrail -help lists them")}
+		},
+	}
+}
+
+func role(name, help string, diagnostics io.Writer) *ffcli.Command {
+	f := flag.NewFlagSet("bulrushtrail "+name, flag.ContinueOnError)
+	f.SetOutput(diagnostics)
+	f.String("config", "", "JSON file of settings; its keys are the names of these flags")
+	s := conf.New(f, name)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "bulrushtrail " + name + " [flags]",
+		ShortHelp:  help,
+		FlagSet:    f,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix(envPrefix),
+			ff.WithConfigFileFlag("config"),
+			ff.WithConfigFileParser(conf.ParseFile),
+		},
+		Exec: func(c context.Context, arguments []string) error {
+			if len(arguments) > 0 {
+				return usage{errors.Newf("unexpected argument %q", arguments[0])}
+			}
+			e := s.Check()
+			if e != nil {
+				return usage{errors.Newf("settings have faults:\n%v", e)}
+			}
+			return serve(c, s, diagnostics)
+		},
+	}
 }
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+const (
+	// Operator key of the deployments that this package starts.
+	operatorKey  = "operator"
+	readyTimeout = 30 * time.Second
+	readyPeriod  = 50 * time.Millisecond
+	// Graceful shutdown of one process.
+	stopTimeout = 30 * time.Second
+)
+
+// program makes the command line and extra environment that run a program,
+// "bulrushtrail" or "standin".
+type program = func(name string) (path string, environment []string)
+
+// Fleet is a running deployment. Its methods are for one goroutine.
+type Fleet struct {
+	p *plan
+	// First three numbers of all IP numbers, different for each test process.
+	network string
+	// Holds logs, settings and data folders.
+	folder  string
+	program program
+	// In the order of their start.
+	processes []*process
+	backends  []backend
+}
+
+// New prepares the deployment of a plan file without starting anything.
+// Folder is for logs, settings and data. Program returns the path and extra
+// environment of "bulrushtrail" and "standin".
+func New(file, folder string, program func(name string) (string, []string)) (*Fleet, error) {
+	p, e := readPlan(file)
+	if e != nil {
+		return nil, e
+	}
+	n := os.Getpid()
+	f := &Fleet{p: p, folder: folder, program: program, network: fmt.Sprintf("127.%d.%d", 16+n>>8%200, n&255)}
+	f.backends = p.backends(f.network)
+	b, e := json.Marshal(p.Callers)
+	if e != nil {
+		return nil, e
+	}
+	return f, os.WriteFile(f.path("callers.json"), b, 0o600)
+}
+
+func (f *Fleet) path(name string) string { return filepath.Join(f.folder, name) }
+
+// Start starts all processes and returns when each is ready.
+func (f *Fleet) Start(c context.Context) error {
+	f.add("platform", "standin", f.PlatformURL()+"/control/faults", "platform", "-listen", f.network+".10:8000", "-host-lag", "100ms")
+	for _, b := range f.backends {
+		k := "plain"
+		if b.engine {
+			k = "engine"
+		}
+		f.add(b.name, "standin", "http://"+b.address+"/control/runs", k, "-listen", b.address)
+	}
+	e := f.startAll(c, f.processes)
+	if e != nil {
+		return e
+	}
+	for _, b := range f.backends {
+		e = f.SetHost(c, b.name, true, false)
+		if e != nil {
+			return e
+		}
+	}
+	n := len(f.processes)
+	for i := range f.p.Scheds {
+		f.member("sched", 20+i, i)
+	}
+	for i := range f.p.Depots {
+		f.member("depot", 40+i, i, "-data-folder", f.path(fmt.Sprintf("data-%d", i+1)))
+	}
+	for i := range f.p.Entries {
+		f.member("entry", 60+i, i, "-http-address", fmt.Sprintf("%s.%d:8080", f.network, 60+i),
+			"-callers-file", f.path("callers.json"), "-operator-key", operatorKey)
+	}
+	return f.startAll(c, f.processes[n:])
+}
+
+func (f *Fleet) member(role string, number, i int, arguments ...string) {
+	h := fmt.Sprintf("%s.%d", f.network, number)
+	n := fmt.Sprintf("%s-%d", role, i+1)
+	a := append([]string{
+		role, "-member-id", n, "-data-centre", f.p.DataCentres[i%len(f.p.DataCentres)],
+		"-peer-address", h + ":7000", "-admin-address", h + ":7001", "-platform-url", f.PlatformURL(),
+		"-peers", f.network + ".20:7000," + f.network + ".21:7000",
+	}, arguments...)
+	f.add(n, "bulrushtrail", "http://"+h+":7001/readyz", a...)
+}
+
+func (f *Fleet) add(name, program, ready string, arguments ...string) {
+	f.processes = append(f.processes, &process{name: name, program: program, ready: ready, arguments: arguments, log: f.path(name + ".log")})
+}
+
+func (f *Fleet) startAll(c context.Context, l []*process) error {
+	for _, p := range l {
+		e := p.start(f.program)
+		if e != nil {
+			return e
+		}
+	}
+	for _, p := range l {
+		e := p.wait(c)
+		if e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) process(name string) *process {
+	i := slices.IndexFunc(f.processes, func(p *process) bool { return p.name == name })
+	if i < 0 {
+		panic("fleet: no process " + name)
+	}
+	return f.processes[i]
+}
+
+// Names returns the names of all processes whose name begins with prefix.
+func (f *Fleet) Names(prefix string) []string {
+	var l []string
+	for _, p := range f.processes {
+		if len(p.name) > len(prefix) && p.name[:len(prefix)] == prefix {
+			l = append(l, p.name)
+		}
+	}
+	return l
+}
+
+// Kill ends a process without warning.
+func (f *Fleet) Kill(name string) { f.process(name).kill() }
+
+// Freeze stops a process from running until Thaw.
+func (f *Fleet) Freeze(name string) { f.process(name).freeze() }
+
+// Thaw lets a frozen process run on.
+func (f *Fleet) Thaw(name string) { f.process(name).thaw() }
+
+// Terminate asks a process to shut down gracefully and returns its exit error.
+func (f *Fleet) Terminate(name string) error { return f.process(name).terminate() }
+
+// Restart starts a process that has ended and waits until it is ready.
+func (f *Fleet) Restart(c context.Context, name string) error {
+	p := f.process(name)
+	e := p.start(f.program)
+	if e != nil {
+		return e
+	}
+	return p.wait(c)
+}
+
+// Stop shuts all processes down gracefully, in an order in which each can
+// still reach what it needs: entries, schedulers, depots, stand-ins.
+func (f *Fleet) Stop() error {
+	var l []error
+	for _, r := range []string{"entry-", "sched-", "depot-"} {
+		for _, n := range f.Names(r) {
+			e := f.process(n).terminate()
+			if e != nil {
+				l = append(l, fmt.Errorf("%s: %w", n, e))
+			}
+		}
+	}
+	f.Close()
+	if len(l) > 0 {
+		return fmt.Errorf("processes did not stop well: %v", l)
+	}
+	return nil
+}
+
+// Close kills what still runs.
+func (f *Fleet) Close() {
+	for _, p := range f.processes {
+		p.kill()
+	}
+}
+
+// PlatformURL returns the URL of the platform.
+func (f *Fleet) PlatformURL() string { return "http://" + f.network + ".10:8000" }
+
+// EntryURL returns the URL of entry i, counted from 1.
+func (f *Fleet) EntryURL(i int) string { return fmt.Sprintf("http://%s.%d:8080", f.network, 59+i) }
+
+// OperatorKey returns the key of the operators' API.
+func (f *Fleet) OperatorKey() string { return operatorKey }
+
+// BackendURL returns the URL of a backend server.
+func (f *Fleet) BackendURL(name string) string {
+	for _, b := range f.backends {
+		if b.name == name {
+			return "http://" + b.address
+		}
+	}
+	panic("fleet: no backend server " + name)
+}
+
+// Log returns what a process has logged so far.
+func (f *Fleet) Log(name string) string {
+	b, _ := os.ReadFile(f.process(name).log)
+	return string(b)
+}
+
+// SetHost changes a backend server in the platform's host list.
+func (f *Fleet) SetHost(c context.Context, name string, ready, leaving bool) error {
+	i := slices.IndexFunc(f.backends, func(b backend) bool { return b.name == name })
+	b := f.backends[i]
+	v := map[string]any{
+		"name": b.name, "service": b.service, "data-centre": b.dataCentre, "address": b.address, "ready": ready, "leaving": leaving,
+	}
+	return f.Control(c, http.MethodPut, f.PlatformURL()+"/control/hosts/"+name, v)
+}
+
+// Control sends a JSON order to a stand-in.
+func (f *Fleet) Control(c context.Context, method, url string, order any) error {
+	b, e := json.Marshal(order)
+	if e != nil {
+		return e
+	}
+	q, e := http.NewRequestWithContext(c, method, url, bytes.NewReader(b))
+	if e != nil {
+		return e
+	}
+	q.Header.Set("Content-Type", "application/json")
+	a, e := http.DefaultClient.Do(q)
+	if e != nil {
+		return e
+	}
+	defer a.Body.Close()
+	b, _ = io.ReadAll(a.Body)
+	if a.StatusCode/100 != 2 {
+		return fmt.Errorf("%s answered %s: %s", url, a.Status, b)
+	}
+	return nil
+}
