--- /dev/null
+++ b/internal/transport/scrape/doc.go
@@ -0,0 +1,2 @@
+// Package scrape reads the metrics of backend servers over HTTP.
+package scrape
