coordination/jobs: job owner

Cause: batch jobs need one owner that runs their items and commits each result once. Ruled out: a lease on a job, because its holder can be paused past its end; a segment for each item, because the platform takes a few hundred writes a second.

--- /dev/null
+++ b/internal/coordination/jobs/call.go
@@ -0,0 +1,87 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// maxAnswerBytes bounds the answer of one item.
+const maxAnswerBytes = 8 << 20
+
+// run makes one attempt of an item.
+func run(c context.Context, caller trail.Caller, service string, t *item, r *wire.Call) *outcome {
+	o := &outcome{item: t, attempt: r.GetAttemptId()}
+	p, e := caller.Call(c, service, r)
+	if e == nil {
+		e = o.receive(p)
+		_ = p.Close()
+	}
+	if e != nil {
+		o.lost(e)
+	}
+	o.cancelled = c.Err() != nil
+	return o
+}
+
+// lost takes an error in place of an answer.
+func (o *outcome) lost(e error) {
+	o.verdict, o.code, o.message = trail.VerdictOf(e), trail.CodeOf(e), e.Error()
+	var t *trail.Error
+	if errors.As(e, &t) {
+		o.message, o.retryAfter = t.Message(), t.Wait()
+	}
+}
+
+// receive takes the replies. One of another attempt is dropped; the answer is
+// complete only when its bytes came without a gap.
+func (o *outcome) receive(p trail.Replies) error {
+	for {
+		r, e := p.Recv()
+		if e == io.EOF {
+			return trail.NewError("answer-incomplete", trail.MayHaveRun, "the answer has no end")
+		}
+		if e != nil {
+			return e
+		}
+		if r.GetAttemptId() != o.attempt {
+			continue
+		}
+		switch {
+		case r.HasHead():
+			o.status = r.GetHead().GetStatus()
+		case r.HasData():
+			if r.GetData().GetOffset() != int64(len(o.body)) {
+				return trail.NewError("answer-incomplete", trail.MayHaveRun, "the answer has a gap at byte %d", len(o.body))
+			}
+			if len(o.body)+len(r.GetData().GetChunk()) > maxAnswerBytes {
+				return trail.NewError("answer-too-large", trail.MayHaveRun, "the answer is larger than %d bytes", maxAnswerBytes)
+			}
+			o.body = append(o.body, r.GetData().GetChunk()...)
+		case r.HasEnd():
+			o.end(r.GetEnd())
+			return nil
+		}
+	}
+}
+
+func (o *outcome) end(n *wire.End) {
+	o.retryAfter = time.Duration(n.GetRetryAfterMs()) * time.Millisecond
+	o.code, o.message = n.GetCode(), n.GetMessage()
+	o.complete = o.code == "" && o.status != 0
+	switch n.GetVerdict() {
+	case wire.Verdict_VERDICT_NOT_RUN:
+		o.verdict = trail.NotRun
+	case wire.Verdict_VERDICT_RAN:
+		o.verdict = trail.Ran
+	default:
+		o.verdict = trail.MayHaveRun
+	}
+	if !o.complete && o.code == "" {
+		o.code, o.message = "answer-incomplete", "the answer has no status"
+	}
+}
