transport/httpd: HTTP server with limits, flush and graceful stop

Cause: the generated server copies a streamed body with io.Copy and never flushes, and net/http alone has no bounds for silent callers. Ruled out: WriteTimeout and ReadTimeout of net/http, which bound the whole request and would cut long streams; deadlines are set for each read and write. Change: server, admin handler, and tests under the paused clock.

--- /dev/null
+++ b/internal/transport/httpd/admin.go
@@ -0,0 +1,27 @@
+package httpd
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Admin returns the handler of the admin address: /metrics in the Prometheus
+// text format, /readyz with 200 or 503, and /livez with 200 while the process
+// can answer.
+func (s *Server) Admin(g prometheus.Gatherer) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /metrics", promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("live\n"))
+	})
+	return m
+}
--- /dev/null
+++ b/internal/transport/httpd/server.go
@@ -0,0 +1,130 @@
+package httpd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	idleTimeout   = 60 * time.Second
+	// A caller that neither sends nor takes a byte for so long is cut off.
+	progressTimeout = 30 * time.Second
+
+	defaultBodyBytes   = 16 << 20
+	defaultConnections = 10_000
+	defaultDrainBound  = 120 * time.Second
+)
+
+// Server is an HTTP server for one handler.
+type Server struct {
+	h http.Handler
+	l log.Interface
+	// Bytes of one request body.
+	bodyBytes int64
+	// Connections open at the same time; further ones wait to be accepted.
+	connections int
+	// Time that requests in progress have after the context of Serve ends.
+	drainBound time.Duration
+	// What must hold besides a running Serve.
+	condition func() bool
+	// Whether Serve runs and was not told to stop.
+	serving  atomic.Bool
+	inFlight prometheus.Gauge
+}
+
+type option = func(*Server)
+
+// WithBodyBytes bounds one request body in bytes. The default is 16 MiB.
+func WithBodyBytes(limit int64) func(*Server) {
+	return func(s *Server) { s.bodyBytes = limit }
+}
+
+// WithConnections bounds the connections that are open at the same time. The
+// default is 10,000.
+func WithConnections(limit int) func(*Server) {
+	return func(s *Server) { s.connections = limit }
+}
+
+// WithDrainBound bounds the time that requests in progress have to finish
+// after the context of Serve ends. The default is 120 s.
+func WithDrainBound(bound time.Duration) func(*Server) {
+	return func(s *Server) { s.drainBound = bound }
+}
+
+// WithCondition makes readiness depend on condition too, which must not block.
+func WithCondition(condition func() bool) func(*Server) {
+	return func(s *Server) { s.condition = condition }
+}
+
+// New returns a server for h. It opens nothing before Serve.
+func New(h http.Handler, l log.Interface, r prometheus.Registerer, options ...option) *Server {
+	s := &Server{
+		l:           l,
+		bodyBytes:   defaultBodyBytes,
+		connections: defaultConnections,
+		drainBound:  defaultDrainBound,
+		condition:   func() bool { return true },
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bulrushtrail_http_requests_in_flight",
+			Help: "HTTP requests in progress.",
+		}),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	r.MustRegister(s.inFlight)
+	s.h = s.guard(h)
+	return s
+}
+
+// Serve accepts connections on n until c ends, or n fails. Then the server is
+// not ready, accepts nothing more, and gives requests in progress the drain
+// bound to finish. It returns an error when n failed or the bound passed.
+func (s *Server) Serve(c context.Context, n net.Listener) error {
+	// Contexts of requests don't derive from c, so that requests in progress
+	// survive its end.
+	h := &http.Server{
+		Handler:           s.h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerBytes,
+		IdleTimeout:       idleTimeout,
+	}
+	d := make(chan error, 1)
+	f := context.AfterFunc(c, func() { d <- s.shutDown(c, h) })
+	s.serving.Store(true)
+	e := h.Serve(netutil.LimitListener(n, s.connections))
+	s.serving.Store(false)
+	if f() {
+		_ = h.Close()
+		return errors.Wrap(e, "serve HTTP")
+	}
+	return <-d
+}
+
+func (s *Server) shutDown(c context.Context, h *http.Server) error {
+	s.serving.Store(false)
+	s.l.Info("httpd: shutdown started")
+	c, f := context.WithTimeout(context.WithoutCancel(c), s.drainBound)
+	defer f()
+	e := h.Shutdown(c)
+	if e != nil {
+		_ = h.Close()
+		s.l.WithError(e).Error("httpd: requests were cut off")
+		return errors.Wrap(e, "finish requests in progress")
+	}
+	s.l.Info("httpd: shutdown finished")
+	return nil
+}
+
+// Ready says whether the server takes requests.
+func (s *Server) Ready() bool { return s.serving.Load() && s.condition() }
--- /dev/null
+++ b/internal/transport/httpd/server_test.go
@@ -0,0 +1,317 @@
+package httpd_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bulrushtrail.example/trail/internal/transport/httpd"
+)
+
+// pipes is a listener whose connections are in memory, so that they end under
+// the paused clock.
+type pipes struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+func listen() *pipes { return &pipes{accept: make(chan net.Conn), closed: make(chan struct{})} }
+
+func (p *pipes) dial(c context.Context, _, _ string) (net.Conn, error) {
+	a, b := net.Pipe()
+	select {
+	case p.accept <- b:
+		return a, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	case <-c.Done():
+		return nil, c.Err()
+	}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case n := <-p.accept:
+		return n, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	select {
+	case <-p.closed:
+	default:
+		close(p.closed)
+	}
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// fixture is a server that runs, and a client of it.
+type fixture struct {
+	s      *httpd.Server
+	p      *pipes
+	client *http.Client
+	stop   context.CancelFunc
+	served chan error
+}
+
+func start(t *testing.T, h http.HandlerFunc, options ...func(*httpd.Server)) *fixture {
+	l := &log.Logger{Handler: discard.New()}
+	c, f := context.WithCancel(t.Context())
+	p := listen()
+	x := &fixture{
+		s:      httpd.New(h, l, prometheus.NewRegistry(), options...),
+		p:      p,
+		client: &http.Client{Transport: &http.Transport{DialContext: p.dial}},
+		stop:   f,
+		served: make(chan error, 1),
+	}
+	go func() { x.served <- x.s.Serve(c, p) }()
+	synctest.Wait()
+	return x
+}
+
+func (x *fixture) finish(t *testing.T) {
+	t.Helper()
+	x.client.CloseIdleConnections()
+	x.stop()
+	e := <-x.served
+	if e != nil {
+		t.Fatal(e)
+	}
+}
+
+func (x *fixture) get(t *testing.T) *http.Response {
+	t.Helper()
+	r, e := x.client.Get("http://server/")
+	if e != nil {
+		t.Fatal(e)
+	}
+	return r
+}
+
+// status returns the status at path and whether the body shows the gauge.
+func (x *fixture) status(t *testing.T, path string) string {
+	t.Helper()
+	r, e := x.client.Get("http://server" + path)
+	if e != nil {
+		t.Fatal(e)
+	}
+	b, _ := io.ReadAll(r.Body)
+	if strings.Contains(string(b), "a_gauge 0") {
+		return r.Status + " with gauge"
+	}
+	return r.Status
+}
+
+// Guards against a stream that is collected in a buffer: the handler copies as
+// the generated encoder does, and the second token is produced only after the
+// first one has arrived.
+func TestFirstTokenLeavesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, w := io.Pipe()
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.Copy(w, r) })
+		go func() { _, _ = io.WriteString(w, "first\n") }()
+		a := x.get(t)
+		b := bufio.NewReader(a.Body)
+		l, e := b.ReadString('\n')
+		if d := cmp.Diff("first\n", l); e != nil || d != "" {
+			t.Fatal(e, d)
+		}
+		go func() {
+			_, _ = io.WriteString(w, "second\n")
+			_ = w.Close()
+		}()
+		m, e := io.ReadAll(b)
+		if d := cmp.Diff("second\n", string(m)); e != nil || d != "" {
+			t.Fatal(e, d)
+		}
+		x.finish(t)
+	})
+}
+
+// Guards against a planned stop that breaks a request, or that leaves the
+// server ready while it no longer accepts.
+func TestStopFinishesRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := make(chan struct{})
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			<-g
+			_, _ = io.WriteString(w, "whole")
+		})
+		if !x.s.Ready() {
+			t.Fatal("not ready while serving")
+		}
+		a := make(chan string)
+		go func() {
+			r, e := x.client.Get("http://server/")
+			if e != nil {
+				a <- e.Error()
+				return
+			}
+			b, _ := io.ReadAll(r.Body)
+			a <- string(b)
+		}()
+		synctest.Wait()
+		x.stop()
+		synctest.Wait()
+		if x.s.Ready() {
+			t.Error("ready after the stop")
+		}
+		_, e := x.p.dial(t.Context(), "", "")
+		if d := cmp.Diff(net.ErrClosed.Error(), e.Error()); d != "" {
+			t.Error(d)
+		}
+		close(g)
+		if d := cmp.Diff("whole", <-a); d != "" {
+			t.Error(d)
+		}
+		x.finish(t)
+	})
+}
+
+// Guards against a stop that waits for ever for a request that does not end.
+func TestStopIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const b = 3 * time.Second
+		x := start(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, httpd.WithDrainBound(b))
+		a := make(chan error)
+		go func() {
+			_, e := x.client.Get("http://server/")
+			a <- e
+		}()
+		synctest.Wait()
+		n := time.Now()
+		x.stop()
+		if e := <-x.served; e == nil {
+			t.Error("requests were cut off without an error")
+		}
+		if d := cmp.Diff(b, time.Since(n)); d != "" {
+			t.Error(d)
+		}
+		if e := <-a; e == nil {
+			t.Error("the request was cut off and had an answer")
+		}
+	})
+}
+
+// Guards against callers that hold a connection without sending or taking
+// anything.
+func TestSilentCallers(t *testing.T) {
+	m := map[string]string{
+		"no header":   "",
+		"half header": "GET / HTTP/1.1\r\nHost",
+		"half body":   "POST / HTTP/1.1\r\nHost: server\r\nContent-Length: 10\r\n\r\nhalf",
+		"takes none":  "GET /large HTTP/1.1\r\nHost: server\r\n\r\n",
+	}
+	for n, q := range m {
+		t.Run(n, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := make(chan error, 1)
+				x := start(t, func(w http.ResponseWriter, r *http.Request) {
+					_, e := io.ReadAll(r.Body)
+					if r.URL.Path == "/large" {
+						_, e = io.WriteString(w, strings.Repeat("x", 1<<20))
+					}
+					f <- e
+				})
+				k, e := x.p.dial(t.Context(), "", "")
+				if e != nil {
+					t.Fatal(e)
+				}
+				go func() { _, _ = io.WriteString(k, q) }()
+				// Twice the longest of the server's bounds.
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				if q != "" && !strings.HasSuffix(n, "header") {
+					if e := <-f; e == nil {
+						t.Error("the handler saw no failure")
+					}
+				}
+				_, _ = io.Copy(io.Discard, k)
+				x.finish(t)
+			})
+		})
+	}
+}
+
+// Guards against a body that fills the memory.
+func TestBodyLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t, func(w http.ResponseWriter, r *http.Request) {
+			_, e := io.ReadAll(r.Body)
+			if e != nil {
+				http.Error(w, e.Error(), http.StatusRequestEntityTooLarge)
+			}
+		}, httpd.WithBodyBytes(4))
+		for b, n := range map[string]int{"four": http.StatusOK, "fives": http.StatusRequestEntityTooLarge} {
+			r, e := x.client.Post("http://server/", "text/plain", strings.NewReader(b))
+			if e != nil {
+				t.Fatal(e)
+			}
+			if d := cmp.Diff(n, r.StatusCode); d != "" {
+				t.Error(b, d)
+			}
+			_ = r.Body.Close()
+		}
+		x.finish(t)
+	})
+}
+
+// Guards against a deadline of a long answer that breaks the next one on the
+// same connection.
+func TestConnectionIsReusedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		for range 3 {
+			r := x.get(t)
+			_ = r.Body.Close()
+			time.Sleep(50 * time.Second)
+		}
+		x.finish(t)
+	})
+}
+
+// Guards against a load balancer that sends requests to a process that can't
+// take them.
+func TestAdmin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := false
+		x := start(t, func(http.ResponseWriter, *http.Request) {}, httpd.WithCondition(func() bool { return b }))
+		g := prometheus.NewRegistry()
+		g.MustRegister(prometheus.NewGauge(prometheus.GaugeOpts{Name: "a_gauge"}))
+		a := start(t, x.s.Admin(g).ServeHTTP)
+		m := map[string]string{"before": a.status(t, "/readyz")}
+		b = true
+		m["ready"] = a.status(t, "/readyz")
+		m["metrics"] = a.status(t, "/metrics")
+		x.finish(t)
+		m["stopped"] = a.status(t, "/readyz")
+		m["live"] = a.status(t, "/livez")
+		w := map[string]string{
+			"before":  "503 Service Unavailable",
+			"ready":   "200 OK",
+			"metrics": "200 OK with gauge",
+			"stopped": "503 Service Unavailable",
+			"live":    "200 OK",
+		}
+		if d := cmp.Diff(w, m); d != "" {
+			t.Error(d)
+		}
+		a.finish(t)
+	})
+}
