coordination/claim: claim shards for idempotency keys

Cause: a non-idempotent request with a key may run at most once, whatever happens to its scheduler and to answers of the platform. Ruled out: trusting a read-back that does not show the attempt (the lost update may still arrive), so the next conditional update has to succeed first; and refusing held keys in an outage (the caller would be told "not run" about a request whose first attempt may have run). Change: decision module with group commit, read-back after a lost answer, marks for refused attempts and expiry; task, stream handlers and drain. Conclusion: lost, late and dropped updates each end in one grant or in a key that is free again.

--- /dev/null
+++ b/internal/coordination/claim/claims.go
@@ -0,0 +1,175 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/frame"
+)
+
+// codePostponed is the code of a settlement that goes on after its answer.
+const codePostponed = "settle-postponed"
+
+// sendTimeout bounds the sending of a reply to a peer that takes no bytes.
+const sendTimeout = 5 * time.Second
+
+// Claims takes and settles idempotency keys. It implements trail.Claims.
+type Claims struct {
+	store    trail.Store
+	messages chan any
+	// Closed when the task has ended.
+	done      chan struct{}
+	l         log.Interface
+	decisions *prometheus.CounterVec
+	batches   prometheus.Histogram
+}
+
+var _ trail.Claims = (*Claims)(nil)
+
+// New starts the task, which ends with c. The id is the member id of this
+// process. A shard that the views say is another scheduler's is served all the
+// same, but not kept in memory.
+func New(c context.Context, id string, store trail.Store, v trail.Views, l log.Interface, r prometheus.Registerer) *Claims {
+	s := &Claims{
+		store:    store,
+		messages: make(chan any),
+		done:     make(chan struct{}),
+		l:        l,
+		decisions: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_claim_decisions_total",
+			Help: "Claims and settlements by result or error code; an empty code is a recorded outcome.",
+		}, []string{"operation", "result"}),
+		batches: promauto.With(r).NewHistogram(prometheus.HistogramOpts{
+			Name:    "bulrushtrail_claim_batch_operations",
+			Help:    "Claims and settlements in one update of a shard.",
+			Buckets: prometheus.ExponentialBuckets(1, 4, 7),
+		}),
+	}
+	t := &task{s: s, b: newBook(id)}
+	go t.run(c, v.Subscribe(c))
+	return s
+}
+
+// Claim commits the key for one attempt, within 2 s. The shard may be left
+// out. The reply is granted, held or mismatch. A refused claim is an error with
+// verdict NotRun, one of the codes "platform-unavailable", "claim-timeout",
+// "claims-full", "claims-busy", "claim-invalid", "attempt-refused", "draining"
+// and "claim-ended", and a wait where a later claim may succeed.
+func (s *Claims) Claim(c context.Context, r *wire.Claim) (*wire.ClaimReply, error) {
+	o := &operation{claim: r, reply: make(chan result, 1)}
+	a, e := s.exchange(c, o)
+	if e != nil {
+		return nil, trail.WrapError(e, "claim-ended", trail.NotRun, "claim was given up").RetryAfter(defaultRetryAfter)
+	}
+	if a.claim.GetResult() != wire.ClaimReply_RESULT_REFUSED {
+		return a.claim, nil
+	}
+	return nil, trail.NewError(a.claim.GetCode(), trail.NotRun, "%s", a.claim.GetMessage()).
+		RetryAfter(time.Duration(a.claim.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// Settle records the outcome of a granted attempt, within 2 s. The first final
+// outcome of an attempt stays. The codes of its errors are "claim-missing" and
+// "outcome-differs", when the outcome was not recorded and will not be, with
+// verdict NotRun; "settle-postponed", when the platform fails and this process
+// goes on trying, with verdict MayHaveRun; and those of a refusal as for Claim.
+func (s *Claims) Settle(c context.Context, r *wire.Settle) (*wire.SettleReply, error) {
+	o := &operation{settle: r, reply: make(chan result, 1)}
+	a, e := s.exchange(c, o)
+	if e != nil {
+		return nil, trail.WrapError(e, "settle-ended", trail.MayHaveRun, "settlement was given up")
+	}
+	switch {
+	case a.settle.GetDone():
+		return a.settle, nil
+	case a.settle.GetCode() == codePostponed:
+		return nil, trail.NewError(codePostponed, trail.MayHaveRun, "%s", a.settle.GetMessage())
+	}
+	return nil, trail.NewError(a.settle.GetCode(), trail.NotRun, "%s", a.settle.GetMessage())
+}
+
+// exchange passes an operation to the task and waits for its answer.
+func (s *Claims) exchange(c context.Context, o *operation) (result, error) {
+	select {
+	case s.messages <- arrival{o}:
+	case <-c.Done():
+		return result{}, c.Err()
+	case <-s.done:
+		return result{}, context.Canceled
+	}
+	select {
+	case a := <-o.reply:
+		return a, nil
+	case <-s.done:
+		return result{}, context.Canceled
+	case <-c.Done():
+		s.send(departure{o})
+		return result{}, c.Err()
+	}
+}
+
+// send passes a message to the task unless it has ended.
+func (s *Claims) send(m any) {
+	select {
+	case s.messages <- m:
+	case <-s.done:
+	}
+}
+
+// ServeClaim serves a stream that begins with a Claim: it sends one ClaimReply.
+func (s *Claims) ServeClaim(c context.Context, f *frame.Stream, r *wire.Claim) {
+	o := &operation{claim: r, reply: make(chan result, 1)}
+	a, e := s.exchange(c, o)
+	if e != nil {
+		return
+	}
+	_ = f.SetDeadline(time.Now().Add(sendTimeout))
+	e = f.Send(a.claim)
+	if e != nil {
+		// The peer may have received a grant, so its attempt stays in force.
+		s.l.WithError(e).WithField("attempt", r.GetAttemptId()).Warn("claim: reply was not sent")
+	}
+}
+
+// ServeSettle serves a stream that begins with a Settle: it sends one
+// SettleReply.
+func (s *Claims) ServeSettle(c context.Context, f *frame.Stream, r *wire.Settle) {
+	o := &operation{settle: r, reply: make(chan result, 1)}
+	a, e := s.exchange(c, o)
+	if e != nil {
+		return
+	}
+	_ = f.SetDeadline(time.Now().Add(sendTimeout))
+	e = f.Send(a.settle)
+	if e != nil {
+		s.l.WithError(e).WithField("attempt", r.GetAttemptId()).Warn("claim: reply was not sent")
+	}
+}
+
+// Drain refuses new claims and waits until the claims and settlements in
+// progress are decided. Outcomes are still taken, because they end the work
+// that other parts drain at the same time.
+func (s *Claims) Drain(c context.Context) error {
+	d := make(chan struct{})
+	select {
+	case s.messages <- drain{d}:
+	case <-c.Done():
+		return c.Err()
+	case <-s.done:
+		return nil
+	}
+	select {
+	case <-d:
+		return nil
+	case <-s.done:
+		return nil
+	case <-c.Done():
+		return c.Err()
+	}
+}
--- a/internal/protocol/objapi/watch.go
+++ b/internal/protocol/objapi/watch.go
@@ -125,4 +125,3 @@
 	t.Reset(legSeconds*time.Second + legGrace)
 	return &leg{r: r, end: func() { t.Stop(); f() }}, nil
 }
-
