--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -186,3 +186,9 @@
 	m := int32(n)
 	return &m
 }
+
+// Model returns whether the services text has the service as a model engine's.
+func (p *Place) Model(name string) bool {
+	v := p.services[name]
+	return v != nil && v.model()
+}
--- /dev/null
+++ b/internal/coordination/sched/load.go
@@ -0,0 +1,77 @@
+package sched
+
+import (
+	"context"
+	"io"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	// A report that takes longer is of no use; the next one is due.
+	fetchTimeout = time.Second
+	// Bound on the memory for one engine's metrics.
+	maxMetricsBytes = 1 << 20
+)
+
+// Metric names of the model engines.
+const (
+	metricRunning = "engine_running"
+	metricWaiting = "engine_waiting"
+	metricSlots   = "engine_slots"
+)
+
+// fetchLoads asks the model engines for their load, each at most once at a
+// time.
+func (t *task) fetchLoads() {
+	for _, n := range t.sortedHosts() {
+		h := t.hosts[n]
+		if t.fetching[n] || !h.GetReady() || !t.p.Model(h.GetService()) {
+			continue
+		}
+		t.fetching[n] = true
+		go t.fetch(h)
+	}
+}
+
+func (t *task) fetch(h *wire.Host) {
+	c, f := context.WithTimeout(t.c, fetchTimeout)
+	defer f()
+	e := loaded{host: h.GetName()}
+	r, x := t.metrics.Fetch(c, h.GetAddress())
+	if x == nil {
+		e = parseLoad(h.GetName(), io.LimitReader(r, maxMetricsBytes))
+		_ = r.Close()
+	}
+	t.s.send(t.c, e)
+}
+
+// parseLoad reads the load from metrics in Prometheus text format. It is not
+// valid without the number of running calls.
+func parseLoad(host string, r io.Reader) loaded {
+	p := expfmt.NewTextParser(model.UTF8Validation)
+	m, e := p.TextToMetricFamilies(r)
+	if e != nil {
+		return loaded{host: host}
+	}
+	l := loaded{host: host}
+	l.running, l.valid = value(m[metricRunning])
+	l.waiting, _ = value(m[metricWaiting])
+	l.slots, _ = value(m[metricSlots])
+	return l
+}
+
+// value returns the value of a family's first metric. Engines write gauges;
+// without a TYPE line the value is untyped.
+func value(f *dto.MetricFamily) (int, bool) {
+	l := f.GetMetric()
+	if len(l) == 0 {
+		return 0, false
+	}
+	return int(l[0].GetGauge().GetValue() + l[0].GetUntyped().GetValue()), true
+}
