transport/bksrv: engines get the name of their model

Cause: a caller may name the service; the engine answered 404 for a model that it does not know. Ruled out: rewriting at the entry and again in the job owner; the client that speaks the engine's protocol is the one place that both pass. Change: bksrv sets the model field of the body; the example deployments name their engines' models. Conclusion: service names and model names are apart.

--- a/internal/command/tool/serve.go
+++ b/internal/command/tool/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -123,17 +124,19 @@
 // serveHTTP serves the API at an entry, and metrics and health checks, which
 // stay open during the graceful shutdown.
 func (p *process) serveHTTP(c context.Context, n net.Listener, o *operations, failed chan<- error) error {
-	h := o.api
-	if h == nil {
-		h = httpd.New(nil, p.l, prometheus.NewRegistry(), httpd.WithCondition(p.ready))
+	var h http.Handler
+	x := httpd.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(w, r) }),
+		p.l, prometheus.NewRegistry(), httpd.WithCondition(p.ready))
+	if o.api == nil {
+		h = x.Admin(p.r)
 	} else {
 		a, e := net.Listen("tcp", p.s.HTTPAddress())
 		if e != nil {
 			return e
 		}
-		o.drains = append(o.drains, p.serveAPI(h, a, failed))
+		o.drains = append(o.drains, p.serveAPI(o.api, a, failed))
+		h = o.api.Admin(p.r)
 	}
-	x := httpd.New(h.Admin(p.r), p.l, prometheus.NewRegistry())
 	go func() { failed <- x.Serve(c, n) }()
 	return nil
 }
--- a/internal/standin/demo/tour.go
+++ b/internal/standin/demo/tour.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,8 @@
 	pollPeriod   = 100 * time.Millisecond
 	batchTimeout = 60 * time.Second
 	batchItems   = 24
+	// An accepted configuration is in force everywhere within this time.
+	configBound = 4 * time.Second
 )
 
 // Tour is one visit of a deployment by a caller. Its steps print what they
@@ -39,7 +42,7 @@
 
 // Run takes all steps in order.
 func (t *Tour) Run(c context.Context) error {
-	for _, s := range []func(context.Context) error{t.ask, t.stream, t.reorder, t.batch} {
+	for _, s := range []func(context.Context) error{t.models, t.ask, t.stream, t.reorder, t.batch} {
 		e := s(c)
 		if e != nil {
 			return e
@@ -52,6 +55,31 @@
 	return openai.NewClient(option.WithBaseURL(entry+"/v1/"), option.WithAPIKey(t.key), option.WithMaxRetries(0))
 }
 
+// models waits until both entries know the model.
+func (t *Tour) models(c context.Context) error {
+	c, f := context.WithTimeout(c, configBound)
+	defer f()
+	for _, u := range []string{t.entry, t.other} {
+		k := t.client(u)
+		for {
+			l, e := k.Models.List(c)
+			if e != nil {
+				return errors.Wrap(e, "list of models")
+			}
+			if slices.ContainsFunc(l.Data, func(m openai.Model) bool { return m.ID == t.model }) {
+				break
+			}
+			select {
+			case <-time.After(pollPeriod):
+			case <-c.Done():
+				return errors.Newf("%s does not list model %s after %v", u, t.model, configBound)
+			}
+		}
+	}
+	_, e := fmt.Fprintf(t.out, "models: both entries list %s\n", t.model)
+	return e
+}
+
 func (t *Tour) question(text string) openai.ChatCompletionNewParams {
 	return openai.ChatCompletionNewParams{
 		Model:     t.model,
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -61,13 +61,13 @@
 
 // Start starts all processes and returns when each is ready.
 func (f *Fleet) Start(c context.Context) error {
-	f.add("platform", "standin", f.PlatformURL()+"/control/faults", "platform", "-listen", f.network+".10:8000", "-host-lag", "100ms")
+	f.add("platform", "standin", f.PlatformURL()+"/control/faults", "platform", "-address", f.network+".10:8000", "-host-lag", "100ms")
 	for _, b := range f.backends {
-		k := "plain"
-		if b.engine {
-			k = "engine"
+		a := []string{"plain", "-address", b.address}
+		if b.model != "" {
+			a = []string{"engine", "-address", b.address, "-model", b.model}
 		}
-		f.add(b.name, "standin", "http://"+b.address+"/control/runs", k, "-listen", b.address)
+		f.add(b.name, "standin", "http://"+b.address+"/control/runs", a...)
 	}
 	e := f.startAll(c, f.processes)
 	if e != nil {
--- a/internal/standin/fleet/plan.go
+++ b/internal/standin/fleet/plan.go
@@ -11,9 +11,9 @@
 	DataCentres    []string `json:"data-centres"`
 	BackendServers []struct {
 		Service string `json:"service"`
-		// A model engine; otherwise a plain service.
-		Engine bool `json:"engine"`
-		Count  int  `json:"count"`
+		// Of a model engine; empty for a plain service.
+		Model string `json:"model"`
+		Count int    `json:"count"`
 	} `json:"backend-servers"`
 	Entries int `json:"entries"`
 	Scheds  int `json:"scheds"`
@@ -38,7 +38,8 @@
 // backend is one backend server of the plan.
 type backend struct {
 	name, service, dataCentre, address string
-	engine                             bool
+	// Empty for a plain service.
+	model string
 }
 
 // backends spreads the backend servers over the data centres. Each has an IP
@@ -54,7 +55,7 @@
 				service:    s.Service,
 				dataCentre: p.DataCentres[n%len(p.DataCentres)],
 				address:    fmt.Sprintf("%s.%d:8000", network, 100+i),
-				engine:     s.Engine,
+				model:      s.Model,
 			})
 		}
 	}
--- a/internal/standin/progrm/platform.go
+++ b/internal/standin/progrm/platform.go
@@ -25,7 +25,7 @@
 // platform serves the stand-in of the platform.
 func platform() *ffcli.Command {
 	s := flag.NewFlagSet("platform", flag.ContinueOnError)
-	a := s.String("listen", "127.0.0.1:0", "IP and port")
+	a := s.String("address", "127.0.0.1:0", "IP and port")
 	r := s.Int("reads-per-second", defaultReadsPerSecond, "budget for reads and watches")
 	w := s.Int("writes-per-second", defaultWritesPerSecond, "budget for writes")
 	h := s.Duration("host-lag", defaultHostLag, "time until a change of the host list is visible")
--- a/internal/transport/bksrv/request.go
+++ b/internal/transport/bksrv/request.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/tidwall/sjson"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -17,6 +19,7 @@
 	resumeOffsetHeader = "Resume-Offset"
 	drainingHeader     = "Draining"
 	chatPath           = "/v1/chat/completions"
+	modelField         = "model"
 )
 
 // Headers of one connection, which are not passed on (RFC 9110, section
@@ -37,7 +40,16 @@
 	if !strings.HasPrefix(r.GetPath(), "/") {
 		return nil, trail.NewError(codeInvalid, trail.NotRun, "path %q is not absolute", r.GetPath()).At(target)
 	}
-	q, e := http.NewRequestWithContext(c, r.GetMethod(), "http://"+target+r.GetPath(), bytes.NewReader(r.GetBody()))
+	b := r.GetBody()
+	if r.GetModel() != "" {
+		// Callers may name the service; the engine only knows its model.
+		var e error
+		b, e = sjson.SetBytes(b, modelField, r.GetModel())
+		if e != nil {
+			return nil, trail.WrapError(e, codeInvalid, trail.NotRun, "body names no model").At(target)
+		}
+	}
+	q, e := http.NewRequestWithContext(c, r.GetMethod(), "http://"+target+r.GetPath(), bytes.NewReader(b))
 	if e != nil {
 		return nil, trail.WrapError(e, codeInvalid, trail.NotRun, "call is not a valid HTTP request").At(target)
 	}
