coordination/entry: HTTP API for callers and operators

Cause: callers and operators need one API over scheduler, depots and platform, with a verdict in each refusal. Ruled out: relaying the decoded chat request, because the generated type keeps unknown fields in a map and changes their order; the raw body is relayed. http.ServeMux for plain services, because it redirects paths that it finds unclean. errors.Is(e, io.EOF) for the end of a body: a lost connection can have io.EOF as its cause and looked like a complete answer; the comparison is exact, and the router no longer puts io.EOF into the chain. A lost stream no longer makes its scheduler avoided: with one scheduler, the next request was refused although the process answered. A lost session still does, through the subscription. Change: questions, plain services, files, batches, operators' part, golden sessions over the real router and mesh, and openai-go as a client. Conclusion: a first version of all operations of the API.

--- /dev/null
+++ b/internal/coordination/entry/client_test.go
@@ -0,0 +1,219 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bulrushtrail.example/trail/internal/transport/httpd"
+)
+
+// listener passes in-memory connections to a server.
+type listener struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+func (l *listener) dial(c context.Context, _, _ string) (net.Conn, error) {
+	a, b := net.Pipe()
+	select {
+	case l.accept <- b:
+		return a, nil
+	case <-c.Done():
+		return nil, c.Err()
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case n := <-l.accept:
+		return n, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { close(l.closed); return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serve runs f with an OpenAI client of a system behind the HTTP server.
+func serve(t *testing.T, script string, f func(c context.Context, s *system, k openai.Client)) {
+	v, e := os.ReadFile("testdata/view.json")
+	if e != nil {
+		t.Fatal(e)
+	}
+	emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		c, g := context.WithCancel(t.Context())
+		s := newSystem(t, c, string(v), script)
+		l := &listener{accept: make(chan net.Conn), closed: make(chan struct{})}
+		h := httpd.New(s.entries[0], s.logger(), prometheus.NewRegistry())
+		d := make(chan error)
+		go func() { d <- h.Serve(c, l) }()
+		r := &http.Transport{DialContext: l.dial}
+		k := openai.NewClient(option.WithBaseURL("http://entry/v1"), option.WithAPIKey("key-ana"),
+			option.WithHTTPClient(&http.Client{Transport: r}), option.WithMaxRetries(0))
+		f(c, s, k)
+		r.CloseIdleConnections()
+		g()
+		if e := <-d; e != nil {
+			t.Error(e)
+		}
+		synctest.Wait()
+	})
+}
+
+func question() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "asistente",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Is it in stock?")},
+	}
+}
+
+const (
+	wholeAnswer = `head 200 + data {"id":"c1","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"Yes."}}]} + end`
+	tokens      = `data data: {"choices":[{"delta":{"content":"Ye"}}]}\n\n + wait + data data: {"choices":[{"delta":{"content":"s."}}]}\n\n`
+)
+
+// Guards against an API that existing clients can't use, and against a first
+// token that waits for the second: the scheduler sends the second one only
+// when the client has the first.
+func TestChatClient(t *testing.T) {
+	l := wholeAnswer + "\nhead 200 text/event-stream + " + tokens + ` + data data: [DONE]\n\n + end` +
+		"\nhead 200 text/event-stream + " + tokens + " + lose"
+	serve(t, l, func(c context.Context, s *system, k openai.Client) {
+		a, e := k.Chat.Completions.New(c, question())
+		if e != nil {
+			t.Fatal(e)
+		}
+		if d := cmp.Diff("Yes.", a.Choices[0].Message.Content); d != "" {
+			t.Error(d)
+		}
+		for _, w := range []string{"Ye|s.|", "Ye|s.|received error while streaming"} {
+			g := ""
+			r := k.Chat.Completions.NewStreaming(c, question())
+			for r.Next() {
+				g += r.Current().Choices[0].Delta.Content + "|"
+				if g == "Ye|" {
+					s.sched.proceed <- struct{}{}
+				}
+			}
+			if r.Err() != nil {
+				n, _, _ := strings.Cut(r.Err().Error(), ":")
+				g += n
+			}
+			if d := cmp.Diff(w, g); d != "" {
+				t.Error(d)
+			}
+		}
+		q := question()
+		q.Model = "none"
+		_, e = k.Chat.Completions.New(c, q)
+		f, b := e.(*openai.Error)
+		if !b {
+			t.Fatal(e)
+		}
+		if d := cmp.Diff([]string{"unknown-model", "invalid_request_error"}, []string{f.Code, f.Type}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against files and batches that existing clients can't use.
+func TestBatchClient(t *testing.T) {
+	serve(t, "none", func(c context.Context, s *system, k openai.Client) {
+		b := line("a", "asistente")
+		f, e := k.Files.New(c, openai.FileNewParams{
+			File: openai.File(strings.NewReader(b), "in.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+		})
+		if e != nil {
+			t.Fatal(e)
+		}
+		r, e := k.Files.Content(c, f.ID)
+		if e != nil {
+			t.Fatal(e)
+		}
+		g, e := io.ReadAll(r.Body)
+		if e != nil || !bytes.Equal(g, []byte(b)) {
+			t.Fatal(e, string(g))
+		}
+		j, e := k.Batches.New(c, openai.BatchNewParams{
+			InputFileID: f.ID, Endpoint: "/v1/chat/completions", CompletionWindow: "24h",
+		})
+		if e != nil {
+			t.Fatal(e)
+		}
+		l := []string{string(j.Status)}
+		n, e := k.Batches.Get(c, j.ID)
+		if e != nil {
+			t.Fatal(e)
+		}
+		l = append(l, string(n.Status))
+		p := k.Batches.ListAutoPaging(c, openai.BatchListParams{})
+		for p.Next() {
+			l = append(l, p.Current().InputFileID)
+		}
+		n, e = k.Batches.Cancel(c, j.ID)
+		if e != nil || p.Err() != nil {
+			t.Fatal(e, p.Err())
+		}
+		l = append(l, string(n.Status))
+		if d := cmp.Diff([]string{"in_progress", "in_progress", f.ID, "cancelling"}, l); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+func line(id, model string) string {
+	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":%q,"messages":[{}]}}`+"\n", id, model)
+}
+
+// Guards against an input that is accepted in part: the first bad line refuses
+// the file, and nothing is stored.
+func TestBadInput(t *testing.T) {
+	a := line("a", "asistente")
+	m := map[string]string{
+		"":                                      "the input has no lines",
+		a + "\n":                                "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
+		a + `{"custom_id":"b"`:                  "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
+		a + a:                                   `line 2: custom_id "a" stands in line 1 too`,
+		a + line("b", "cerrado"):                `line 2: there is no model "cerrado"`,
+		a + line("", "asistente"):               "line 2: custom_id is missing",
+		a + line("b", ""):                       "line 2: body.model is missing",
+		strings.Replace(a, "POST", "GET", 1):    `line 1: method is "GET", not "POST"`,
+		strings.Replace(a, "chat/", "", 1):      `line 1: url is "/v1/completions", not "/v1/chat/completions"`,
+		strings.Replace(a, "[{}]", "[]", 1):     "line 1: body.messages is missing",
+		a + line(strings.Repeat("b", 1000), ""): "line 2: the line has more than 1000 bytes",
+		strings.Replace(a, "[{}]", `[{}],"stream":true`, 1): "line 1: body.stream is true, but items are answered whole",
+	}
+	serve(t, "none", func(c context.Context, s *system, k openai.Client) {
+		for b, w := range m {
+			_, e := k.Files.New(c, openai.FileNewParams{
+				File: openai.File(strings.NewReader(b), "in.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+			})
+			f, n := e.(*openai.Error)
+			if !n {
+				t.Error(b, e)
+				continue
+			}
+			if d := cmp.Diff([]any{http.StatusBadRequest, "bad-input", w}, []any{f.StatusCode, f.Code, f.Message}); d != "" {
+				t.Error(d)
+			}
+		}
+		if d := cmp.Diff(0, len(s.store.objects)+len(s.bulk.m)); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/entry/cost.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushtrail.example/trail/internal/protocol/oapi"
+)
+
+const (
+	// Typical bytes of JSON for each token of a prompt.
+	bytesPerToken = 4
+	// Answer tokens of a request that sets no limit.
+	defaultAnswerTokens = 256
+	// Prefixes that are hashed; later messages differ between callers anyway.
+	maxPrefixes = 16
+)
+
+// costTokens estimates the tokens of prompt and answer.
+func costTokens(q *oapi.ChatRequest, bodyBytes int) int64 {
+	n := defaultAnswerTokens
+	switch {
+	case q.MaxCompletionTokens.Set:
+		n = q.MaxCompletionTokens.Value
+	case q.MaxTokens.Set:
+		n = q.MaxTokens.Value
+	}
+	return int64(bodyBytes/bytesPerToken) + int64(n)
+}
+
+// prefixHashes returns the hash of the prompt up to the end of each message,
+// shortest first.
+func prefixHashes(q *oapi.ChatRequest) []uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(q.Model)
+	l := make([]uint64, 0, min(len(q.Messages), maxPrefixes))
+	for _, m := range q.Messages[:min(len(q.Messages), maxPrefixes)] {
+		_, _ = h.WriteString("\x00" + m.Role)
+		for _, k := range slices.Sorted(maps.Keys(m.AdditionalProps)) {
+			_, _ = h.WriteString("\x00" + k + "\x00")
+			_, _ = h.Write(m.AdditionalProps[k])
+		}
+		l = append(l, h.Sum64())
+	}
+	return l
+}
--- /dev/null
+++ b/internal/coordination/entry/entry.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/oapi"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/frame"
+)
+
+const (
+	requestIDHeader      = "X-Request-Id"
+	keyHeader            = "Idempotency-Key"
+	nonIdempotentHeader  = "Bulrushtrail-Non-Idempotent"
+	deadlineHeader       = "Bulrushtrail-Deadline-Ms"
+	verdictHeader        = "Bulrushtrail-Verdict"
+	storedHeader         = "Bulrushtrail-Stored"
+	retryAfterHeader     = "Retry-After"
+	operatorKeyHeader    = "Bulrushtrail-Operator-Key"
+	servicesPrefix       = "/services/"
+	maxRequestIDLength   = 200
+	defaultDeadline      = 60 * time.Second
+	maxDeadline          = time.Hour
+	defaultBodyBytes     = 8 << 20
+	defaultRetention     = 24 * time.Hour
+	defaultClaimShards   = 64
+	multipartMemoryBytes = 4 << 20
+	// Time that the platform has to answer one call.
+	storeTimeout = 2 * time.Second
+	// Time that the depots have to register, keep or return one answer. The
+	// caller's answer waits for it.
+	answerTimeout = 2 * time.Second
+	// How often a request asks for the outcome of an earlier one that runs.
+	pollPeriod = 200 * time.Millisecond
+	// When a caller may come back after a part of the system failed.
+	retryAfter = time.Second
+)
+
+// opener opens an exchange with another process; *mesh.Mesh implements it.
+type opener interface {
+	Open(c context.Context, address string, o *wire.Open) (*frame.Stream, error)
+}
+
+// Entry serves the HTTP API. It implements oapi.Handler and
+// oapi.SecurityHandler.
+type Entry struct {
+	route   trail.Caller
+	claims  trail.Claims
+	answers trail.Answers
+	bulk    trail.Bulk
+	store   trail.Store
+	views   trail.Views
+	mesh    opener
+	loads   func() []*wire.Report
+	check   func(text []byte) (*wire.Text, error)
+	// Caller names by key. Empty when the key itself is the caller's name.
+	keys        map[string]string
+	operatorKey string
+	// The same at every entry, because it places the claims.
+	claimShards uint32
+	// Bytes of a body when the service sets no limit.
+	bodyBytes int64
+	l         log.Interface
+	counts    counts
+	h         http.Handler
+	// Requests hold it for reading. Drain takes it for writing, and from then
+	// on requests are refused.
+	gate sync.RWMutex
+}
+
+type counts struct {
+	answers, refusals *prometheus.CounterVec
+}
+
+type option = func(*Entry)
+
+// WithRoute sets the choice of scheduler and the load reports that it holds.
+func WithRoute(route trail.Caller, loads func() []*wire.Report) func(*Entry) {
+	return func(s *Entry) {
+		s.route = route
+		s.loads = loads
+	}
+}
+
+// WithClaims sets the keeper of idempotency keys.
+func WithClaims(x trail.Claims) func(*Entry) { return func(s *Entry) { s.claims = x } }
+
+// WithAnswers sets the keeper of answers.
+func WithAnswers(x trail.Answers) func(*Entry) { return func(s *Entry) { s.answers = x } }
+
+// WithBulk sets the keeper of the bytes of files.
+func WithBulk(x trail.Bulk) func(*Entry) { return func(s *Entry) { s.bulk = x } }
+
+// WithStore sets the platform's object API.
+func WithStore(x trail.Store) func(*Entry) { return func(s *Entry) { s.store = x } }
+
+// WithViews sets the source of configuration, members and backend servers.
+func WithViews(x trail.Views) func(*Entry) { return func(s *Entry) { s.views = x } }
+
+// WithMesh sets the sessions by which other processes are told to shut down.
+func WithMesh(x opener) func(*Entry) { return func(s *Entry) { s.mesh = x } }
+
+// WithCheck sets the check of services texts. Its error may be trail.Errors.
+func WithCheck(check func(text []byte) (*wire.Text, error)) func(*Entry) {
+	return func(s *Entry) { s.check = check }
+}
+
+// WithKeys sets the keys of callers, from key to caller name, and the
+// operators' key. Without callers' keys, each key is the name of its caller.
+// An empty operators' key refuses all operators.
+func WithKeys(callers map[string]string, operator string) func(*Entry) {
+	return func(s *Entry) {
+		s.keys = callers
+		s.operatorKey = operator
+	}
+}
+
+// WithBodyBytes sets the largest body in bytes for services without a limit of
+// their own. The default is 8 MiB.
+func WithBodyBytes(limit int64) func(*Entry) { return func(s *Entry) { s.bodyBytes = limit } }
+
+// New returns an entry. All parts must be given by options.
+func New(l log.Interface, r prometheus.Registerer, options ...option) (*Entry, error) {
+	s := &Entry{l: l, claimShards: defaultClaimShards, bodyBytes: defaultBodyBytes, counts: newCounts(r)}
+	for _, o := range options {
+		o(s)
+	}
+	h, e := oapi.NewServer(s, s,
+		oapi.WithMiddleware(withRawBody),
+		oapi.WithErrorHandler(s.undecodable),
+		oapi.WithNotFound(s.unknownPath),
+		oapi.WithMethodNotAllowed(s.unknownMethod),
+		oapi.WithMaxMultipartMemory(multipartMemoryBytes))
+	if e != nil {
+		return nil, e
+	}
+	s.h = h
+	return s, nil
+}
+
+func newCounts(r prometheus.Registerer) counts {
+	k := counts{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_entry_answers_total", Help: "Answers of services to callers, by service and storing.",
+		}, []string{"service", "stored"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_entry_refusals_total", Help: "Refusals by code and verdict.",
+		}, []string{"code", "verdict"}),
+	}
+	r.MustRegister(k.answers, k.refusals)
+	return k
+}
+
+// ServeHTTP serves one request of a caller or an operator.
+func (s *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i := r.Header.Get(requestIDHeader)
+	if i == "" {
+		i = uuid.NewString()
+		r.Header.Set(requestIDHeader, i)
+	}
+	if len(i) <= maxRequestIDLength {
+		w.Header().Set(requestIDHeader, i)
+	}
+	if !s.gate.TryRLock() {
+		s.refuse(w, trail.NewError("leaving", trail.NotRun, "this entry is shutting down").RetryAfter(retryAfter))
+		return
+	}
+	defer s.gate.RUnlock()
+	// The path is matched by hand, because http.ServeMux would redirect paths
+	// that it finds unclean.
+	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
+		s.servePlain(w, r)
+		return
+	}
+	s.h.ServeHTTP(w, r)
+}
+
+// Drain refuses new requests and waits until those in progress have ended, or
+// c ends.
+func (s *Entry) Drain(c context.Context) error {
+	d := make(chan struct{})
+	go func() {
+		s.gate.Lock()
+		close(d)
+	}()
+	select {
+	case <-d:
+		return nil
+	case <-c.Done():
+		return c.Err()
+	}
+}
--- /dev/null
+++ b/internal/coordination/entry/lookup.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/oapi"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// GetRequest returns a stored answer of the caller.
+func (s *Entry) GetRequest(ctx context.Context, params oapi.GetRequestParams) (oapi.GetRequestRes, error) {
+	a := &wire.Answer{}
+	a.SetAction(wire.Answer_ACTION_READ)
+	a.SetCaller(callerOf(ctx))
+	a.SetRequestId(params.RequestID)
+	c, f := context.WithTimeout(ctx, answerTimeout)
+	defer f()
+	r, e := s.answers.Read(c, a)
+	if e != nil {
+		return nil, trail.WrapError(e, "answers-unavailable", trail.NotRun, "stored answers can't be read now").RetryAfter(retryAfter)
+	}
+	switch r.GetResult() {
+	case wire.AnswerReply_RESULT_STORED:
+	case wire.AnswerReply_RESULT_RUNNING:
+		return nil, trail.NewError("still-running", trail.MayHaveRun, "the request is still running").RetryAfter(retryAfter)
+	case wire.AnswerReply_RESULT_MISSING:
+		return nil, trail.NewError("unknown-request", trail.NotRun, "there is no answer of request %q", params.RequestID)
+	default:
+		return nil, trail.NewError("answers-unavailable", trail.NotRun, "stored answers can't be read now").RetryAfter(retryAfter)
+	}
+	if isStream(r.GetStored().GetHeaders()) {
+		return &oapi.GetRequestOKTextEventStream{Data: bytes.NewReader(withMark(r.GetStored().GetBody(), true))}, nil
+	}
+	d := oapi.Document(r.GetStored().GetBody())
+	return &d, nil
+}
+
+// ListModels returns the model services that the caller may use.
+func (s *Entry) ListModels(ctx context.Context) (*oapi.ModelList, error) {
+	l := &oapi.ModelList{Object: "list", Data: []oapi.ModelListDataItem{}}
+	for _, v := range s.views.Latest().GetConfig().GetText().GetServices() {
+		if v.GetKind() != modelKind || !allows(v, callerOf(ctx)) {
+			continue
+		}
+		l.Data = append(l.Data, oapi.ModelListDataItem{ID: v.GetName(), Object: "model", OwnedBy: "bulrushtrail"})
+	}
+	return l, nil
+}
+
+// unavailable is the failure of a call to the platform. Reads never run
+// anything, and a write says itself whether it may have taken effect.
+func unavailable(e error, verdict trail.Verdict) error {
+	if errors.Is(e, context.Canceled) {
+		return e
+	}
+	return trail.WrapError(e, "platform-unavailable", verdict, "the platform does not answer now").RetryAfter(retryAfter)
+}
--- /dev/null
+++ b/internal/coordination/entry/operator.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/oapi"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// drainTimeout bounds the time until a process confirms that it shuts down.
+const drainTimeout = 2 * time.Second
+
+// loadJSON is the load of one service at one scheduler.
+type loadJSON struct {
+	Scheduler       string `json:"scheduler"`
+	Service         string `json:"service"`
+	Runners         int32  `json:"runners"`
+	FreeOnlineSlots int32  `json:"free-online-slots"`
+	QueuedOnline    int32  `json:"queued-online"`
+	QueuedBatch     int32  `json:"queued-batch"`
+	ExpectedWaitMs  int64  `json:"expected-wait-ms"`
+}
+
+// GetStatus returns what this entry knows of the system.
+func (s *Entry) GetStatus(context.Context) (*oapi.Status, error) {
+	v := s.views.Latest()
+	m, e := documents(v.GetMembers())
+	if e != nil {
+		return nil, e
+	}
+	h, e := documents(v.GetHosts())
+	if e != nil {
+		return nil, e
+	}
+	l := []loadJSON{}
+	for _, r := range s.loads() {
+		for _, k := range r.GetServices() {
+			l = append(l, loadJSON{
+				Scheduler:       r.GetMemberId(),
+				Service:         k.GetService(),
+				Runners:         k.GetRunners(),
+				FreeOnlineSlots: k.GetFreeOnlineSlots(),
+				QueuedOnline:    k.GetQueuedOnline(),
+				QueuedBatch:     k.GetQueuedBatch(),
+				ExpectedWaitMs:  k.GetExpectedWaitMs(),
+			})
+		}
+	}
+	d, e := json.Marshal(l)
+	if e != nil {
+		return nil, e
+	}
+	return &oapi.Status{ConfigMinusVersion: v.GetConfig().GetVersion(), Members: m, Hosts: h, Loads: d}, nil
+}
+
+// documents returns the JSON array of the messages.
+func documents[M proto.Message](l []M) (oapi.Document, error) {
+	r := make([]json.RawMessage, 0, len(l))
+	for _, m := range l {
+		d, e := document(m)
+		if e != nil {
+			return nil, e
+		}
+		r = append(r, json.RawMessage(d))
+	}
+	return json.Marshal(r)
+}
+
+// ListJobs returns the jobs of all callers.
+func (s *Entry) ListJobs(ctx context.Context) (*oapi.BatchList, error) {
+	l, e := s.jobs(ctx, "")
+	if e != nil {
+		return nil, e
+	}
+	return batchList(l, false), nil
+}
+
+// CancelJob stops the job of any caller.
+func (s *Entry) CancelJob(ctx context.Context, params oapi.CancelJobParams) (*oapi.Batch, error) {
+	return s.cancel(ctx, params.BatchID, "")
+}
+
+// DrainMember tells a process to shut down gracefully.
+func (s *Entry) DrainMember(ctx context.Context, params oapi.DrainMemberParams) (oapi.Document, error) {
+	for _, m := range s.views.Latest().GetMembers() {
+		if m.GetId() == params.MemberID {
+			return s.drain(ctx, m)
+		}
+	}
+	return nil, trail.NewError("unknown-member", trail.NotRun, "there is no member %q", params.MemberID)
+}
+
+func (s *Entry) drain(c context.Context, m *wire.Member) (oapi.Document, error) {
+	n, e := s.mesh.Open(c, m.GetPeerAddress(), wire.Open_builder{Drain: &wire.DrainRequest{}}.Build())
+	if e != nil {
+		return nil, trail.WrapError(e, "member-unreachable", trail.VerdictOf(e), "member %s is unreachable", m.GetId()).RetryAfter(retryAfter)
+	}
+	defer n.Close()
+	_ = n.SetDeadline(time.Now().Add(drainTimeout))
+	r := &wire.DrainReply{}
+	e = n.Recv(r)
+	if e != nil {
+		return nil, trail.WrapError(e, "member-unreachable", trail.MayHaveRun, "member %s did not answer", m.GetId()).RetryAfter(retryAfter)
+	}
+	if !r.GetAccepted() {
+		return nil, trail.NewError("drain-refused", trail.NotRun, "member %s refuses to shut down now", m.GetId())
+	}
+	return oapi.Document(`{"accepted":true}`), nil
+}
--- /dev/null
+++ b/internal/coordination/entry/refuse.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	ht "github.com/ogen-go/ogen/http"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/oapi"
+)
+
+// statuses are the HTTP statuses of codes. The verdict decides for the others.
+var statuses = map[string]int{
+	"bad-request":           http.StatusBadRequest,
+	"bad-input":             http.StatusBadRequest,
+	"unauthorized":          http.StatusUnauthorized,
+	"unknown-path":          http.StatusNotFound,
+	"unknown-model":         http.StatusNotFound,
+	"unknown-service":       http.StatusNotFound,
+	"unknown-request":       http.StatusNotFound,
+	"unknown-file":          http.StatusNotFound,
+	"unknown-batch":         http.StatusNotFound,
+	"unknown-member":        http.StatusNotFound,
+	"unknown-method":        http.StatusMethodNotAllowed,
+	"config-conflict":       http.StatusConflict,
+	"job-ended":             http.StatusConflict,
+	"may-have-run":          http.StatusConflict,
+	"still-running":         http.StatusConflict,
+	"answer-not-stored":     http.StatusConflict,
+	"answer-unavailable":    http.StatusConflict,
+	"body-too-large":        http.StatusRequestEntityTooLarge,
+	"content-type":          http.StatusUnsupportedMediaType,
+	"key-mismatch":          http.StatusUnprocessableEntity,
+	"request-id-mismatch":   http.StatusUnprocessableEntity,
+	"request-rejected":      http.StatusUnprocessableEntity,
+	"queue-full":            http.StatusTooManyRequests,
+	"deadline-exceeded":     http.StatusGatewayTimeout,
+	"internal":              http.StatusInternalServerError,
+	"not-implemented":       http.StatusNotImplemented,
+	"backend-server-status": http.StatusBadGateway,
+}
+
+// statusOf returns the HTTP status of a failure.
+func statusOf(f *trail.Error) int {
+	n := statuses[f.Code()]
+	if n != 0 {
+		return n
+	}
+	if f.Verdict() == trail.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// typeOf returns the error type that existing clients know.
+func typeOf(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// known returns e as a failure with a code. What carries no code is a fault of
+// this program; its text stays in the log.
+func (s *Entry) known(e error) *trail.Error {
+	var f *trail.Error
+	if errors.As(e, &f) {
+		return f
+	}
+	var m *http.MaxBytesError
+	var t interface{ Code() int }
+	switch {
+	case errors.As(e, &m):
+		return trail.NewError("body-too-large", trail.NotRun, "the body has more than %d bytes", m.Limit)
+	case errors.Is(e, ht.ErrNotImplemented):
+		return trail.NewError("not-implemented", trail.NotRun, "the operation is not available")
+	case errors.Is(e, ogenerrors.ErrSecurityRequirementIsNotSatisfied):
+		return trail.NewError("unauthorized", trail.NotRun, "the request has no valid key")
+	case errors.Is(e, context.DeadlineExceeded):
+		return trail.NewError("deadline-exceeded", trail.MayHaveRun, "the request was not complete at its deadline")
+	case errors.Is(e, context.Canceled):
+		return trail.NewError("cancelled", trail.MayHaveRun, "the request was cancelled")
+	case errors.As(e, &t) && t.Code() == http.StatusUnsupportedMediaType:
+		return trail.NewError("content-type", trail.NotRun, "%s", e)
+	}
+	s.l.WithError(e).Error("entry: request failed")
+	return trail.NewError("internal", trail.MayHaveRun, "the request failed inside the system")
+}
+
+// errorBody returns the JSON form of a failure.
+func errorBody(f *trail.Error) oapi.Error {
+	b := oapi.ErrorBody{
+		Code:    f.Code(),
+		Message: f.Error(),
+		Type:    typeOf(statusOf(f)),
+		Verdict: oapi.ErrorBodyVerdict(f.Verdict().String()),
+	}
+	if f.Wait() > 0 {
+		b.RetryMinusAfterMinusMs = oapi.NewOptInt64(f.Wait().Milliseconds())
+	}
+	return oapi.Error{Error: b}
+}
+
+// NewError returns the refusal for a failure of an operation.
+func (s *Entry) NewError(_ context.Context, err error) *oapi.RefusalStatusCodeWithHeaders {
+	f := s.known(err)
+	s.counts.refusals.WithLabelValues(f.Code(), f.Verdict().String()).Inc()
+	r := &oapi.RefusalStatusCodeWithHeaders{
+		StatusCode:          statusOf(f),
+		BulrushtrailVerdict: oapi.NewOptString(f.Verdict().String()),
+		Response:            errorBody(f),
+	}
+	if f.Wait() > 0 {
+		r.RetryAfter = oapi.NewOptInt(seconds(f.Wait()))
+	}
+	return r
+}
+
+// seconds rounds up, so that nobody comes back too early.
+func seconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
+
+// refuse writes the refusal for a failure outside the generated server.
+func (s *Entry) refuse(w http.ResponseWriter, e error) {
+	r := s.NewError(context.Background(), e)
+	b, e := json.Marshal(&r.Response)
+	if e != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json; charset=utf-8")
+	h.Set(verdictHeader, r.BulrushtrailVerdict.Value)
+	if r.RetryAfter.Set {
+		h.Set(retryAfterHeader, strconv.Itoa(r.RetryAfter.Value))
+	}
+	w.WriteHeader(r.StatusCode)
+	_, _ = w.Write(b)
+}
+
+// undecodable refuses a request that the generated server can't decode. Other
+// errors occur while an answer is sent: the connection is cut, so that the
+// caller doesn't take the part that it has for the whole.
+func (s *Entry) undecodable(_ context.Context, w http.ResponseWriter, _ *http.Request, e error) {
+	var q *ogenerrors.DecodeRequestError
+	var p *ogenerrors.DecodeParamsError
+	var m *http.MaxBytesError
+	switch {
+	case errors.Is(e, ht.ErrNotImplemented), errors.As(e, &m):
+		s.refuse(w, e)
+	case ogenerrors.ErrorCode(e) == http.StatusUnsupportedMediaType:
+		s.refuse(w, trail.NewError("content-type", trail.NotRun, "the content type is not supported"))
+	case errors.As(e, &q):
+		s.refuse(w, trail.NewError("bad-request", trail.NotRun, "%s", q.Err))
+	case errors.As(e, &p):
+		s.refuse(w, trail.NewError("bad-request", trail.NotRun, "%s", p.Err))
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Entry) unknownPath(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, trail.NewError("unknown-path", trail.NotRun, "there is nothing at %s", r.URL.Path))
+}
+
+func (s *Entry) unknownMethod(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	s.refuse(w, trail.NewError("unknown-method", trail.NotRun, "%s is not allowed at %s", r.Method, r.URL.Path))
+}
--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -246,8 +246,9 @@
 	}
 }
 
-// lost is the failure of an attempt whose stream broke. The scheduler is
-// avoided, unless the call itself was ended.
+// lost is the failure of an attempt whose stream broke. It does not make the
+// scheduler avoided: when the whole session is lost, the subscription to the
+// reports is lost too.
 func (p *replies) lost(e error) error {
 	d := p.c.Err()
 	if errors.Is(d, context.DeadlineExceeded) {
@@ -256,9 +257,12 @@
 	if d != nil {
 		return trail.WrapError(d, "cancelled", trail.MayHaveRun, "request was cancelled")
 	}
-	i := p.member.GetId()
-	p.s.failed(i)
-	return trail.WrapError(e, "scheduler-lost", trail.MayHaveRun, "connection to scheduler %s was lost", i)
+	if errors.Is(e, io.EOF) {
+		// io.EOF stands for a complete answer and must not be found in the
+		// chain of a failure.
+		e = io.ErrUnexpectedEOF
+	}
+	return trail.WrapError(e, "scheduler-lost", trail.MayHaveRun, "connection to scheduler %s was lost", p.member.GetId())
 }
 
 // refusal returns the failure that an End reports, nil for other replies.
