coordination/route: a service without a report yet is tried, not refused

Cause: load reports come up to 200 ms after a new configuration. The demo's first question after apply was refused as 503 no-scheduler although runners were ready. Ruled out: waiting for the next report (it holds the caller's answer back). Change: without any report of the service, up to three schedulers are asked; one without backend servers refuses as not run. Conclusion: a new service answers as soon as its scheduler knows it.

--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -20,6 +20,8 @@
 	// Expected wait at which another data centre is preferred to a busy one,
 	// in milliseconds. It covers two crossings and the lag of the reports.
 	crossingMs = 50
+	// Schedulers that are asked without a report of the service.
+	maxBlindTries = 3
 )
 
 // Reasons of a choice, as they stand in the log.
@@ -187,10 +189,12 @@
 	return k
 }
 
-// candidates returns the schedulers with backend servers for the service, or
-// those without a report when there is none.
+// candidates returns the schedulers with backend servers for the service. When
+// no report names one, it returns all, at most maxBlindTries in a row: reports
+// come a moment after a new configuration or a new backend server, and a
+// scheduler without one refuses the call as not run.
 func (t *table) candidates(r *wire.Call, tried map[string]bool) []*candidate {
-	// Those with a report, and those without.
+	// Those that report the service, and all.
 	var l, n []*candidate
 	for i, o := range t.targets {
 		if o.avoided || tried[i] || o.report.GetLeaving() {
@@ -202,10 +206,7 @@
 			score:   xxhash.Sum64String(key(r) + "\x00" + i),
 			local:   o.member.GetDataCentre() == t.dataCentre,
 		}
-		if o.report == nil {
-			n = append(n, k)
-			continue
-		}
+		n = append(n, k)
 		for _, s := range o.report.GetServices() {
 			if s.GetService() != r.GetService() || s.GetRunners() == 0 {
 				continue
@@ -216,10 +217,13 @@
 			l = append(l, k)
 		}
 	}
-	if len(l) == 0 {
-		return n
+	switch {
+	case len(l) > 0:
+		return l
+	case len(tried) >= maxBlindTries:
+		return nil
 	}
-	return l
+	return n
 }
 
 // key is what a call shares with those that should meet at one scheduler.
