standin/load, standin/progrm: load tool, and commands of the stand-ins

Cause: batch throughput and online latency are reported together, so one tool must send both and know the right answers. Ruled out: times from the moment of sending (they hide the waiting that a slow system causes), the openai client for questions (it hides the times of tokens and the verdicts), and one trace line for each batch item (a job of 180,000 items has one line).

--- /dev/null
+++ b/internal/standin/load/trace.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Kinds of trace lines.
+const (
+	kindOnline  = "online"
+	kindBatch   = "batch"
+	kindService = "service"
+)
+
+const (
+	maxLineBytes = 16 << 20
+	// Traces are held in memory while they run.
+	maxLines      = 5_000_000
+	bytesPerToken = 4
+)
+
+// line is one line of a trace.
+type line struct {
+	// Milliseconds from the start of the trace.
+	AtMS    int64  `json:"at-ms"`
+	Caller  string `json:"caller"`
+	Kind    string `json:"kind"`
+	Service string `json:"service"`
+
+	// Text of a question, or of every item of a job; when it is empty, made-up
+	// text of PromptTokens follows PrefixTokens that all lines with the same
+	// Prefix share.
+	Prompt       string `json:"prompt,omitempty"`
+	PromptTokens int    `json:"prompt-tokens,omitempty"`
+	Prefix       string `json:"prefix,omitempty"`
+	PrefixTokens int    `json:"prefix-tokens,omitempty"`
+	AnswerTokens int    `json:"answer-tokens,omitempty"`
+	Stream       bool   `json:"stream,omitempty"`
+
+	// Items of a batch job and its completion window, such as "2h".
+	Items  int    `json:"items,omitempty"`
+	Window string `json:"window,omitempty"`
+
+	// Call of a plain service; the path is the one behind the service's name.
+	Method         string `json:"method,omitempty"`
+	Path           string `json:"path,omitempty"`
+	Body           string `json:"body,omitempty"`
+	IdempotencyKey string `json:"idempotency-key,omitempty"`
+	NonIdempotent  bool   `json:"non-idempotent,omitempty"`
+	// Time from the start after which the caller gives up; 0 for the
+	// service's own.
+	DeadlineMS int64 `json:"deadline-ms,omitempty"`
+
+	// Number in the trace, from 1.
+	number int
+}
+
+func (s *line) at() time.Duration { return time.Duration(s.AtMS) * time.Millisecond }
+
+// check returns what is wrong with a line.
+func (s *line) check() error {
+	switch {
+	case s.Caller == "" || s.Service == "":
+		return errors.New("caller or service is missing")
+	case s.AtMS < 0:
+		return errors.New("at-ms is negative")
+	case s.Kind == kindService && (s.Method == "" || !strings.HasPrefix(s.Path, "/")):
+		return errors.New("a call of a service needs a method and an absolute path")
+	case s.Kind == kindBatch && (s.Items < 1 || s.Window == ""):
+		return errors.New("a batch job needs items and a window")
+	case s.Kind != kindOnline && s.Kind != kindBatch && s.Kind != kindService:
+		return errors.Newf("kind %q is unknown", s.Kind)
+	}
+	return nil
+}
+
+// read parses a trace. Its lines must be in order of time.
+func read(r io.Reader) ([]*line, error) {
+	var l []*line
+	b := bufio.NewScanner(r)
+	b.Buffer(nil, maxLineBytes)
+	for b.Scan() {
+		n := len(l) + 1
+		if n > maxLines {
+			return nil, errors.Newf("trace has more than %d lines", maxLines)
+		}
+		x := &line{number: n}
+		e := json.Unmarshal(b.Bytes(), x)
+		if e == nil {
+			e = x.check()
+		}
+		if e == nil && n > 1 && x.AtMS < l[n-2].AtMS {
+			e = errors.New("line is out of order")
+		}
+		if e != nil {
+			return nil, errors.Wrapf(e, "trace line %d", n)
+		}
+		l = append(l, x)
+	}
+	return l, b.Err()
+}
+
+// chatForm is the body of a question or of an item.
+type chatForm struct {
+	Model     string        `json:"model"`
+	Messages  []messageForm `json:"messages"`
+	MaxTokens int           `json:"max_tokens,omitempty"`
+	Stream    bool          `json:"stream,omitempty"`
+}
+
+type messageForm struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chat returns the body of a question, or of item i of a job.
+func (s *line) chat(i int) ([]byte, error) {
+	var m []messageForm
+	if s.PrefixTokens > 0 {
+		m = append(m, messageForm{"system", filler(s.Prefix, 0, s.PrefixTokens)})
+	}
+	p := s.Prompt
+	if p == "" {
+		p = filler(s.Caller, s.number<<20+i, s.PromptTokens)
+	}
+	m = append(m, messageForm{"user", p})
+	return json.Marshal(chatForm{Model: s.Service, Messages: m, MaxTokens: s.AnswerTokens, Stream: s.Stream})
+}
+
+var words = strings.Fields(`stock reorder code counter crate strainer mesh handle box shape vamp length platform
+	shank width drawstring studio class note size order shelf supplier catalogue restock summary delivery shift`)
+
+// filler returns text of about a number of tokens, the same for the same name
+// and number.
+func filler(name string, number, tokens int) string {
+	var b strings.Builder
+	h := xxhash.Sum64String(name) + uint64(number)
+	for b.Len() < tokens*bytesPerToken {
+		// Steps of a linear congruential generator, whose high bits are good.
+		h = h*6364136223846793005 + 1442695040888963407
+		b.WriteString(words[(h>>33)%uint64(len(words))])
+		b.WriteByte(' ')
+	}
+	return b.String()[:tokens*bytesPerToken]
+}
--- /dev/null
+++ b/internal/standin/progrm/http.go
@@ -0,0 +1,45 @@
+package progrm
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// Requests in progress get so long when the process is asked to stop.
+	stopTimeout = 5 * time.Second
+)
+
+// serveStandin serves s at address until c ends. The first line of the
+// standard output names the address, for tests that ask for port 0.
+func serveStandin(c context.Context, address string, s *http.Server) error {
+	l, e := (&net.ListenConfig{}).Listen(c, "tcp", address)
+	if e != nil {
+		return e
+	}
+	_, e = fmt.Fprintf(os.Stdout, "listening on %s\n", l.Addr())
+	if e != nil {
+		return e
+	}
+	s.ReadHeaderTimeout = headerTimeout
+	f := context.AfterFunc(c, func() {
+		d, f := context.WithTimeout(context.WithoutCancel(c), stopTimeout)
+		defer f()
+		if s.Shutdown(d) != nil {
+			_ = s.Close()
+		}
+	})
+	defer f()
+	e = s.Serve(l)
+	if errors.Is(e, http.ErrServerClosed) {
+		return nil
+	}
+	return e
+}
