--- a/internal/command/tool/serve.go
+++ b/internal/command/tool/serve.go
@@ -81,7 +81,8 @@
 		return e
 	}
 	w := make(chan error, 3)
-	go func() { w <- p.m.Serve(f, n, p.handler(o)) }()
+	h := p.handler(o)
+	go func() { w <- p.m.Serve(f, n, h) }()
 	e = p.serveHTTP(f, b, &o, w)
 	if e != nil {
 		return e
--- a/internal/standin/progrm/engine.go
+++ b/internal/standin/progrm/engine.go
@@ -64,7 +64,7 @@
 				c, modeleng.Model(*m), modeleng.Slots(*n, *q), modeleng.Pace(*t, *p, *r), modeleng.CacheBlocks(*b),
 				modeleng.Lag(*l, *v, *g), modeleng.ChecksFencing(*k), modeleng.OnExit(exitAfterCrash),
 			)
-			return serveStandin(c, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
+			return serveHTTP(c, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
 		},
 	}
 }
--- a/internal/standin/progrm/http.go
+++ b/internal/standin/progrm/http.go
@@ -17,9 +17,9 @@
 	stopTimeout = 5 * time.Second
 )
 
-// serveStandin serves s at address until c ends. The first line of the
+// serveHTTP serves s at address until c ends. The first line of the
 // standard output names the address, for tests that ask for port 0.
-func serveStandin(c context.Context, address string, s *http.Server) error {
+func serveHTTP(c context.Context, address string, s *http.Server) error {
 	l, e := (&net.ListenConfig{}).Listen(c, "tcp", address)
 	if e != nil {
 		return e
--- a/internal/standin/progrm/plain.go
+++ b/internal/standin/progrm/plain.go
@@ -32,7 +32,7 @@
 		Name: "plain", ShortUsage: "standin plain [flags]", ShortHelp: "run a plain service stand-in",
 		LongHelp: plainHelp, FlagSet: f,
 		Exec: func(c context.Context, _ []string) error {
-			return serveStandin(c, *a, &http.Server{Handler: plainsrv.New()})
+			return serveHTTP(c, *a, &http.Server{Handler: plainsrv.New()})
 		},
 	}
 }
--- a/internal/standin/progrm/platform.go
+++ b/internal/standin/progrm/platform.go
@@ -39,7 +39,7 @@
 			m := http.NewServeMux()
 			m.Handle("GET /metrics", promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
 			m.Handle("/", plat.New(c, *r, *w, *h, log.Log, g))
-			return serve(c, "platform", *a, m)
+			return serveHTTP(c, *a, &http.Server{Handler: m})
 		},
 	}
 }
--- a/internal/standin/progrm/run.go
+++ b/internal/standin/progrm/run.go
@@ -2,29 +2,23 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	// Time for calls in progress after a signal.
-	shutdownTimeout = 5 * time.Second
-)
-
 // commands lists the subcommands, each in a file of its own.
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
 		platform(),
+		engine(),
+		plain(),
+		load(),
 	}
 }
 
@@ -63,26 +57,3 @@
 	}
 	return 0
 }
-
-// serve runs an HTTP server on a TCP address until c ends. It logs the
-// address, which names the port when the one asked for was 0.
-func serve(c context.Context, name, address string, h http.Handler) error {
-	l, e := net.Listen("tcp", address)
-	if e != nil {
-		return e
-	}
-	log.WithField("address", l.Addr().String()).Info(name + ": listening")
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	d := make(chan error, 1)
-	f := context.AfterFunc(c, func() {
-		o, g := context.WithTimeout(context.WithoutCancel(c), shutdownTimeout)
-		defer g()
-		d <- s.Shutdown(o)
-	})
-	defer f()
-	e = s.Serve(l)
-	if !errors.Is(e, http.ErrServerClosed) {
-		return e
-	}
-	return <-d
-}
