--- a/internal/coordination/claim/shard.go
+++ b/internal/coordination/claim/shard.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
@@ -40,7 +42,9 @@
 	known   bool
 	version int64
 	content *ledger
-	// When the content was last read or written.
+	// When the call in progress began, and the one that the content is from.
+	// The content has all changes that were committed before freshAt.
+	beganAt time.Time
 	freshAt time.Time
 	// Operations without a decision, oldest first.
 	waiting []*operation
@@ -48,10 +52,12 @@
 	carried   []*operation
 	candidate *ledger
 	marks     []mark
-	// After a failure: no call before retryAt.
+	// After a failure, or when the budget is used up: no call before retryAt.
 	retryAt   time.Time
 	retryWait time.Duration
 	preferred bool
+	// Updates that may begin now.
+	budget *rate.Limiter
 }
 
 func (s *shard) idle() bool {
@@ -97,7 +103,7 @@
 func (s *shard) loaded(o object.Object, e error, now time.Time) {
 	s.phase = resting
 	if errors.Is(e, trail.ErrNotFound) {
-		s.learn(0, newLedger(), now)
+		s.learn(0, newLedger())
 		s.step(now)
 		return
 	}
@@ -110,7 +116,7 @@
 		s.step(now)
 		return
 	}
-	s.learn(o.Version(), l, now)
+	s.learn(o.Version(), l)
 	s.step(now)
 }
 
@@ -119,12 +125,12 @@
 	l := s.carried
 	s.carried = nil
 	if e == nil {
-		s.learn(o.Version(), s.candidate, now)
+		s.learn(o.Version(), s.candidate)
 		s.confirm(l, now)
 		s.step(now)
 		return
 	}
-	s.waiting = append(l, s.waiting...)
+	s.requeue(l)
 	switch {
 	case errors.Is(e, trail.ErrConflict), errors.Is(e, trail.ErrExists), errors.Is(e, trail.ErrNotFound):
 		s.known = false
@@ -140,12 +146,18 @@
 	s.step(now)
 }
 
+// requeue returns operations to the waiting ones, in the order of arrival.
+func (s *shard) requeue(l []*operation) {
+	s.waiting = append(s.waiting, l...)
+	slices.SortStableFunc(s.waiting, func(a, b *operation) int { return a.arrived.Compare(b.arrived) })
+}
+
 // learn takes what the platform holds.
-func (s *shard) learn(version int64, l *ledger, now time.Time) {
+func (s *shard) learn(version int64, l *ledger) {
 	s.version = version
 	s.content = l
 	s.known = true
-	s.freshAt = now
+	s.freshAt = s.beganAt
 	s.retryAt = time.Time{}
 	s.retryWait = 0
 	s.b.downUntil = time.Time{}
@@ -170,9 +182,16 @@
 // fail takes a call that did not take effect and refuses the claims that no
 // update can have committed.
 func (s *shard) fail(e error, now time.Time) {
-	s.b.downUntil = now.Add(downTime)
 	s.retryWait = min(max(2*s.retryWait, firstRetry), lastRetry)
 	s.retryAt = now.Add(s.retryWait)
+	var f *trail.Error
+	if errors.As(e, &f) && f.Code() == codeRateLimited {
+		// The platform is up: the claims wait and go together into a later
+		// update.
+		s.retryAt = now.Add(f.Wait())
+		return
+	}
+	s.b.downUntil = now.Add(downTime)
 	var k []*operation
 	for _, o := range s.waiting {
 		if o.claim == nil || o.doubtful {
@@ -196,6 +215,7 @@
 	}
 	if !s.known || s.needsRefresh(now) {
 		s.phase = loading
+		s.beganAt = now
 		s.b.act(loadAction{s.number})
 		return
 	}
