--- a/internal/coordination/place/dispatch.go
+++ b/internal/coordination/place/dispatch.go
@@ -76,11 +76,13 @@
 }
 
 // eligible returns the backend servers with a slot for the call. For an online
-// call, when none has a free slot, it returns those whose batch work gives one
-// up.
+// call these include the ones whose batch work gives one up.
 func (v *service) eligible(now time.Time, k *call) []*server {
-	h := v.headroom(now)
-	var l, m, b []*server
+	var h []int
+	if !k.online() {
+		h = v.headroom(now)
+	}
+	var l, b []*server
 	for i, s := range v.servers {
 		if !s.usable(now) || s.reserved != nil || slices.Contains(k.tried, s.name) {
 			continue
@@ -99,15 +101,12 @@
 		case s.free() > 0:
 			l = append(l, s)
 		case s.online+s.external < s.limit() && s.youngest() != nil:
-			m = append(m, s)
+			l = append(l, s)
 		}
 	}
 	if len(l) > 0 {
 		return l
 	}
-	if len(m) > 0 {
-		return m
-	}
 	return b
 }
 
@@ -118,9 +117,10 @@
 	c := make([]trail.Candidate, 0, len(l))
 	for _, s := range l {
 		n := s.limit()
-		c = append(c, trail.NewCandidate(s.name, len(s.running)+s.external, n, s.prefixes.matched(k.r.GetPrefixHashes())))
+		m := s.prefixes.matched(k.r.GetPrefixHashes())
+		c = append(c, trail.NewCandidate(s.name, s.load(k), n, m, s.free() <= 0))
 	}
-	i, t := p.policy.Choose(k.r, c, k.v.meanLoad(now))
+	i, t := p.policy.Choose(k.r, c, k.v.meanLoad(now, k))
 	s := l[i]
 	var b []*call
 	for s.free() <= 0 {
@@ -146,15 +146,22 @@
 	p.start(now, k, s, r, o)
 }
 
-// meanLoad returns the calls in flight per usable backend server, with the new
-// one.
-func (v *service) meanLoad(now time.Time) float64 {
+// load returns the calls in flight that stay when the call is dispatched here.
+func (s *server) load(k *call) int {
+	if k.online() {
+		return s.online + s.external
+	}
+	return len(s.running) + s.external
+}
+
+// meanLoad returns the load per usable backend server, with the new call.
+func (v *service) meanLoad(now time.Time, k *call) float64 {
 	n := 0
 	w := 1
 	for _, s := range v.servers {
 		if s.usable(now) {
 			n++
-			w += len(s.running) + s.external
+			w += s.load(k)
 		}
 	}
 	return float64(w) / float64(max(n, 1))
@@ -166,6 +173,12 @@
 	p.out = append(p.out, decide.Cancel(k.key, k.r, a.id, a.s.name, reason))
 	p.release(a)
 	k.verdict = trail.MayHaveRun
+	if k.failures > 0 {
+		// In the queue it would hold up the others until a backend server at
+		// which it has not failed is free.
+		k.v.retries = append(k.v.retries, k)
+		return
+	}
 	k.v.batch.Push(now, trail.NewQueued(k.key, k.r, k.arrived))
 }
 
@@ -174,7 +187,7 @@
 	k.a = a
 	p.running[a.id] = a
 	s.running[a.id] = a
-	s.peak = max(s.peak, len(s.running))
+	s.peaks[0] = max(s.peaks[0], len(s.running))
 	if k.online() {
 		s.online++
 	} else {
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -19,6 +19,8 @@
 	// How long the drain mark of a backend server counts without a new one.
 	// The host list confirms it before that.
 	drainMark = 30 * time.Second
+	// Periods between load reports by which a report may lag.
+	lagPeriods = 3
 )
 
 // server is one backend server.
@@ -38,8 +40,9 @@
 	batch   int
 	// Calls that it reports beyond those of this scheduler.
 	external int
-	// Most attempts in flight since the last load report.
-	peak int
+	// Most attempts in flight in the time before each of the last load
+	// reports, and since the last one at index 0.
+	peaks [lagPeriods]int
 	// Slots that it reports, 0 when it does not.
 	reported int
 	learned  learned
@@ -170,15 +173,16 @@
 // LoadReported takes a backend server's lagging report: calls that run and
 // wait there, and its slots, 0 when it names none. Calls of this scheduler may
 // have started or ended since, so only what exceeds the most that were in
-// flight since the last report counts as the load of others.
+// flight during the lag counts as the load of others.
 func (p *Place) LoadReported(now time.Time, name string, running, waiting, slots int) []decide.Decision {
 	s := p.servers[name]
 	if s == nil {
 		return nil
 	}
 	s.reported = slots
-	s.external = max(running+waiting-s.peak, 0)
-	s.peak = len(s.running)
+	s.external = max(running+waiting-slices.Max(s.peaks[:]), 0)
+	copy(s.peaks[1:], s.peaks[:])
+	s.peaks[0] = len(s.running)
 	p.schedule(now, s.v)
 	return p.take()
 }
--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -20,6 +20,10 @@
 	sampleWeight = 0.1
 	// Averages of fewer samples reject nobody.
 	minSamples = 10
+	// Part of a call's estimated time that must be left before its deadline.
+	// Costs are estimates themselves, and a call rejected by mistake is worse
+	// than one that runs in vain.
+	estimateShare = 0.5
 )
 
 // service is one service of the text with its backend servers and queues.
@@ -41,10 +45,11 @@
 	burst  burst
 	// Number of calls that wait or run.
 	calls int
-	// Averages over completed online calls.
-	duration     time.Duration
-	timePerToken time.Duration
-	samples      int
+	// Averages over completed online calls: how long they ran, and their cost
+	// in tokens.
+	duration time.Duration
+	cost     float64
+	samples  int
 }
 
 func newService(name string, p trail.Policy) *service {
@@ -125,40 +130,38 @@
 	return time.Duration(float64(v.duration) * float64(a+1-f) / float64(max(n, 1)))
 }
 
-// estimate returns how long a call runs, 0 when it is not known.
+// estimate returns the least time that a call is expected to run, 0 when it is
+// not known.
 func (v *service) estimate(k *call) time.Duration {
 	if v.samples < minSamples {
 		return 0
 	}
-	if c := k.r.GetCostTokens(); c > 0 && v.timePerToken > 0 {
-		return v.timePerToken * time.Duration(c)
+	d := float64(v.duration) * estimateShare
+	if c := k.r.GetCostTokens(); c > 0 && v.cost > 0 {
+		d *= float64(c) / v.cost
 	}
-	return v.duration
+	return time.Duration(d)
 }
 
 // sample records the time that a completed online call took.
 func (v *service) sample(d time.Duration, cost int64) {
 	if v.samples == 0 {
 		v.duration = d
+		v.cost = float64(cost)
 	}
 	v.samples++
-	v.duration = average(v.duration, d)
-	if cost <= 0 {
-		return
-	}
-	t := d / time.Duration(cost)
-	v.timePerToken = average(cmp.Or(v.timePerToken, t), t)
+	v.duration = time.Duration(average(float64(v.duration), float64(d)))
+	v.cost = average(v.cost, float64(cost))
 }
 
-func average(a, b time.Duration) time.Duration {
-	return time.Duration((1-sampleWeight)*float64(a) + sampleWeight*float64(b))
-}
+func average(a, b float64) float64 { return (1-sampleWeight)*a + sampleWeight*b }
 
-// Loads returns the load of each service, by name.
+// Loads returns the load of each service with backend servers or calls here, by
+// name.
 func (p *Place) Loads(now time.Time) []*wire.ServiceLoad {
 	var l []*wire.ServiceLoad
 	for _, v := range p.sorted() {
-		if v.text == nil {
+		if v.text == nil || len(v.servers) == 0 && v.calls == 0 {
 			continue
 		}
 		n := 0
--- /dev/null
+++ b/internal/coordination/place/session_test.go
@@ -0,0 +1,145 @@
+package place_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rogpeppe/go-internal/txtar"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/decide"
+	"bulrushtrail.example/trail/internal/coordination/place"
+	"bulrushtrail.example/trail/internal/coordination/policy"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden sessions")
+
+// Each session in testdata guards the rule that its comment states. Its file
+// "events" has one event a line: the time in milliseconds, the event, its
+// subject, and its arguments, a message in JSON or numbers. Its file
+// "decisions" repeats each event, followed by the decisions.
+func TestSessions(t *testing.T) {
+	l, e := filepath.Glob("testdata/*.txtar")
+	if e != nil {
+		t.Fatal(e)
+	}
+	for _, f := range l {
+		t.Run(filepath.Base(f), func(t *testing.T) { session(t, f) })
+	}
+}
+
+func session(t *testing.T, file string) {
+	a, e := txtar.ParseFile(file)
+	if e != nil {
+		t.Fatal(e)
+	}
+	n := policy.Fair
+	if w := strings.TrimSpace(string(a.Files[0].Data)); a.Files[0].Name == "policy" {
+		n = w
+		a.Files = append(a.Files[:0:0], a.Files[1:]...)
+	}
+	y, e := policy.New(n)
+	if e != nil {
+		t.Fatal(e)
+	}
+	p := place.New(y, "p")
+	var b strings.Builder
+	for _, s := range strings.Split(strings.TrimSpace(string(a.Files[0].Data)), "\n") {
+		fmt.Fprintln(&b, s)
+		for _, d := range apply(t, p, s) {
+			fmt.Fprintln(&b, "  "+d.String())
+		}
+	}
+	if *update {
+		a, _ = txtar.ParseFile(file)
+		a.Files[len(a.Files)-1].Data = []byte(b.String())
+		e = os.WriteFile(file, txtar.Format(a), 0o644)
+		if e != nil {
+			t.Fatal(e)
+		}
+		return
+	}
+	if d := cmp.Diff(string(a.Files[1].Data), b.String()); d != "" {
+		t.Error(d)
+	}
+}
+
+// apply gives the module the event of one line.
+func apply(t *testing.T, p *place.Place, line string) []decide.Decision {
+	t.Helper()
+	w := strings.SplitN(line, " ", 4)
+	w = append(w, "", "")
+	n := time.UnixMilli(number(t, w[0]))
+	switch w[1] {
+	case "configured":
+		return p.Configured(n, parse(t, w[2], &wire.Text{}))
+	case "host":
+		h := parse(t, w[3], &wire.Host{})
+		h.SetName(w[2])
+		h.SetAddress(w[2] + ":1")
+		return p.HostSeen(n, h)
+	case "released":
+		return p.HostReleased(n, w[2])
+	case "gone":
+		return p.HostGone(n, w[2])
+	case "load":
+		f := strings.Fields(w[3])
+		return p.LoadReported(n, w[2], int(number(t, f[0])), int(number(t, f[1])), int(number(t, f[2])))
+	case "arrived":
+		r := parse(t, w[3], &wire.Call{})
+		r.SetService("lm")
+		return p.Arrived(n, uint64(number(t, w[2])), r)
+	case "given-up":
+		return p.GivenUp(n, uint64(number(t, w[2])))
+	case "started":
+		return p.Started(n, w[2])
+	case "first":
+		return p.FirstToken(n, w[2])
+	case "completed":
+		return p.Completed(n, w[2], 1)
+	case "refused":
+		return p.Refused(n, w[2])
+	case "server-draining":
+		return p.Draining(n, w[2])
+	case "failed":
+		return p.Failed(n, w[2], trail.ParseVerdict(w[3]), "")
+	case "crashed":
+		return p.Crashed(n, w[2])
+	case "crashes":
+		return p.Crashes(n, []*wire.Crash{parse(t, w[2], &wire.Crash{})})
+	case "drain":
+		return p.Drain(n)
+	case "tick":
+		return p.Tick(n)
+	}
+	t.Fatalf("unknown event %q", w[1])
+	return nil
+}
+
+func parse[M proto.Message](t *testing.T, text string, m M) M {
+	t.Helper()
+	e := protojson.Unmarshal([]byte(text), m)
+	if e != nil {
+		t.Fatalf("%s: %v", text, e)
+	}
+	return m
+}
+
+func number(t *testing.T, text string) int64 {
+	t.Helper()
+	n, e := strconv.ParseInt(text, 10, 64)
+	if e != nil {
+		t.Fatal(e)
+	}
+	return n
+}
--- a/internal/coordination/poison/record.go
+++ b/internal/coordination/poison/record.go
@@ -15,11 +15,14 @@
 	suspectLifetime = 10 * time.Minute
 	// Bound on the memory for suspects. The oldest one is forgotten first.
 	maxSuspects = 4096
+	sweepPeriod = time.Minute
 )
 
 // Record holds the crashes by fingerprint.
 type Record struct {
 	crashes map[uint64]*crash
+	// When old suspects were last removed.
+	swept time.Time
 	// Changes with each change that other processes should know.
 	version int64
 }
@@ -127,6 +130,10 @@
 
 // forget removes old suspects, and the oldest one when there are too many.
 func (r *Record) forget(now time.Time) {
+	if now.Sub(r.swept) < sweepPeriod && len(r.crashes) < maxSuspects {
+		return
+	}
+	r.swept = now
 	var o *crash
 	n := 0
 	for f, k := range r.crashes {
--- /dev/null
+++ b/internal/coordination/poison/record_test.go
@@ -0,0 +1,58 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// Only crashes at different hosts may reject a request, a completion must
+// clear a suspect but not a rejected request, and memory must stay bounded.
+func TestRecord(t *testing.T) {
+	r := poison.New()
+	n := time.UnixMilli(0)
+	check(t, "false false []", state(r, 7))
+	r.Crashed(n, 7, "a")
+	r.Crashed(n, 7, "a")
+	check(t, "true false [a]", state(r, 7))
+	r.Completed(7)
+	check(t, "false false []", state(r, 7))
+	r.Crashed(n, 7, "a")
+	r.Crashed(n, 7, "b")
+	r.Completed(7)
+	check(t, "false true [a b]", state(r, 7))
+
+	h := "a"
+	f := uint64(8)
+	w := wire.Crash_builder{Fingerprint: &f, Hosts: []string{h}}.Build()
+	r.Merge(n, []*wire.Crash{w})
+	r.Merge(n, []*wire.Crash{w})
+	check(t, "true false [a]", state(r, 8))
+	w.SetHosts([]string{"c"})
+	r.Merge(n, []*wire.Crash{w})
+	check(t, "false true [a c]", state(r, 8))
+
+	for i := range uint64(5000) {
+		r.Crashed(n.Add(time.Duration(i)), 100+i, "a")
+	}
+	check(t, "4098", fmt.Sprint(len(r.Crashes())))
+	check(t, "false false []", state(r, 100))
+	r.Crashed(n.Add(time.Hour), 9, "a")
+	check(t, "3", fmt.Sprint(len(r.Crashes())))
+}
+
+func state(r *poison.Record, f uint64) string {
+	return fmt.Sprint(r.Suspect(f), r.Rejected(f), r.Hosts(f))
+}
+
+func check(t *testing.T, want, got string) {
+	t.Helper()
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -40,7 +40,9 @@
 func (fair) Queue(class wire.Class) trail.Queue { return newFairQueue(class) }
 
 // Choose prefers the longest cached prefix among the runners within the load
-// bound, then the least load.
+// bound, also where batch work has to yield: with batch work always waiting,
+// almost every runner is full, and the prefix cache would be lost otherwise.
+// Then it prefers a free slot, and the least load.
 func (fair) Choose(r *wire.Call, candidates []trail.Candidate, mean float64) (int, string) {
 	b := math.Ceil(maxLoadRatio * mean)
 	m := -1
@@ -63,9 +65,18 @@
 	if a.Matched() != b.Matched() {
 		return a.Matched() > b.Matched()
 	}
+	if a.Preempts() != b.Preempts() {
+		return b.Preempts()
+	}
 	return a.Load() < b.Load()
 }
 
+// unpreempted returns whether a goes before b because only b has no free slot,
+// and whether they are alike in that.
+func unpreempted(a, b trail.Candidate) (bool, bool) {
+	return !a.Preempts() && b.Preempts(), a.Preempts() == b.Preempts()
+}
+
 // leastLoaded breaks ties by rendezvous hashing of the shortest prefix, so
 // that calls with a common prefix meet on one runner also before any has run.
 func leastLoaded(r *wire.Call, candidates []trail.Candidate) int {
@@ -76,7 +87,8 @@
 	m := 0
 	for i, a := range candidates {
 		b := candidates[m]
-		if a.Load() < b.Load() || a.Load() == b.Load() && score(k, a) > score(k, b) {
+		f, s := unpreempted(a, b)
+		if f || s && (a.Load() < b.Load() || a.Load() == b.Load() && score(k, a) > score(k, b)) {
 			m = i
 		}
 	}
@@ -103,11 +115,13 @@
 func (*roundRobin) Queue(wire.Class) trail.Queue { return newArrivalQueue() }
 
 // Choose returns the first candidate after the last one in the order of names.
+// It preempts only where no slot is free.
 func (p *roundRobin) Choose(_ *wire.Call, candidates []trail.Candidate, _ float64) (int, string) {
 	m := 0
 	for i, a := range candidates {
-		b := candidates[m].Name()
-		if a.Name() > p.last && (b <= p.last || a.Name() < b) {
+		b := candidates[m]
+		f, s := unpreempted(a, b)
+		if f || s && p.turn(a.Name(), b.Name()) {
 			m = i
 		}
 	}
@@ -115,6 +129,15 @@
 	return m, RoundRobin
 }
 
+// turn returns whether a comes before b in the round after the last one.
+func (p *roundRobin) turn(a, b string) bool {
+	x, y := a > p.last, b > p.last
+	if x != y {
+		return x
+	}
+	return a < b
+}
+
 type least struct{}
 
 func (least) Name() string { return LeastOutstanding }
@@ -124,7 +147,8 @@
 func (least) Choose(_ *wire.Call, candidates []trail.Candidate, _ float64) (int, string) {
 	m := 0
 	for i, a := range candidates {
-		if a.Load() < candidates[m].Load() {
+		f, s := unpreempted(a, candidates[m])
+		if f || s && a.Load() < candidates[m].Load() {
 			m = i
 		}
 	}
--- /dev/null
+++ b/internal/coordination/policy/policy_test.go
@@ -0,0 +1,130 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/policy"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// Each case guards one rule of a policy's choice of backend server.
+func TestChoose(t *testing.T) {
+	l := []struct {
+		name, policy string
+		mean         float64
+		candidates   []trail.Candidate
+		want         []string
+	}{
+		{"longest prefix", policy.Fair, 2, []trail.Candidate{
+			trail.NewCandidate("a", 0, 8, 0, false),
+			trail.NewCandidate("b", 1, 8, 1, false),
+			trail.NewCandidate("c", 1, 8, 2, false),
+		}, []string{"c", "c"}},
+		{"prefix beyond the load bound", policy.Fair, 2, []trail.Candidate{
+			trail.NewCandidate("a", 3, 8, 4, false),
+			trail.NewCandidate("b", 1, 8, 0, false),
+		}, []string{"b", "b"}},
+		{"prefix where batch work yields", policy.Fair, 2, []trail.Candidate{
+			trail.NewCandidate("a", 1, 8, 4, true),
+			trail.NewCandidate("b", 0, 8, 0, false),
+		}, []string{"a", "a"}},
+		{"free slot before preemption", policy.Fair, 2, []trail.Candidate{
+			trail.NewCandidate("a", 0, 8, 0, true),
+			trail.NewCandidate("b", 5, 8, 0, false),
+		}, []string{"b", "b"}},
+		{"round robin", policy.RoundRobin, 2, []trail.Candidate{
+			trail.NewCandidate("b", 1, 8, 0, false),
+			trail.NewCandidate("a", 5, 8, 4, false),
+			trail.NewCandidate("c", 0, 8, 0, true),
+		}, []string{"a", "b", "a"}},
+		{"least outstanding", policy.LeastOutstanding, 2, []trail.Candidate{
+			trail.NewCandidate("a", 2, 8, 4, false),
+			trail.NewCandidate("b", 1, 8, 0, false),
+			trail.NewCandidate("c", 0, 8, 0, true),
+		}, []string{"b", "b"}},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			p := newPolicy(t, k.policy)
+			var g []string
+			for range k.want {
+				i, _ := p.Choose(&wire.Call{}, k.candidates, k.mean)
+				g = append(g, k.candidates[i].Name())
+			}
+			if d := cmp.Diff(k.want, g); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+const many = 10000
+
+// A caller that sends 1 request among another caller's 10,000 must not wait
+// for them, and a full queue must not shut it out. The target is 1.5 times the
+// wait without the other caller; two places are within it for one slot's turn.
+func TestOneAmongMany(t *testing.T) {
+	q := newPolicy(t, policy.Fair).Queue(wire.Class_CLASS_ONLINE)
+	n := time.UnixMilli(0)
+	for k := range uint64(many) {
+		q.Push(n, queued(k, "region", 100, n))
+	}
+	if d := cmp.Diff(1, q.Ahead("shop")); d != "" {
+		t.Error(d)
+	}
+	k, _ := q.Displaced("shop")
+	if d := cmp.Diff(uint64(many-1), k); d != "" {
+		t.Error(d)
+	}
+	if _, f := q.Displaced("region"); f {
+		t.Error("the largest caller displaces a call")
+	}
+	q.Push(n, queued(many, "shop", 100, n))
+	for i := range 3 {
+		k, _ = q.Next(n)
+		q.Remove(k, true)
+		if k == many {
+			t.Logf("served at place %d", i)
+			return
+		}
+	}
+	t.Error("the small caller waits for the large one")
+}
+
+// A long call must not wait for more than 2 s for short ones that came later,
+// whichever caller they are from.
+func TestLongCall(t *testing.T) {
+	q := newPolicy(t, policy.Fair).Queue(wire.Class_CLASS_ONLINE)
+	n := time.UnixMilli(0)
+	q.Push(n, queued(1, "x", 10000, n))
+	for k := uint64(2); ; k++ {
+		q.Push(n, queued(k, []string{"x", "y", "z"}[k%3], 10, n))
+		i, _ := q.Next(n)
+		q.Remove(i, true)
+		if i == 1 {
+			break
+		}
+		n = n.Add(100 * time.Millisecond)
+	}
+	if d := cmp.Diff(2*time.Second, n.Sub(time.UnixMilli(0))); d != "" {
+		t.Error(d)
+	}
+}
+
+func newPolicy(t *testing.T, name string) trail.Policy {
+	t.Helper()
+	p, e := policy.New(name)
+	if e != nil {
+		t.Fatal(e)
+	}
+	return p
+}
+
+func queued(key uint64, caller string, cost int64, n time.Time) trail.Queued {
+	return trail.NewQueued(key, wire.Call_builder{Caller: &caller, CostTokens: proto.Int64(cost)}.Build(), n)
+}
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -60,7 +60,7 @@
 		fetching:  map[string]bool{},
 		reports:   map[chan *wire.Report]*wire.Report{},
 	}
-	go t.run(views.Subscribe(c))
+	go t.run(views.Latest(), views.Subscribe(c))
 	return s
 }
 
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -48,8 +48,9 @@
 	idle []chan struct{}
 }
 
-func (t *task) run(views <-chan *wire.View) {
+func (t *task) run(latest *wire.View, views <-chan *wire.View) {
 	defer close(t.s.done)
+	t.view(time.Now(), latest)
 	k := time.NewTicker(tickPeriod)
 	defer k.Stop()
 	r := time.NewTicker(reportPeriod)
--- a/policy.go
+++ b/policy.go
@@ -17,8 +17,8 @@
 	Queue(class wire.Class) Queue
 	// Choose returns the index of the backend server that takes the call, and
 	// the reason in kebab case. It is given at least one candidate, and each
-	// may take the call. The mean is the number of calls in flight per
-	// backend server of the service, over those with and without a free slot.
+	// may take the call. The mean is the load per backend server of the
+	// service with the new call, over those with and without a free slot.
 	Choose(r *wire.Call, candidates []Candidate, mean float64) (int, string)
 }
 
@@ -66,23 +66,27 @@
 
 // Candidate is a backend server that may take a call.
 type Candidate struct {
-	name    string
-	load    int
-	limit   int
-	matched int
+	name     string
+	load     int
+	limit    int
+	matched  int
+	preempts bool
 }
 
-// NewCandidate returns a candidate. The load counts calls in flight, the
-// limit those that the backend server takes at once, matched the leading
-// prefix hashes of the call that it probably has in its cache.
-func NewCandidate(name string, load, limit, matched int) Candidate {
-	return Candidate{name: name, load: load, limit: limit, matched: matched}
+// NewCandidate returns a candidate. The load counts the calls in flight that
+// stay when the call is dispatched there, the limit those that the backend
+// server takes at once, matched the leading prefix hashes of the call that it
+// probably has in its cache. A candidate that preempts has no free slot; a
+// batch call gives up its own.
+func NewCandidate(name string, load, limit, matched int, preempts bool) Candidate {
+	return Candidate{name: name, load: load, limit: limit, matched: matched, preempts: preempts}
 }
 
 // Name returns the host name.
 func (c Candidate) Name() string { return c.name }
 
-// Load returns the number of calls in flight.
+// Load returns the number of calls in flight that stay. For an online call
+// these are the online calls and those of other schedulers.
 func (c Candidate) Load() int { return c.load }
 
 // Limit returns the number of calls that the backend server takes at once.
@@ -91,6 +95,9 @@
 // Matched returns the number of leading prefix hashes that are probably cached.
 func (c Candidate) Matched() int { return c.matched }
 
+// Preempts returns whether a batch call gives up its slot to the call.
+func (c Candidate) Preempts() bool { return c.preempts }
+
 // Metrics reads what backend servers say about their own load.
 type Metrics interface {
 	// Fetch returns the answer to GET /metrics in Prometheus text format. The
