coordination/sched: events after the last token are held until the end

Cause: a batch stream that was preempted between its last token and the end of its answer repeated the finish event after it was resumed. Found by 300 streams with random preemption, cut events and lost connections. Ruled out: remembering which of these events were passed on (it depends on their number and order being the same at each engine). Change: they are passed on with the end of the answer; the test of random streams. Conclusion: a resumed answer has the bytes of an undisturbed one.

--- a/internal/coordination/sched/answer.go
+++ b/internal/coordination/sched/answer.go
@@ -33,8 +33,11 @@
 	permitted bool
 	// Whether the requester has tokens of an earlier attempt.
 	resumed bool
-	// Begin of an event whose end has not arrived.
+	// Begin of an event whose end has not arrived, or all events since the
+	// last token.
 	held []byte
+	// Whether the events after the last token have begun.
+	tail bool
 }
 
 // newAnswer returns an empty answer. Streams of batch calls can be preempted,
@@ -56,28 +59,36 @@
 		return a.pass(w, chunk)
 	}
 	w.held = append(w.held, chunk...)
-	for {
+	for !w.tail {
 		i := bytes.Index(w.held, []byte("\n\n"))
 		if i < 0 {
 			return nil
 		}
-		e := a.event(w, w.held[:i+2])
+		i += 2
+		t := parseEvent(w.held[:i])
+		if t == eventTail {
+			// An attempt that is resumed after the last token repeats these
+			// events, so they are passed on only with the end of the answer.
+			w.tail = true
+			return nil
+		}
+		e := a.event(w, t, w.held[:i])
 		if e != nil {
 			return e
 		}
-		w.held = w.held[i+2:]
+		w.held = w.held[i:]
 	}
+	return nil
 }
 
 // event passes on one event. The events before the first token of a resumed
 // attempt repeat what the requester has.
-func (a *answer) event(w *part, event []byte) error {
-	t := token(event)
-	if w.resumed && t.empty {
+func (a *answer) event(w *part, t eventKind, event []byte) error {
+	if w.resumed && t == eventEmpty {
 		return nil
 	}
-	w.resumed = false
-	if t.token {
+	if t == eventToken {
+		w.resumed = false
 		a.tokens++
 	}
 	return a.pass(w, event)
@@ -114,12 +125,16 @@
 	_ = a.emit(wire.Reply_builder{AttemptId: &a.attempt, End: d}.Build())
 }
 
-// kind says what an event of a chat completion stream carries.
-type kind struct {
-	token bool
-	// Neither a token nor the end of the answer.
-	empty bool
-}
+// eventKind says what an event of a chat completion stream carries.
+type eventKind int
+
+const (
+	// The end of the answer, usage, or anything that is not known.
+	eventTail eventKind = iota
+	eventToken
+	// A chunk without a token, as the first one with the role.
+	eventEmpty
+)
 
 // completionChunk is the part of a chat completion chunk that is read here.
 type completionChunk struct {
@@ -129,27 +144,26 @@
 		} `json:"delta"`
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage json.RawMessage `json:"usage"`
 }
 
-// token parses an event as the engines write it: one data line with a chat
-// completion chunk, or the word [DONE].
-func token(event []byte) kind {
+// parseEvent reads an event as the engines write it: one data line with a chat
+// completion chunk, or the word [DONE]. Comments are empty events.
+func parseEvent(event []byte) eventKind {
 	d, f := bytes.CutPrefix(bytes.TrimSpace(event), []byte("data:"))
 	if !f {
-		return kind{empty: true}
+		return eventEmpty
 	}
 	var k completionChunk
-	if json.Unmarshal(d, &k) != nil {
-		return kind{}
+	if json.Unmarshal(d, &k) != nil || len(k.Choices) == 0 {
+		return eventTail
 	}
 	for _, c := range k.Choices {
 		if c.Delta.Content != "" {
-			return kind{token: true}
+			return eventToken
 		}
 		if c.FinishReason != "" {
-			return kind{}
+			return eventTail
 		}
 	}
-	return kind{empty: len(k.Usage) == 0}
+	return eventEmpty
 }
--- a/internal/coordination/sched/rig_test.go
+++ b/internal/coordination/sched/rig_test.go
@@ -33,6 +33,8 @@
 	attempts []*attempt
 	// Guards attempts while calls run.
 	m sync.Mutex
+	// Plays each attempt when it is set; it closes the attempt's channel.
+	generate func(a *attempt)
 	// Text of GET /metrics.
 	metrics atomic.Value
 	lines   *memory.Handler
@@ -105,10 +107,13 @@
 	if strings.HasPrefix(address, "refused") {
 		return nil, trail.NewError("backend-refused", trail.NotRun, "connection refused")
 	}
-	a := &attempt{r: r, c: c, address: address, q: q, out: make(chan any, 100)}
+	a := &attempt{r: r, c: c, address: address, q: q, out: make(chan any, 1000)}
 	r.m.Lock()
 	defer r.m.Unlock()
 	r.attempts = append(r.attempts, a)
+	if r.generate != nil {
+		go r.generate(a)
+	}
 	return a, nil
 }
 
@@ -124,6 +129,10 @@
 		return a.reply(m)
 	default:
 	}
+	if a.r.generate != nil {
+		// Replies go on arriving after a cancellation.
+		return a.reply(<-a.out)
+	}
 	select {
 	case m := <-a.out:
 		return a.reply(m)
@@ -133,6 +142,9 @@
 }
 
 func (a *attempt) reply(m any) (*wire.Reply, error) {
+	if m == nil {
+		return nil, io.EOF
+	}
 	if e, k := m.(error); k {
 		return nil, e
 	}
--- /dev/null
+++ b/internal/coordination/sched/stream_test.go
@@ -0,0 +1,97 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// tokens is the length of each answer.
+const tokens = 20
+
+// streamed returns the events of an answer from a token on.
+func streamed(caller string, from int) []string {
+	l := []string{"data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"}
+	for i := from; i < tokens; i++ {
+		l = append(l, fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":\"%s %d\"}}]}\n\n", caller, i))
+	}
+	return append(l, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", "data: [DONE]\n\n")
+}
+
+// generate plays a model engine: it resumes, cuts events at any byte, goes on
+// for a while after a cancellation, and sometimes loses the connection.
+func (a *attempt) generate(r *rand.Rand) {
+	defer close(a.out)
+	time.Sleep(time.Duration(r.IntN(50)) * time.Millisecond)
+	a.head(200)
+	b := strings.Join(streamed(a.q.GetCaller(), int(a.q.GetResumeOffset())), "")
+	for l := 0; len(b) > 0 && l <= 2; {
+		n := 1 + r.IntN(min(len(b), 150))
+		a.data(b[:n])
+		b = b[n:]
+		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
+		if r.IntN(200) == 0 {
+			a.out <- trail.NewError("backend-failed", trail.MayHaveRun, "connection reset")
+			return
+		}
+		if a.cancelled() {
+			l++
+		}
+	}
+	if len(b) > 0 {
+		return
+	}
+	a.out <- wire.Reply_builder{
+		AttemptId: proto.String(a.q.GetAttemptId()),
+		End:       wire.End_builder{Verdict: wire.Verdict_VERDICT_RAN.Enum(), Tokens: proto.Int64(tokens)}.Build(),
+	}.Build()
+}
+
+const seed = 11
+
+// A streamed answer must reach its requester in order, without repeated or
+// missing bytes, however often it is preempted, or end with an error. The
+// engines end connections in the middle and send on after a cancellation.
+func TestStreamsUnderPreemption(t *testing.T) {
+	t.Logf("seed %d", seed)
+	n := rand.New(rand.NewPCG(seed, 0))
+	run(t, view(hostA+","+hostB+","+hostC), func(r *rig) {
+		r.generate = func(a *attempt) { a.generate(rand.New(rand.NewPCG(seed, xxhash.Sum64String(a.q.GetAttemptId())))) }
+		var l []*requester
+		for i := range 300 {
+			k := "BATCH"
+			if i%3 == 0 {
+				k = "ONLINE"
+			}
+			l = append(l, r.call(fmt.Sprintf(`{"caller":"c%d","class":"CLASS_%s","stream":true,"nonIdempotent":%t}`, i, k, i%11 == 0)))
+			time.Sleep(time.Duration(n.IntN(60)) * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		c := 0
+		for i, q := range l {
+			w := strings.Join(streamed(fmt.Sprintf("c%d", i), 0), "")
+			if q.outcome == nil || q.heads > 1 || len(q.faults) > 0 || !strings.HasPrefix(w, q.body) {
+				t.Fatalf("call %d: %s", i, q)
+			}
+			if q.outcome.GetCode() == "" {
+				check(t, w, q.body)
+				c++
+			}
+		}
+		t.Logf("%d of %d calls complete, %d attempts, %d preempted, %d late replies", c, len(l), len(r.attempts),
+			r.count("bulrushtrail_sched_decisions_total", "online-needs-slot"), r.count(dropped, "late"))
+		check(t, true, r.count("bulrushtrail_sched_decisions_total", "online-needs-slot") > 0)
+		check(t, true, r.count(dropped, "late") > 0)
+		check(t, true, c > len(l)/2)
+	})
+}
