--- a/internal/coordination/sched/counters.go
+++ b/internal/coordination/sched/counters.go
@@ -1,6 +1,10 @@
 package sched
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
 
 // Why a reply of a backend server was dropped.
 const (
@@ -16,6 +20,8 @@
 type counters struct {
 	decisions *prometheus.CounterVec
 	dropped   *prometheus.CounterVec
+	queued    *prometheus.GaugeVec
+	free      *prometheus.GaugeVec
 }
 
 func newCounters(r prometheus.Registerer) *counters {
@@ -29,6 +35,25 @@
 			Help: "Replies of backend servers that belong to no attempt in flight or to another part of the answer.",
 		}, []string{"reason"}),
 	}
-	r.MustRegister(n.decisions, n.dropped)
+	n.queued = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bulrushtrail_sched_queued_calls",
+		Help: "Calls that wait for a slot, by service and class.",
+	}, []string{"service", "class"})
+	n.free = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bulrushtrail_sched_free_online_slots",
+		Help: "Slots that are free for online calls or held by batch calls, by service.",
+	}, []string{"service"})
+	r.MustRegister(n.decisions, n.dropped, n.queued, n.free)
 	return n
 }
+
+// load sets the gauges.
+func (n *counters) load(l []*wire.ServiceLoad) {
+	n.queued.Reset()
+	n.free.Reset()
+	for _, v := range l {
+		n.queued.WithLabelValues(v.GetService(), "online").Set(float64(v.GetQueuedOnline()))
+		n.queued.WithLabelValues(v.GetService(), "batch").Set(float64(v.GetQueuedBatch()))
+		n.free.WithLabelValues(v.GetService()).Set(float64(v.GetFreeOnlineSlots()))
+	}
+}
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -127,7 +127,7 @@
 		delete(t.reports, e.out)
 		return nil
 	}
-	t.reports[e.out] = nil
+	t.reports[e.out] = sent{}
 	t.report(now)
 	return nil
 }
--- a/internal/coordination/sched/report.go
+++ b/internal/coordination/sched/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,7 +12,8 @@
 )
 
 // ServeReport sends the load totals to a peer until it closes its side: once
-// at first, then on change, at most 5 times a second.
+// at first, then on change, at most 5 times a second. Services without backend
+// servers of this scheduler are left out.
 func (s *Sched) ServeReport(c context.Context, f *frame.Stream, _ *wire.ReportRequest) {
 	c, g := context.WithCancel(c)
 	defer g()
@@ -40,9 +42,12 @@
 	}
 }
 
-// report gives each subscriber the current totals if they have changed. A
-// report that a subscriber has not taken yet is replaced.
+// report gives each subscriber the current totals if they have changed enough
+// to change a choice of scheduler, and at least once in quietPeriod after any
+// change. A report that a subscriber has not taken yet is replaced.
 func (t *task) report(now time.Time) {
+	l := t.p.Loads(now)
+	t.s.n.load(l)
 	if len(t.reports) == 0 {
 		return
 	}
@@ -50,12 +55,12 @@
 	k, _ := t.p.KnownCrashes()
 	r := wire.Report_builder{
 		MemberId: &i,
-		Services: t.p.Loads(now),
+		Services: l,
 		Leaving:  &t.draining,
 		Crashes:  k,
 	}.Build()
-	for o, l := range t.reports {
-		if l != nil && proto.Equal(l, r) {
+	for o, s := range t.reports {
+		if s.r != nil && (proto.Equal(s.r, r) || now.Sub(s.at) < quietPeriod && !differ(s.r, r)) {
 			continue
 		}
 		select {
@@ -63,6 +68,45 @@
 		default:
 		}
 		o <- r
-		t.reports[o] = r
+		t.reports[o] = sent{r, now}
 	}
 }
+
+// sent is the last report to a subscriber.
+type sent struct {
+	r  *wire.Report
+	at time.Time
+}
+
+const (
+	// Small changes wait so long, so that the reports of a busy scheduler stay
+	// within the control-plane budget of 9 KB/s per process.
+	quietPeriod = time.Second
+	// Part of a value by which it must change to be reported at once.
+	minChange = 0.25
+)
+
+// differ returns whether a subscriber could choose otherwise by b than by a.
+func differ(a, b *wire.Report) bool {
+	if a.GetLeaving() != b.GetLeaving() || len(a.GetServices()) != len(b.GetServices()) || len(a.GetCrashes()) != len(b.GetCrashes()) {
+		return true
+	}
+	for i, x := range a.GetServices() {
+		y := b.GetServices()[i]
+		if x.GetService() != y.GetService() || x.GetRunners() != y.GetRunners() ||
+			moved(int64(x.GetFreeOnlineSlots()), int64(y.GetFreeOnlineSlots())) ||
+			moved(int64(x.GetQueuedOnline()), int64(y.GetQueuedOnline())) ||
+			moved(x.GetExpectedWaitMs(), y.GetExpectedWaitMs()) {
+			return true
+		}
+	}
+	return false
+}
+
+// moved returns whether a value came to or from 0 or changed much.
+func moved(a, b int64) bool {
+	if (a == 0) != (b == 0) {
+		return true
+	}
+	return math.Abs(float64(a-b)) > minChange*float64(max(a, b))
+}
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -58,7 +58,7 @@
 		cancels:   map[string]context.CancelFunc{},
 		hosts:     map[string]*wire.Host{},
 		fetching:  map[string]bool{},
-		reports:   map[chan *wire.Report]*wire.Report{},
+		reports:   map[chan *wire.Report]sent{},
 	}
 	go t.run(views.Latest(), views.Subscribe(c))
 	return s
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -39,8 +39,8 @@
 	hosts map[string]*wire.Host
 	// Backend servers whose metrics are being fetched.
 	fetching map[string]bool
-	// Last report sent to each subscriber.
-	reports map[chan *wire.Report]*wire.Report
+	// Subscribers to reports.
+	reports map[chan *wire.Report]sent
 	// Set once the process drains. Ownership then stays as it is, so that the
 	// calls that wait still run.
 	draining bool
--- /dev/null
+++ b/internal/transport/scrape/doc.go
@@ -0,0 +1,2 @@
+// Package scrape fetches the metrics of model engines over HTTP.
+package scrape
