--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -20,6 +20,14 @@
 	sampleWeight = 0.1
 	// Averages of fewer samples reject nobody.
 	minSamples = 10
+	// Bounds of the margin on estimated times. Below the lower one a call
+	// would run in vain even on an empty backend server.
+	minMargin = 0.5
+	maxMargin = 1.5
+	// Steps of the margin for a call that ran past its deadline and for one
+	// that completed. Their ratio lets about one call in a hundred run in vain.
+	marginRise = 0.05
+	marginFall = marginRise / 99
 )
 
 // service is one service of the text with its backend servers and queues.
@@ -41,10 +49,14 @@
 	burst  burst
 	// Number of calls that wait or run.
 	calls int
-	// Averages over completed online calls.
-	duration     time.Duration
-	timePerToken time.Duration
-	samples      int
+	// Averages over completed online calls: how long they ran, and their cost
+	// in tokens.
+	duration time.Duration
+	cost     float64
+	samples  int
+	// Factor on estimated times. Costs are estimates themselves; the margin
+	// follows how many calls run past their deadline.
+	margin float64
 }
 
 func newService(name string, p trail.Policy) *service {
@@ -53,6 +65,7 @@
 		online: p.Queue(wire.Class_CLASS_ONLINE),
 		batch:  p.Queue(wire.Class_CLASS_BATCH),
 		budget: retry.New(),
+		margin: 1,
 	}
 }
 
@@ -125,40 +138,39 @@
 	return time.Duration(float64(v.duration) * float64(a+1-f) / float64(max(n, 1)))
 }
 
-// estimate returns how long a call runs, 0 when it is not known.
+// estimate returns how long a call is expected to run, with the margin, 0 when
+// it is not known.
 func (v *service) estimate(k *call) time.Duration {
 	if v.samples < minSamples {
 		return 0
 	}
-	if c := k.r.GetCostTokens(); c > 0 && v.timePerToken > 0 {
-		return v.timePerToken * time.Duration(c)
+	d := float64(v.duration) * v.margin
+	if c := k.r.GetCostTokens(); c > 0 && v.cost > 0 {
+		d *= float64(c) / v.cost
 	}
-	return v.duration
+	return time.Duration(d)
 }
 
 // sample records the time that a completed online call took.
 func (v *service) sample(d time.Duration, cost int64) {
 	if v.samples == 0 {
 		v.duration = d
+		v.cost = float64(cost)
 	}
 	v.samples++
-	v.duration = average(v.duration, d)
-	if cost <= 0 {
-		return
-	}
-	t := d / time.Duration(cost)
-	v.timePerToken = average(cmp.Or(v.timePerToken, t), t)
+	v.margin = max(v.margin-marginFall, minMargin)
+	v.duration = time.Duration(average(float64(v.duration), float64(d)))
+	v.cost = average(v.cost, float64(cost))
 }
 
-func average(a, b time.Duration) time.Duration {
-	return time.Duration((1-sampleWeight)*float64(a) + sampleWeight*float64(b))
-}
+func average(a, b float64) float64 { return (1-sampleWeight)*a + sampleWeight*b }
 
-// Loads returns the load of each service, by name.
+// Loads returns the load of each service with backend servers or calls here, by
+// name.
 func (p *Place) Loads(now time.Time) []*wire.ServiceLoad {
 	var l []*wire.ServiceLoad
 	for _, v := range p.sorted() {
-		if v.text == nil {
+		if v.text == nil || len(v.servers) == 0 && v.calls == 0 {
 			continue
 		}
 		n := 0
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -144,7 +144,7 @@
 // that it reports, with the load of others taken off.
 func TestReportedLoad(t *testing.T) {
 	run(t, strings.Replace(view(hostA), `"slots":2`, `"slots":0`, 1), func(r *rig) {
-		r.metrics.Store("# TYPE engine_running gauge\nengine_running 1\nengine_waiting 1\nengine_slots 4\n")
+		r.metrics.Store("# TYPE engine_requests_running gauge\nengine_requests_running 1\nengine_requests_waiting 1\nengine_slots 4\n")
 		time.Sleep(1100 * time.Millisecond)
 		for range 5 {
 			r.call(`{"caller":"shop"}`)
--- a/internal/coordination/sched/load.go
+++ b/internal/coordination/sched/load.go
@@ -21,8 +21,8 @@
 
 // Metric names of the model engines.
 const (
-	metricRunning = "engine_running"
-	metricWaiting = "engine_waiting"
+	metricRunning = "engine_requests_running"
+	metricWaiting = "engine_requests_waiting"
 	metricSlots   = "engine_slots"
 )
 
--- a/internal/transport/scrape/doc.go
+++ b/internal/transport/scrape/doc.go
@@ -1,2 +1,2 @@
-// Package scrape reads the metrics of backend servers over HTTP.
+// Package scrape fetches the metrics of model engines over HTTP.
 package scrape
