transport/bksrv: a whole answer may take as long as its tokens

Cause: the first byte of an answer that is not streamed comes with its last token, so 400 tokens at 27 ms already break the bound of 10 s and the caller got backend-silent for a healthy engine. Ruled out: no bound for whole answers (a silent connection would hold the caller until its deadline). Change: 50 ms more for each token of the estimated cost. Measured: 'whole answer of many tokens', 15 s for 400 tokens, ended as backend-silent before and is whole after. Conclusion: the bound follows the size of the answer.

--- a/internal/transport/bksrv/client.go
+++ b/internal/transport/bksrv/client.go
@@ -15,6 +15,9 @@
 
 const (
 	connectTimeout = time.Second
+	// Time allowed for each token of an answer that is not streamed, about
+	// twice the 27 ms between tokens that 95 in 100 must keep.
+	wholeTokenTime = 50 * time.Millisecond
 	// An engine that has not answered by then has gone silent or is so
 	// overloaded that another one answers sooner.
 	firstByteTimeout = 10 * time.Second
--- a/internal/transport/bksrv/progress.go
+++ b/internal/transport/bksrv/progress.go
@@ -67,6 +67,10 @@
 	if r.GetClass() == wire.Class_CLASS_BATCH {
 		p.first = batchFirstByteTimeout
 	}
+	if r.GetModel() != "" && !r.GetStream() {
+		// A whole answer comes when its last token is made.
+		p.first += time.Duration(r.GetCostTokens()) * wholeTokenTime
+	}
 	if d := r.GetDeadlineUnixMs(); d > 0 {
 		c, p.release = context.WithDeadlineCause(c, time.UnixMilli(d), errDeadline)
 	}
--- a/internal/transport/bksrv/verdict_test.go
+++ b/internal/transport/bksrv/verdict_test.go
@@ -72,6 +72,19 @@
 			s:    answers("HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\n" + `{"usage":{"completion_tokens":7}}`),
 			want: outcome{Status: 200, Body: `{"usage":{"completion_tokens":7}}`, Verdict: ran, Tokens: 7},
 		},
+		"whole answer of many tokens": {
+			s: func(n net.Conn, r *bufio.Reader) {
+				time.Sleep(15 * time.Second)
+				answers("HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\n"+`{"usage":{"completion_tokens":7}}`)(n, r)
+			},
+			r: func(r *wire.Call) {
+				r.SetModel("asistente")
+				r.SetStream(false)
+				r.SetCostTokens(400)
+				r.SetBody([]byte(`{"model":"asistente"}`))
+			},
+			want: outcome{Status: 200, Body: `{"usage":{"completion_tokens":7}}`, Verdict: ran, Tokens: 7, Took: 15 * time.Second},
+		},
 		"error answered in full": {
 			s:    answers("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\n{}"),
 			want: outcome{Status: 500, Body: "{}", Verdict: ran},
