cmd/demo: a deployment that stays up for measurements

Change: -hold keeps the deployment running; -deployment and -services choose it. A deployment without callers lets each key name its caller.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -17,7 +18,11 @@
 
 func main() {
 	c, f := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	e := run(c)
+	h := flag.Bool("hold", false, "keep the deployment running until SIGTERM instead of taking the tour")
+	d := flag.String("deployment", "examples/coladores/deployment.json", "file that lists the processes")
+	t := flag.String("services", "examples/coladores/services.json", "services text")
+	flag.Parse()
+	e := run(c, *d, *t, *h)
 	f()
 	if e != nil {
 		fmt.Fprintln(os.Stderr, "demo:", e)
@@ -25,25 +30,31 @@
 	}
 }
 
-func run(c context.Context) error {
+func run(c context.Context, deployment, services string, hold bool) error {
 	d, e := os.MkdirTemp("", "bulrushtrail-demo-")
 	if e != nil {
 		return e
 	}
-	x, e := fleet.New("examples/coladores/deployment.json", d, program)
+	x, e := fleet.New(deployment, d, program)
 	if e != nil {
 		return e
 	}
 	defer x.Close()
-	fmt.Println("starting the deployment examples/coladores; logs are in", d)
+	fmt.Println("starting", deployment, "- logs are in", d)
 	e = x.Start(c)
 	if e != nil {
 		return e
 	}
-	e = operate(c, x, "apply", "-f", "examples/coladores/services.json")
+	e = operate(c, x, "apply", "-f", services)
 	if e != nil {
 		return e
 	}
+	if hold {
+		fmt.Println("entries:", x.EntryURL(1), x.EntryURL(2), x.EntryURL(3))
+		fmt.Println("operator key:", x.OperatorKey())
+		<-c.Done()
+		return x.Stop()
+	}
 	e = demo.New(x.EntryURL(1), x.EntryURL(2), "key-mostrador-17", "asistente-lm", "pedidos-app", os.Stdout).Run(c)
 	if e != nil {
 		return e
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -86,9 +86,13 @@
 	for i := range f.p.Depots {
 		f.member("depot", 40+i, i, "-data-folder", f.path(fmt.Sprintf("data-%d", i+1)))
 	}
+	k := []string{"-callers-file", f.path("callers.json")}
+	if len(f.p.Callers) == 0 {
+		k = []string{"-unnamed-callers"}
+	}
 	for i := range f.p.Entries {
-		f.member("entry", 60+i, i, "-http-address", fmt.Sprintf("%s.%d:8080", f.network, 60+i),
-			"-callers-file", f.path("callers.json"), "-operator-key", operatorKey)
+		a := fmt.Sprintf("%s.%d:8080", f.network, 60+i)
+		f.member("entry", 60+i, i, append(k, "-http-address", a, "-operator-key", operatorKey)...)
 	}
 	return f.startAll(c, f.processes[n:])
 }
--- a/internal/standin/fleet/plan.go
+++ b/internal/standin/fleet/plan.go
@@ -18,7 +18,7 @@
 	Entries int `json:"entries"`
 	Scheds  int `json:"scheds"`
 	Depots  int `json:"depots"`
-	// From caller key to caller name.
+	// From caller key to caller name; empty lets each key name its caller.
 	Callers map[string]string `json:"callers"`
 }
 
