--- a/internal/coordination/claim/book.go
+++ b/internal/coordination/claim/book.go
@@ -78,6 +78,7 @@
 
 // accept takes a new operation.
 func (b *book) accept(o *operation, now time.Time) {
+	o.arrived = now
 	o.deadline = now.Add(claimTimeout)
 	b.shards[o.shard()].accept(o, now)
 }
--- a/internal/coordination/claim/claims_test.go
+++ b/internal/coordination/claim/claims_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/testing/protocmp"
@@ -28,12 +27,15 @@
 type process struct {
 	*claim.Claims
 	s *store
+	p *pauser
+	v views
 }
 
-func start(c context.Context, p *platform, latency time.Duration) process {
-	s := &store{p: p, latency: latency}
-	l := &log.Logger{Handler: discard.New()}
-	return process{claim.New(c, "sched-1", s, views{}, l, prometheus.NewRegistry()), s}
+func start(c context.Context, s *store) process {
+	p := &pauser{}
+	l := &log.Logger{Handler: p}
+	v := make(views)
+	return process{claim.New(c, "sched-1", s, v, l, prometheus.NewRegistry()), s, p, v}
 }
 
 // run runs a test with one process under the paused clock.
@@ -41,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, g := context.WithCancel(t.Context())
 		p := &platform{objects: map[string]object.Object{}}
-		f(t, c, start(c, p, 3*time.Millisecond), p)
+		f(t, c, start(c, &store{p: p, latency: 3 * time.Millisecond}), p)
 		g()
 		synctest.Wait()
 	})
@@ -56,6 +58,18 @@
 	return wire.Settle_builder{Caller: new("shop"), Key: &key, AttemptId: &attempt, Outcome: o}.Build()
 }
 
+// keys returns n keys in the shard of "k".
+func keys(n int) []string {
+	var l []string
+	for i := 0; len(l) < n; i++ {
+		k := fmt.Sprint("key-", i)
+		if claim.ShardOf("shop", k) == claim.ShardOf("shop", "k") {
+			l = append(l, k)
+		}
+	}
+	return l
+}
+
 func expect(t *testing.T, a process, r *wire.Claim, want wire.ClaimReply_Result) *wire.ClaimReply {
 	t.Helper()
 	y, e := a.Claim(t.Context(), r)
@@ -140,13 +154,7 @@
 	run(t, func(t *testing.T, _ context.Context, a process, p *platform) {
 		expect(t, a, request("k", "0"), granted)
 		var w sync.WaitGroup
-		n := 0
-		for i := 0; n < 100; i++ {
-			k := fmt.Sprint("key-", i)
-			if claim.ShardOf("shop", k) != claim.ShardOf("shop", "k") {
-				continue
-			}
-			n++
+		for _, k := range keys(100) {
 			w.Go(func() { expect(t, a, request(k, k), granted) })
 		}
 		w.Wait()
@@ -176,22 +184,97 @@
 // An attempt that was refused while its commit was unknown must neither be
 // granted later nor block its key.
 func TestUnknownCommit(t *testing.T) {
-	for _, f := range []fault{lost, late, dropped} {
-		run(t, func(t *testing.T, _ context.Context, a process, p *platform) {
-			a.s.faults = []fault{none, f, lost, lost, lost, lost, lost, lost, lost, lost, lost}
-			b := time.Now()
-			refused(t, a, request("k", "1"), "claim-timeout")
-			if d := cmp.Diff(2*time.Second, time.Since(b)); d != "" {
-				t.Error(d)
+	for _, f := range []fault{lost, late, veryLate, hung, dropped} {
+		unknownCommit(t, f, false)
+		unknownCommit(t, f, true)
+	}
+}
+
+// unknownCommit runs into one fault, with a key that is new or was used by an
+// attempt that did not run.
+func unknownCommit(t *testing.T, f fault, used bool) {
+	run(t, func(t *testing.T, c context.Context, a process, p *platform) {
+		if used {
+			expect(t, a, request("k", "0"), granted)
+			_, e := a.Settle(c, settlement("k", "0", notRun))
+			if e != nil {
+				t.Fatal(e)
 			}
-			time.Sleep(10 * time.Second)
-			m, e := p.entries()
-			if v := m["k"].GetOutcome().GetVerdict(); e != nil || m["k"] != nil && v != notRun {
-				t.Error(e, m["k"])
+			a.s.faults = []fault{f, lost, lost, lost, lost, lost}
+		} else {
+			a.s.faults = []fault{none, f, lost, lost, lost, lost, lost}
+		}
+		b := time.Now()
+		refused(t, a, request("k", "1"), "claim-timeout")
+		if d := cmp.Diff(2*time.Second, time.Since(b)); d != "" {
+			t.Error(d)
+		}
+		time.Sleep(10 * time.Second)
+		m, e := p.entries()
+		if d := cmp.Diff(notRun, m["k"].GetOutcome().GetVerdict()); e != nil || d != "" {
+			t.Error(f, e, d)
+		}
+		if !used {
+			refused(t, a, request("k", "1"), "attempt-refused")
+		}
+		expect(t, a, request("k", "2"), granted)
+	})
+}
+
+// An attempt that was refused while its update was in progress must not be
+// taken again under the same id.
+func TestRefusedAttempt(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, a process, _ *platform) {
+		a.s.faults = []fault{slow, slow}
+		refused(t, a, request("k", "1"), "claim-timeout")
+		refused(t, a, request("k", "1"), "attempt-refused")
+		expect(t, a, request("k", "2"), granted)
+	})
+}
+
+// A process that is paused while its update takes effect must not grant after
+// the caller's time.
+func TestPausedOwner(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, a process, _ *platform) {
+		expect(t, a, request("k", "0"), granted)
+		// The runtime picks the deadline or the result of the update first.
+		for _, k := range keys(20) {
+			d := make(chan struct{})
+			go func() {
+				refused(t, a, request(k, "1"), "claim-timeout")
+				close(d)
+			}()
+			time.Sleep(2 * time.Millisecond)
+			// The update is on its way. The log line of an invalid claim pauses
+			// the task until after the deadline.
+			a.p.pause.Store(int64(3 * time.Second))
+			_, e := a.Claim(t.Context(), request("", "1"))
+			if d := code("claim-invalid", e); d != "" {
+				t.Error(d)
 			}
-			expect(t, a, request("k", "2"), granted)
-		})
-	}
+			<-d
+			time.Sleep(time.Second)
+			expect(t, a, request(k, "2"), granted)
+		}
+	})
+}
+
+// A shard that another scheduler owns must not stay in memory, and must be
+// served all the same.
+func TestOtherOwner(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, a process, p *platform) {
+		expect(t, a, request("k", "1"), granted)
+		expect(t, a, request(keys(1)[0], "1"), granted)
+		if d := cmp.Diff(1, p.reads); d != "" {
+			t.Error("reads", d)
+		}
+		m := wire.Member_builder{Id: new("sched-2"), Role: new("sched")}.Build()
+		a.v <- wire.View_builder{Members: []*wire.Member{m}}.Build()
+		expect(t, a, request("k", "2"), held)
+		if d := cmp.Diff(2, p.reads); d != "" {
+			t.Error("reads", d)
+		}
+	})
 }
 
 // A claim that its caller gave up must free its key.
@@ -213,15 +296,20 @@
 func TestOutage(t *testing.T) {
 	run(t, func(t *testing.T, c context.Context, a process, _ *platform) {
 		expect(t, a, request("k", "1"), granted)
+		expect(t, a, request("free", "1"), granted)
+		_, e := a.Settle(c, settlement("free", "1", notRun))
+		if e != nil {
+			t.Error(e)
+		}
 		a.s.set(outage)
 		refused(t, a, request("l", "2"), "platform-unavailable")
 		b := time.Now()
-		refused(t, a, request("l", "3"), "platform-unavailable")
+		refused(t, a, request("free", "3"), "platform-unavailable")
 		expect(t, a, request("k", "2"), held)
 		if d := cmp.Diff(time.Duration(0), time.Since(b)); d != "" {
 			t.Error(d)
 		}
-		_, e := a.Settle(c, settlement("k", "1", ran))
+		_, e = a.Settle(c, settlement("k", "1", ran))
 		if d := code("settle-postponed", e); d != "" {
 			t.Error(d)
 		}
@@ -232,7 +320,7 @@
 			t.Error(e)
 		}
 		refused(t, a, request("l", "3"), "draining")
-		a = start(c, a.s.p, time.Millisecond)
+		a = start(c, a.s)
 		y := expect(t, a, request("k", "2"), held)
 		if d := cmp.Diff(ran, y.GetOutcome().GetVerdict()); d != "" {
 			t.Error(d)
--- a/internal/coordination/claim/decide.go
+++ b/internal/coordination/claim/decide.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// A held key whose outcome is not known is read again when what is known
-	// is older: the outcome may have been settled through another scheduler.
+	// A held key whose outcome is not known is read again for a claim that
+	// arrives later: the outcome may have been settled through another
+	// scheduler.
 	freshTime = time.Second
 	// Base of a mark whose update has taken effect; no object has it.
 	neverBase = -1
@@ -49,6 +50,7 @@
 		return
 	}
 	s.phase = writing
+	s.beganAt = now
 	s.b.act(writeAction{s.number, o, len(s.carried)})
 }
 
@@ -144,7 +146,7 @@
 		case n != nil && n.GetAttemptId() == m.c.GetAttemptId() && open(n):
 			s.candidate.put(settled(n, outcomeNotRun()))
 			touched[i] = true
-		case s.version == m.base && n == nil:
+		case n == nil:
 			s.candidate.put(voidEntry(m.c, now))
 			touched[i] = true
 		case s.version == m.base:
@@ -175,18 +177,18 @@
 	}.Build()
 }
 
-// needsRefresh says whether an answer would rest on an outcome that is unknown
-// here and may be known at the platform.
+// needsRefresh says whether an answer would rest on an entry that may be newer
+// at the platform. Each operation causes one read at most.
 func (s *shard) needsRefresh(now time.Time) bool {
-	if now.Sub(s.freshAt) < freshTime {
-		return false
-	}
 	for _, o := range s.waiting {
-		if o.claim == nil {
-			continue
+		k := o.key()
+		n := s.content.find(k.caller, k.key, now)
+		a := o.arrived.Sub(s.freshAt)
+		if o.claim != nil && n != nil && open(n) && a >= freshTime {
+			return true
 		}
-		n := s.content.find(o.claim.GetCaller(), o.claim.GetKey(), now)
-		if n != nil && open(n) {
+		// The claim may have been granted by another scheduler.
+		if o.settle != nil && a > 0 && (n == nil || n.GetAttemptId() != o.attempt()) {
 			return true
 		}
 	}
--- a/internal/coordination/claim/operation.go
+++ b/internal/coordination/claim/operation.go
@@ -14,8 +14,9 @@
 // operation is one claim or settlement on its way through a shard.
 type operation struct {
 	// One of the two is set.
-	claim  *wire.Claim
-	settle *wire.Settle
+	claim   *wire.Claim
+	settle  *wire.Settle
+	arrived time.Time
 	// When its caller gets an answer at the latest.
 	deadline time.Time
 	// Whether an update that carried the claim has an unknown result, and the
--- a/internal/coordination/claim/shard.go
+++ b/internal/coordination/claim/shard.go
@@ -40,7 +40,9 @@
 	known   bool
 	version int64
 	content *ledger
-	// When the content was last read or written.
+	// When the call in progress began, and the one that the content is from.
+	// The content has all changes that were committed before freshAt.
+	beganAt time.Time
 	freshAt time.Time
 	// Operations without a decision, oldest first.
 	waiting []*operation
@@ -97,7 +99,7 @@
 func (s *shard) loaded(o object.Object, e error, now time.Time) {
 	s.phase = resting
 	if errors.Is(e, trail.ErrNotFound) {
-		s.learn(0, newLedger(), now)
+		s.learn(0, newLedger())
 		s.step(now)
 		return
 	}
@@ -110,7 +112,7 @@
 		s.step(now)
 		return
 	}
-	s.learn(o.Version(), l, now)
+	s.learn(o.Version(), l)
 	s.step(now)
 }
 
@@ -119,7 +121,7 @@
 	l := s.carried
 	s.carried = nil
 	if e == nil {
-		s.learn(o.Version(), s.candidate, now)
+		s.learn(o.Version(), s.candidate)
 		s.confirm(l, now)
 		s.step(now)
 		return
@@ -141,11 +143,11 @@
 }
 
 // learn takes what the platform holds.
-func (s *shard) learn(version int64, l *ledger, now time.Time) {
+func (s *shard) learn(version int64, l *ledger) {
 	s.version = version
 	s.content = l
 	s.known = true
-	s.freshAt = now
+	s.freshAt = s.beganAt
 	s.retryAt = time.Time{}
 	s.retryWait = 0
 	s.b.downUntil = time.Time{}
@@ -196,6 +198,7 @@
 	}
 	if !s.known || s.needsRefresh(now) {
 		s.phase = loading
+		s.beganAt = now
 		s.b.act(loadAction{s.number})
 		return
 	}
--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -6,8 +6,10 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/google/go-cmp/cmp"
 
 	trail "bulrushtrail.example/trail"
@@ -26,6 +28,10 @@
 	lost
 	// A write is reported as lost at once and reaches the platform 300 ms later.
 	late
+	// The same, 4 s later.
+	veryLate
+	// The same after a write that ran into its bound of 2 s.
+	hung
 	// The write does not take effect, and the client does not know it.
 	dropped
 	// The platform takes the call after 1.5 s.
@@ -40,6 +46,7 @@
 	version int64
 	objects map[string]object.Object
 	writes  int
+	reads   int
 }
 
 // store is one process's access to the platform.
@@ -81,7 +88,7 @@
 func (s *store) Get(_ context.Context, kind, name string) (object.Object, error) {
 	time.Sleep(s.latency)
 	switch s.next() {
-	case outage, lost, late, dropped:
+	case outage, lost, late, veryLate, hung, dropped:
 		return object.Object{}, failure(trail.NotRun)
 	case slow:
 		time.Sleep(1500 * time.Millisecond)
@@ -90,6 +97,7 @@
 	}
 	s.p.m.Lock()
 	defer s.p.m.Unlock()
+	s.p.reads++
 	o, x := s.p.objects[name]
 	if !x {
 		return o, trail.WrapError(trail.ErrNotFound, "object-missing", trail.NotRun, "%s %s", kind, name)
@@ -103,7 +111,11 @@
 
 func (s *store) write(o object.Object) (object.Object, error) {
 	time.Sleep(s.latency)
-	switch s.next() {
+	f := s.next()
+	if f == hung {
+		time.Sleep(2 * time.Second)
+	}
+	switch f {
 	case outage:
 		return o, failure(trail.NotRun)
 	case lost:
@@ -112,6 +124,9 @@
 	case late:
 		time.AfterFunc(300*time.Millisecond, func() { _, _ = s.p.put(o) })
 		return o, failure(trail.MayHaveRun)
+	case veryLate, hung:
+		time.AfterFunc(4*time.Second, func() { _, _ = s.p.put(o) })
+		return o, failure(trail.MayHaveRun)
 	case dropped:
 		return o, failure(trail.MayHaveRun)
 	case slow:
@@ -159,10 +174,21 @@
 	return r, nil
 }
 
-// views is a Views without members.
-type views struct{ trail.Views }
+// pauser is a log handler that can stop the task that logs, as a pause of the
+// whole process does.
+type pauser struct{ pause atomic.Int64 }
+
+func (p *pauser) HandleLog(*log.Entry) error {
+	time.Sleep(time.Duration(p.pause.Swap(0)))
+	return nil
+}
+
+// views is a Views that the test feeds.
+type views chan *wire.View
+
+func (v views) Subscribe(context.Context) <-chan *wire.View { return v }
 
-func (views) Subscribe(context.Context) <-chan *wire.View { return nil }
+func (views) Latest() *wire.View { return &wire.View{} }
 
 // code compares an error's code.
 func code(want string, e error) string {
