coordination/claim: call budget of the shards

Cause: an update per claim would use up the platform's several hundred writes a second at a few hundred claims a second, and its 429 then counted as an outage. Ruled out: a budget for each scheduler (it depends on how many there are, and views differ). Change: each shard begins at most 200/64 updates a second, with a burst of 4; claims wait and go together into the next one. objapi has a code of its own for 429, after which claims wait for the platform's Retry-After.

--- a/internal/coordination/claim/book.go
+++ b/internal/coordination/claim/book.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bulrushtrail.example/trail/internal/coordination/owner"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
@@ -22,7 +24,13 @@
 	defaultRetryAfter = time.Second
 	// A shard has no room until entries expire or are settled as not run.
 	fullRetryAfter = time.Minute
-	schedRole      = "sched"
+	// Updates of one shard. All 64 together use at most 200 of the several
+	// hundred writes a second that the platform takes; jobs have 100.
+	writesPerSecond = 200.0 / shardCount
+	writeBurst      = 4
+	schedRole       = "sched"
+	// Code of an error of the store that asks for fewer calls.
+	codeRateLimited = "platform-rate-limited"
 )
 
 // loadAction asks the task to read a shard's object.
@@ -60,7 +68,7 @@
 func newBook(id string) *book {
 	b := &book{id: id}
 	for n := range b.shards {
-		b.shards[n] = &shard{b: b, number: uint32(n), content: newLedger(), preferred: true}
+		b.shards[n] = &shard{b: b, number: uint32(n), content: newLedger(), preferred: true, budget: rate.NewLimiter(writesPerSecond, writeBurst)}
 	}
 	return b
 }
--- a/internal/coordination/claim/claims_test.go
+++ b/internal/coordination/claim/claims_test.go
@@ -164,6 +164,25 @@
 	})
 }
 
+// Claims must not use up the platform's call budget, of which all 64 shards
+// have 200 writes a second, and must not be refused when it is used up.
+func TestCallBudget(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, a process, p *platform) {
+		a.s.faults = []fault{none, limited}
+		b := time.Now()
+		for i := 0; time.Since(b) < time.Minute; i++ {
+			expect(t, a, request("k", fmt.Sprint(i)), granted)
+			_, e := a.Settle(t.Context(), settlement("k", fmt.Sprint(i), notRun))
+			if e != nil {
+				t.Fatal(e)
+			}
+		}
+		if m := 4 + 60*200/64; p.writes > m {
+			t.Error("writes", p.writes, "of", m)
+		}
+	})
+}
+
 // A lost answer must end in a grant that the platform holds, also when the
 // update arrives after it was looked for.
 func TestLostAnswer(t *testing.T) {
--- a/internal/coordination/claim/decide.go
+++ b/internal/coordination/claim/decide.go
@@ -40,11 +40,18 @@
 	if len(s.carried) == 0 && !w {
 		return
 	}
+	if r := s.budget.ReserveN(now, 1); r.DelayFrom(now) > 0 {
+		s.retryAt = now.Add(r.DelayFrom(now))
+		r.CancelAt(now)
+		s.requeue(s.carried)
+		s.carried = nil
+		return
+	}
 	o, e := s.candidate.encode(s.number, s.version)
 	if e != nil {
 		// Only a string that is not UTF-8 can't be encoded, and those are
 		// refused before.
-		s.waiting = append(s.carried, s.waiting...)
+		s.requeue(s.carried)
 		s.carried = nil
 		s.fail(e, now)
 		return
--- a/internal/coordination/claim/shard.go
+++ b/internal/coordination/claim/shard.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
@@ -50,10 +52,12 @@
 	carried   []*operation
 	candidate *ledger
 	marks     []mark
-	// After a failure: no call before retryAt.
+	// After a failure, or when the budget is used up: no call before retryAt.
 	retryAt   time.Time
 	retryWait time.Duration
 	preferred bool
+	// Updates that may begin now.
+	budget *rate.Limiter
 }
 
 func (s *shard) idle() bool {
@@ -126,7 +130,7 @@
 		s.step(now)
 		return
 	}
-	s.waiting = append(l, s.waiting...)
+	s.requeue(l)
 	switch {
 	case errors.Is(e, trail.ErrConflict), errors.Is(e, trail.ErrExists), errors.Is(e, trail.ErrNotFound):
 		s.known = false
@@ -142,6 +146,12 @@
 	s.step(now)
 }
 
+// requeue returns operations to the waiting ones, in the order of arrival.
+func (s *shard) requeue(l []*operation) {
+	s.waiting = append(s.waiting, l...)
+	slices.SortStableFunc(s.waiting, func(a, b *operation) int { return a.arrived.Compare(b.arrived) })
+}
+
 // learn takes what the platform holds.
 func (s *shard) learn(version int64, l *ledger) {
 	s.version = version
@@ -172,9 +182,16 @@
 // fail takes a call that did not take effect and refuses the claims that no
 // update can have committed.
 func (s *shard) fail(e error, now time.Time) {
-	s.b.downUntil = now.Add(downTime)
 	s.retryWait = min(max(2*s.retryWait, firstRetry), lastRetry)
 	s.retryAt = now.Add(s.retryWait)
+	var f *trail.Error
+	if errors.As(e, &f) && f.Code() == codeRateLimited {
+		// The platform is up: the claims wait and go together into a later
+		// update.
+		s.retryAt = now.Add(f.Wait())
+		return
+	}
+	s.b.downUntil = now.Add(downTime)
 	var k []*operation
 	for _, o := range s.waiting {
 		if o.claim == nil || o.doubtful {
--- a/internal/coordination/claim/store_test.go
+++ b/internal/coordination/claim/store_test.go
@@ -24,6 +24,8 @@
 	none fault = iota
 	// The call does not take effect, and the client knows it.
 	outage
+	// The call does not take effect, because there were too many.
+	limited
 	// A write takes effect, its answer is lost. A read fails.
 	lost
 	// A write is reported as lost at once and reaches the platform 300 ms later.
@@ -85,9 +87,15 @@
 	return trail.WrapError(trail.ErrUnavailable, "platform-unavailable", v, "fault")
 }
 
+func tooMany() error {
+	return trail.WrapError(trail.ErrUnavailable, "platform-rate-limited", trail.NotRun, "fault").RetryAfter(time.Second)
+}
+
 func (s *store) Get(_ context.Context, kind, name string) (object.Object, error) {
 	time.Sleep(s.latency)
 	switch s.next() {
+	case limited:
+		return object.Object{}, tooMany()
 	case outage, lost, late, veryLate, hung, dropped:
 		return object.Object{}, failure(trail.NotRun)
 	case slow:
@@ -116,6 +124,8 @@
 		time.Sleep(2 * time.Second)
 	}
 	switch f {
+	case limited:
+		return o, tooMany()
 	case outage:
 		return o, failure(trail.NotRun)
 	case lost:
--- a/internal/protocol/objapi/client.go
+++ b/internal/protocol/objapi/client.go
@@ -38,8 +38,8 @@
 // Its calls end within 2 s. Every error matches one of the sentinel errors of
 // package trail and has a verdict; that of a read is always NotRun. Codes:
 // "object-changed", "object-exists", "object-missing", "version-too-old",
-// "platform-unavailable", "platform-answer-lost", "platform-refused" and
-// "value-too-large". The last two match trail.ErrUnavailable too, but repeating
+// "platform-unavailable", "platform-rate-limited", "platform-answer-lost",
+// "platform-refused" and "value-too-large". The last two match trail.ErrUnavailable too, but repeating
 // the call does not help.
 type Client struct {
 	base string
--- a/internal/protocol/objapi/errors.go
+++ b/internal/protocol/objapi/errors.go
@@ -46,7 +46,10 @@
 		return trail.WrapError(trail.ErrTooOld, "version-too-old", trail.NotRun, "watch must start from a new list")
 	case http.StatusRequestEntityTooLarge:
 		return tooLarge()
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return trail.WrapError(trail.ErrUnavailable, "platform-rate-limited", trail.NotRun,
+			"platform's call budget is used up").RetryAfter(retryAfter(r))
+	case http.StatusServiceUnavailable:
 		return trail.WrapError(trail.ErrUnavailable, "platform-unavailable", trail.NotRun,
 			"platform answered %d", r.StatusCode).RetryAfter(retryAfter(r))
 	}
