coordination/claim: shards are encoded outside the task

Cause: encoding a full shard of 1 MB blocks the task and with it all other shards of the process. Change: the write's own goroutine encodes. A claim that is refused for lack of room while an earlier update of it is in doubt is voided at once. Measured: make check and go test -race pass.

--- a/internal/coordination/claim/book.go
+++ b/internal/coordination/claim/book.go
@@ -40,7 +40,10 @@
 // when the object has no version.
 type writeAction struct {
 	shard uint32
-	o     object.Object
+	// Version to be replaced, 0 for none.
+	version int64
+	// Not changed any more.
+	content *ledger
 	// Claims and settlements that it carries.
 	operations int
 }
--- a/internal/coordination/claim/decide.go
+++ b/internal/coordination/claim/decide.go
@@ -47,18 +47,9 @@
 		s.carried = nil
 		return
 	}
-	o, e := s.candidate.encode(s.number, s.version)
-	if e != nil {
-		// Only a string that is not UTF-8 can't be encoded, and those are
-		// refused before.
-		s.requeue(s.carried)
-		s.carried = nil
-		s.fail(e, now)
-		return
-	}
 	s.phase = writing
 	s.beganAt = now
-	s.b.act(writeAction{s.number, o, len(s.carried)})
+	s.b.act(writeAction{s.number, s.version, s.candidate, len(s.carried)})
 }
 
 // refuseMarked refuses claims of attempts that were refused before, so that an
--- a/internal/coordination/claim/shard.go
+++ b/internal/coordination/claim/shard.go
@@ -220,6 +220,10 @@
 		return
 	}
 	s.decide(now)
+	if s.phase == resting && len(s.marks) > 0 && !now.Before(s.retryAt) {
+		// A claim was refused that an earlier update may have committed.
+		s.decide(now)
+	}
 }
 
 // expire refuses the claims whose time is over.
--- a/internal/coordination/claim/task.go
+++ b/internal/coordination/claim/task.go
@@ -100,7 +100,7 @@
 	case writeAction:
 		t.s.batches.Observe(float64(a.operations))
 		go func() {
-			o, e := t.write(c, a.o)
+			o, e := t.write(c, a)
 			t.s.send(written{a.shard, o, e})
 		}()
 	case answerAction:
@@ -113,7 +113,13 @@
 	}
 }
 
-func (t *task) write(c context.Context, o object.Object) (object.Object, error) {
+// write encodes a shard, which takes some milliseconds for a full one, outside
+// the task and writes it.
+func (t *task) write(c context.Context, a writeAction) (object.Object, error) {
+	o, e := a.content.encode(a.shard, a.version)
+	if e != nil {
+		return o, trail.WrapError(e, "claims-unreadable", trail.NotRun, "shard %d can't be encoded", a.shard)
+	}
 	if o.Version() == 0 {
 		return t.s.store.Create(c, o)
 	}
