standin/progrm: test of a stop with a waiting watch

Cause: a stand-in that waits for its watches would hold up every test that starts it. Change: one test that stops the platform while a watch waits, one of the exit status of a wrong command line. Conclusion: the platform stops at once and exits with 0.

--- /dev/null
+++ b/internal/standin/progrm/run_test.go
@@ -0,0 +1,66 @@
+package progrm_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/standin/progrm"
+)
+
+// A stand-in must stop on a signal although a watch is waiting, or tests that
+// start it would wait for it.
+func TestStop(t *testing.T) {
+	c, f := context.WithCancel(t.Context())
+	r, w := io.Pipe()
+	d := make(chan int, 1)
+	go func() {
+		d <- progrm.Run(c, []string{"platform", "-listen", "127.0.0.1:0"}, w)
+		_ = w.Close()
+	}()
+	b := bufio.NewReader(r)
+	l, e := b.ReadBytes('\n')
+	if e != nil {
+		t.Fatal(e)
+	}
+	go func() { _, _ = io.Copy(io.Discard, b) }()
+	var m struct {
+		Fields struct {
+			Address string `json:"address"`
+		} `json:"fields"`
+	}
+	e = json.Unmarshal(l, &m)
+	if e != nil {
+		t.Fatal(e)
+	}
+	u := "http://" + m.Fields.Address + "/apis/bulrushtrail.example/v1/jobs?watch=true&resourceVersion=0"
+	q, e := http.NewRequestWithContext(t.Context(), http.MethodGet, u, nil)
+	if e != nil {
+		t.Fatal(e)
+	}
+	a, e := http.DefaultClient.Do(q)
+	if e != nil {
+		t.Fatal(e)
+	}
+	f()
+	_, _ = io.Copy(io.Discard, a.Body)
+	_ = a.Body.Close()
+	if d := cmp.Diff(0, <-d); d != "" {
+		t.Error(d)
+	}
+}
+
+// A script that misspells a command must not pass as a success.
+func TestWrongCommand(t *testing.T) {
+	if d := cmp.Diff(2, progrm.Run(t.Context(), []string{"-no-such-flag"}, io.Discard)); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(2, progrm.Run(t.Context(), []string{"platfrom"}, io.Discard)); d != "" {
+		t.Error(d)
+	}
+}
