--- a/internal/coordination/claim/claims_test.go
+++ b/internal/coordination/claim/claims_test.go
@@ -73,13 +73,31 @@
 func expect(t *testing.T, a process, r *wire.Claim, want wire.ClaimReply_Result) *wire.ClaimReply {
 	t.Helper()
 	y, e := a.Claim(t.Context(), r)
+	must(t, e)
+	if d := cmp.Diff(want.String(), y.GetResult().String()); d != "" {
+		t.Error(d)
+	}
+	return y
+}
+
+func must(t *testing.T, e error) {
+	t.Helper()
 	if e != nil {
 		t.Fatal(e)
 	}
-	if d := cmp.Diff(want.String(), y.GetResult().String()); d != "" {
+}
+
+func fails(t *testing.T, e error, want string) {
+	t.Helper()
+	if d := code(want, e); d != "" {
 		t.Error(d)
 	}
-	return y
+}
+
+func settle(t *testing.T, a process, r *wire.Settle) {
+	t.Helper()
+	_, e := a.Settle(t.Context(), r)
+	must(t, e)
 }
 
 func refused(t *testing.T, a process, r *wire.Claim, want string) {
@@ -116,28 +134,16 @@
 		r = request("k", "2")
 		r.SetShard(claim.ShardOf("shop", "k") + 1)
 		_, e := a.Claim(c, r)
-		if d := code("claim-invalid", e); d != "" {
-			t.Error(d)
-		}
+		fails(t, e, "claim-invalid")
 		_, e = a.Settle(c, settlement("k", "2", notRun))
-		if d := code("claim-missing", e); d != "" {
-			t.Error(d)
-		}
-		_, e = a.Settle(c, settlement("k", "1", notRun))
-		if e != nil {
-			t.Error(e)
-		}
+		fails(t, e, "claim-missing")
+		settle(t, a, settlement("k", "1", notRun))
 		refused(t, a, request("k", "1"), "attempt-refused")
 		expect(t, a, request("k", "2"), granted)
 		s := settlement("k", "2", ran)
-		_, e = a.Settle(c, s)
-		if e != nil {
-			t.Error(e)
-		}
+		settle(t, a, s)
 		_, e = a.Settle(c, settlement("k", "2", notRun))
-		if d := code("outcome-differs", e); d != "" {
-			t.Error(d)
-		}
+		fails(t, e, "outcome-differs")
 		y = expect(t, a, request("k", "3"), held)
 		if d := cmp.Diff(s.GetOutcome(), y.GetOutcome(), protocmp.Transform()); d != "" {
 			t.Error(d)
@@ -172,10 +178,7 @@
 		b := time.Now()
 		for i := 0; time.Since(b) < time.Minute; i++ {
 			expect(t, a, request("k", fmt.Sprint(i)), granted)
-			_, e := a.Settle(t.Context(), settlement("k", fmt.Sprint(i), notRun))
-			if e != nil {
-				t.Fatal(e)
-			}
+			settle(t, a, settlement("k", fmt.Sprint(i), notRun))
 		}
 		if m := 4 + 60*200/64; p.writes > m {
 			t.Error("writes", p.writes, "of", m)
@@ -215,10 +218,7 @@
 	run(t, func(t *testing.T, c context.Context, a process, p *platform) {
 		if used {
 			expect(t, a, request("k", "0"), granted)
-			_, e := a.Settle(c, settlement("k", "0", notRun))
-			if e != nil {
-				t.Fatal(e)
-			}
+			settle(t, a, settlement("k", "0", notRun))
 			a.s.faults = []fault{f, lost, lost, lost, lost, lost}
 		} else {
 			a.s.faults = []fault{none, f, lost, lost, lost, lost, lost}
@@ -268,9 +268,7 @@
 			// the task until after the deadline.
 			a.p.pause.Store(int64(3 * time.Second))
 			_, e := a.Claim(t.Context(), request("", "1"))
-			if d := code("claim-invalid", e); d != "" {
-				t.Error(d)
-			}
+			fails(t, e, "claim-invalid")
 			<-d
 			time.Sleep(time.Second)
 			expect(t, a, request(k, "2"), granted)
@@ -303,9 +301,7 @@
 		d, f := context.WithTimeout(c, time.Second)
 		defer f()
 		_, e := a.Claim(d, request("k", "1"))
-		if d := code("claim-ended", e); d != "" {
-			t.Error(d)
-		}
+		fails(t, e, "claim-ended")
 		time.Sleep(time.Second)
 		expect(t, a, request("k", "2"), granted)
 	})
@@ -316,10 +312,7 @@
 	run(t, func(t *testing.T, c context.Context, a process, _ *platform) {
 		expect(t, a, request("k", "1"), granted)
 		expect(t, a, request("free", "1"), granted)
-		_, e := a.Settle(c, settlement("free", "1", notRun))
-		if e != nil {
-			t.Error(e)
-		}
+		settle(t, a, settlement("free", "1", notRun))
 		a.s.set(outage)
 		refused(t, a, request("l", "2"), "platform-unavailable")
 		b := time.Now()
@@ -328,16 +321,12 @@
 		if d := cmp.Diff(time.Duration(0), time.Since(b)); d != "" {
 			t.Error(d)
 		}
-		_, e = a.Settle(c, settlement("k", "1", ran))
-		if d := code("settle-postponed", e); d != "" {
-			t.Error(d)
-		}
+		_, e := a.Settle(c, settlement("k", "1", ran))
+		fails(t, e, "settle-postponed")
 		time.Sleep(time.Minute)
 		a.s.set(none)
 		e = a.Drain(c)
-		if e != nil {
-			t.Error(e)
-		}
+		must(t, e)
 		refused(t, a, request("l", "3"), "draining")
 		a = start(c, a.s)
 		y := expect(t, a, request("k", "2"), held)
@@ -364,15 +353,9 @@
 			l = append(l, k)
 		}
 		for _, k := range l[1:] {
-			_, e := a.Settle(c, settlement(k, k, ran))
-			if e != nil {
-				t.Fatal(e)
-			}
-		}
-		_, e := a.Settle(c, settlement(l[0], l[0], notRun))
-		if e != nil {
-			t.Fatal(e)
+			settle(t, a, settlement(k, k, ran))
 		}
+		settle(t, a, settlement(l[0], l[0], notRun))
 		expect(t, a, request(l[0], "2"), granted)
 	})
 }
--- a/internal/protocol/objapi/client_test.go
+++ b/internal/protocol/objapi/client_test.go
@@ -115,6 +115,13 @@
 	}
 }
 
+func must(t *testing.T, e error) {
+	t.Helper()
+	if e != nil {
+		t.Fatal(e)
+	}
+}
+
 func value(s string) []byte { return []byte(`{"v":"` + s + `"}`) }
 
 // A wrong sentinel or verdict makes a writer give up a change that is in
@@ -122,15 +129,11 @@
 func TestRefusals(t *testing.T) {
 	run(t, 1000, func(c context.Context, t *testing.T, s *objapi.Client, _ *network) {
 		a, e := s.Create(c, object.New("jobs", "a/1", 0, value("1")))
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		_, e = s.Create(c, a)
 		expect(t, e, trail.ErrExists, trail.NotRun)
 		b, e := s.Update(c, object.New("jobs", "a/1", a.Version(), value("2")))
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		_, e = s.Update(c, a)
 		expect(t, e, trail.ErrConflict, trail.NotRun)
 		expect(t, s.Delete(c, a), trail.ErrConflict, trail.NotRun)
@@ -143,9 +146,7 @@
 			t.Error(e, d)
 		}
 		e = s.Delete(c, b)
-		if e != nil {
-			t.Error(e)
-		}
+		must(t, e)
 		_, e = s.Get(c, "jobs", "a/1")
 		expect(t, e, trail.ErrNotFound, trail.NotRun)
 		_, e = s.Update(c, b)
@@ -153,9 +154,7 @@
 		_, e = s.Create(c, object.New("jobs", "b", 0, bytes.Repeat([]byte("1"), 1<<20+1)))
 		expect(t, e, trail.ErrUnavailable, trail.NotRun)
 		_, e = s.Create(c, object.New("jobs", "b", 0, bytes.Repeat([]byte("1"), 1<<20)))
-		if e != nil {
-			t.Error(e)
-		}
+		must(t, e)
 	})
 }
 
@@ -184,9 +183,7 @@
 			t.Fatal("a lost answer lost the change", e)
 		}
 		_, e = s.Update(c, a)
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		_, e = s.Update(c, a)
 		expect(t, e, trail.ErrUnavailable, trail.NotRun)
 		var r *trail.Error
@@ -209,28 +206,18 @@
 func TestSilentConnection(t *testing.T) {
 	run(t, 1000, func(c context.Context, t *testing.T, s *objapi.Client, n *network) {
 		a, e := s.Create(c, object.New("jobs", "a", 0, value("1")))
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		w, e := s.Watch(c, "jobs", a.Version())
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		_, e = s.Get(c, "jobs", "a")
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		n.mute.Store(true)
 		// The first try of the read runs into its bound on a silent connection.
 		time.AfterFunc(500*time.Millisecond, func() { n.mute.Store(false) })
 		_, e = s.Get(c, "jobs", "a")
-		if e != nil {
-			t.Error(e)
-		}
+		must(t, e)
 		_, e = s.Update(c, a)
-		if e != nil {
-			t.Error(e)
-		}
+		must(t, e)
 		b := time.Now()
 		<-w
 		if time.Since(b) > 4*time.Second {
@@ -244,9 +231,7 @@
 func TestWatch(t *testing.T) {
 	run(t, 10000, func(c context.Context, t *testing.T, s *objapi.Client, n *network) {
 		w, e := s.Watch(c, "jobs", 0)
-		if e != nil {
-			t.Fatal(e)
-		}
+		must(t, e)
 		var o object.Object
 		for i := range 5 {
 			o = object.New("jobs", "a", o.Version(), value("1"))
@@ -255,9 +240,7 @@
 			} else {
 				o, e = s.Update(c, o)
 			}
-			if e != nil {
-				t.Fatal(e)
-			}
+			must(t, e)
 			g := <-w
 			if d := cmp.Diff(o.Version(), g.Object().Version()); d != "" {
 				t.Error(d)
@@ -276,13 +259,9 @@
 		}
 		for range 1100 {
 			a, e := s.Create(c, object.New("files", "f", 0, value("1")))
-			if e != nil {
-				t.Fatal(e)
-			}
+			must(t, e)
 			e = s.Delete(c, a)
-			if e != nil {
-				t.Fatal(e)
-			}
+			must(t, e)
 		}
 		_, e = s.Watch(c, "files", 0)
 		expect(t, e, trail.ErrTooOld, trail.NotRun)
--- a/internal/standin/progrm/run_test.go
+++ b/internal/standin/progrm/run_test.go
@@ -25,9 +25,7 @@
 	}()
 	b := bufio.NewReader(r)
 	l, e := b.ReadBytes('\n')
-	if e != nil {
-		t.Fatal(e)
-	}
+	must(t, e)
 	go func() { _, _ = io.Copy(io.Discard, b) }()
 	var m struct {
 		Fields struct {
@@ -35,18 +33,12 @@
 		} `json:"fields"`
 	}
 	e = json.Unmarshal(l, &m)
-	if e != nil {
-		t.Fatal(e)
-	}
+	must(t, e)
 	u := "http://" + m.Fields.Address + "/apis/bulrushtrail.example/v1/jobs?watch=true&resourceVersion=0"
 	q, e := http.NewRequestWithContext(t.Context(), http.MethodGet, u, nil)
-	if e != nil {
-		t.Fatal(e)
-	}
+	must(t, e)
 	a, e := http.DefaultClient.Do(q)
-	if e != nil {
-		t.Fatal(e)
-	}
+	must(t, e)
 	f()
 	_, _ = io.Copy(io.Discard, a.Body)
 	_ = a.Body.Close()
@@ -64,3 +56,10 @@
 		t.Error(d)
 	}
 }
+
+func must(t *testing.T, e error) {
+	t.Helper()
+	if e != nil {
+		t.Fatal(e)
+	}
+}
