--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	c, f := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	s := progrm.Run(c, os.Args[1:], os.Stderr)
+	s := progrm.Run(c, os.Args[1:], os.Stdout, os.Stderr)
 	f()
 	os.Exit(s)
 }
--- a/internal/standin/fleet/main_test.go
+++ b/internal/standin/fleet/main_test.go
@@ -31,7 +31,7 @@
 	case "bulrushtrail":
 		os.Exit(tool.Run(c, os.Args[1:], os.Stdout, os.Stderr))
 	case "standin":
-		os.Exit(progrm.Run(c, os.Args[1:], os.Stderr))
+		os.Exit(progrm.Run(c, os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/standin/progrm/engine.go
+++ b/internal/standin/progrm/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -42,7 +43,7 @@
     {"slow": 3.5}                 factor on all times`
 
 // engine is the command that runs a model engine stand-in.
-func engine() *ffcli.Command {
+func engine(out io.Writer) *ffcli.Command {
 	f := flag.NewFlagSet("engine", flag.ContinueOnError)
 	a := f.String("address", "127.0.0.1:0", "IP and port to listen on")
 	m := f.String("model", "model", "name of the model")
@@ -64,7 +65,7 @@
 				c, modeleng.Model(*m), modeleng.Slots(*n, *q), modeleng.Pace(*t, *p, *r), modeleng.CacheBlocks(*b),
 				modeleng.Lag(*l, *v, *g), modeleng.ChecksFencing(*k), modeleng.OnExit(exitAfterCrash),
 			)
-			return serveHTTP(c, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
+			return serveHTTP(c, out, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
 		},
 	}
 }
--- a/internal/standin/progrm/http.go
+++ b/internal/standin/progrm/http.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,12 +19,12 @@
 
 // serveHTTP serves s at address until c ends. The first line of the
 // standard output names the address, for tests that ask for port 0.
-func serveHTTP(c context.Context, address string, s *http.Server) error {
+func serveHTTP(c context.Context, out io.Writer, address string, s *http.Server) error {
 	l, e := (&net.ListenConfig{}).Listen(c, "tcp", address)
 	if e != nil {
 		return e
 	}
-	_, e = fmt.Fprintf(os.Stdout, "listening on %s\n", l.Addr())
+	_, e = fmt.Fprintf(out, "listening on %s\n", l.Addr())
 	if e != nil {
 		return e
 	}
--- a/internal/standin/progrm/load.go
+++ b/internal/standin/progrm/load.go
@@ -55,7 +55,7 @@
 }
 
 // load is the command that runs the load tool.
-func load() *ffcli.Command {
+func load(out io.Writer) *ffcli.Command {
 	f := flag.NewFlagSet("load", flag.ContinueOnError)
 	s := &loadFlags{}
 	f.StringVar(&s.generate, "generate", "", "write a trace of this deployment instead: coladores or kowalchuk")
@@ -76,7 +76,7 @@
 	return &ffcli.Command{
 		Name: "load", ShortUsage: "standin load [flags]", ShortHelp: "send a trace of requests and report times",
 		LongHelp: loadHelp, FlagSet: f,
-		Exec: func(c context.Context, _ []string) error { return s.run(c, os.Stdin, os.Stdout) },
+		Exec: func(c context.Context, _ []string) error { return s.run(c, os.Stdin, out) },
 	}
 }
 
--- a/internal/standin/progrm/plain.go
+++ b/internal/standin/progrm/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/http"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -25,14 +26,14 @@
     {"refuse": 1}             so many requests get 503 and don't run`
 
 // plain is the command that runs a plain service stand-in.
-func plain() *ffcli.Command {
+func plain(out io.Writer) *ffcli.Command {
 	f := flag.NewFlagSet("plain", flag.ContinueOnError)
 	a := f.String("address", "127.0.0.1:0", "IP and port to listen on")
 	return &ffcli.Command{
 		Name: "plain", ShortUsage: "standin plain [flags]", ShortHelp: "run a plain service stand-in",
 		LongHelp: plainHelp, FlagSet: f,
 		Exec: func(c context.Context, _ []string) error {
-			return serveHTTP(c, *a, &http.Server{Handler: plainsrv.New()})
+			return serveHTTP(c, out, *a, &http.Server{Handler: plainsrv.New()})
 		},
 	}
 }
--- a/internal/standin/progrm/platform.go
+++ b/internal/standin/progrm/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/http"
 	"time"
 
@@ -23,7 +24,7 @@
 )
 
 // platform serves the stand-in of the platform.
-func platform() *ffcli.Command {
+func platform(out io.Writer) *ffcli.Command {
 	s := flag.NewFlagSet("platform", flag.ContinueOnError)
 	a := s.String("address", "127.0.0.1:0", "IP and port")
 	r := s.Int("reads-per-second", defaultReadsPerSecond, "budget for reads and watches")
@@ -39,7 +40,7 @@
 			m := http.NewServeMux()
 			m.Handle("GET /metrics", promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
 			m.Handle("/", plat.New(c, *r, *w, *h, log.Log, g))
-			return serveHTTP(c, *a, &http.Server{Handler: m})
+			return serveHTTP(c, out, *a, &http.Server{Handler: m})
 		},
 	}
 }
--- a/internal/standin/progrm/run.go
+++ b/internal/standin/progrm/run.go
@@ -13,19 +13,19 @@
 )
 
 // commands lists the subcommands, each in a file of its own.
-func commands() []*ffcli.Command {
+func commands(out io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
-		platform(),
-		engine(),
-		plain(),
-		load(),
+		platform(out),
+		engine(out),
+		plain(out),
+		load(out),
 	}
 }
 
 // Run runs one command line without the program name and returns the exit
-// status: 0, 1 for a failure or 2 for a wrong command line. Logs go to w as
+// status: 0, 1 for a failure or 2 for a wrong command line. Output of a command goes to out, and logs go to w as
 // JSON lines. Cancelling c stops a server.
-func Run(c context.Context, arguments []string, w io.Writer) int {
+func Run(c context.Context, arguments []string, out, w io.Writer) int {
 	log.SetHandler(json.New(w))
 	s := flag.NewFlagSet("standin", flag.ContinueOnError)
 	s.SetOutput(w)
@@ -33,7 +33,7 @@
 		Name:        "standin",
 		ShortUsage:  "standin <command> [flags]",
 		FlagSet:     s,
-		Subcommands: commands(),
+		Subcommands: commands(out),
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	for _, k := range r.Subcommands {
