coordination/place, sched: silent streams, old load reports, crashes in reports

Cause: a stream without a first token was only ended by the HTTP client; a load report stayed in force when the engine's metrics could no longer be fetched; calls without a fingerprint shared the fingerprint 0, so that two crashes would have rejected them all. Ruled out: a timeout for answers that are not streams, which come as a whole. Conclusion: silence between tokens is left to the HTTP client.

--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -1,14 +1,21 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/decide"
 )
 
-// maxFailures bounds the attempts of one call that fail.
-const maxFailures = 3
+const (
+	// Bound on the attempts of one call that fail.
+	maxFailures = 3
+	// A stream without a token for so long has gone silent: 1 s to connect and
+	// 10 s to the first byte. Later silence is seen by the HTTP client only.
+	silentAfter = 11 * time.Second
+)
 
 // attempt is one run of a call at a backend server.
 type attempt struct {
@@ -52,7 +59,7 @@
 	}
 	k := a.k
 	a.s.completed(now)
-	p.crashes.Completed(k.r.GetFingerprint())
+	p.crashes.Completed(k.fingerprint)
 	if k.online() {
 		k.v.sample(now.Sub(a.began), k.r.GetCostTokens())
 	}
@@ -114,7 +121,7 @@
 	}
 	a.s.failed(now, true)
 	a.s.prefixes = prefixes{}
-	f := a.k.r.GetFingerprint()
+	f := a.k.fingerprint
 	a.k.suspect = true
 	if p.crashes.Crashed(now, f, a.s.name) {
 		a.k.verdict = trail.MayHaveRun
@@ -127,10 +134,28 @@
 	return p.take()
 }
 
+// endSilent cancels the streams that have had no token for too long. The call
+// may run again; the backend server is at fault if that happens twice.
+func (p *Place) endSilent(now time.Time) {
+	var l []*attempt
+	for _, a := range p.running {
+		if a.k.r.GetStream() && a.first.IsZero() && now.Sub(a.began) > silentAfter {
+			l = append(l, a)
+		}
+	}
+	slices.SortFunc(l, func(a, b *attempt) int { return cmp.Compare(a.order, b.order) })
+	for _, a := range l {
+		p.out = append(p.out, decide.Cancel(a.k.key, a.k.r, a.id, a.s.name, codeSilent))
+		p.release(a)
+		a.s.failed(now, false)
+		p.retry(now, a, trail.MayHaveRun, codeSilent, false)
+	}
+}
+
 // rejectPoisoned ends the waiting calls with a fingerprint.
 func (p *Place) rejectPoisoned(fingerprint uint64) {
 	for _, k := range p.waiting() {
-		if k.r.GetFingerprint() == fingerprint {
+		if k.fingerprint == fingerprint {
 			p.reject(k, codePoisoned, 0)
 		}
 	}
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/decide"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -23,6 +25,7 @@
 	codeServerDrain = "backend-draining"
 	codeLost        = "backend-lost"
 	codeFailed      = "backend-failed"
+	codeSilent      = "backend-silent"
 )
 
 const (
@@ -51,6 +54,8 @@
 	verdict trail.Verdict
 	// Whether it runs alone because a host was lost while it ran.
 	suspect bool
+	// Digest of method, path and body; never 0.
+	fingerprint uint64
 }
 
 func (k *call) online() bool { return k.r.GetClass() != wire.Class_CLASS_BATCH }
@@ -69,7 +74,7 @@
 
 // Arrived adds a call. The key must be larger than all earlier ones.
 func (p *Place) Arrived(now time.Time, key uint64, r *wire.Call) []decide.Decision {
-	k := &call{key: key, r: r, arrived: now, verdict: trail.NotRun}
+	k := &call{key: key, r: r, arrived: now, verdict: trail.NotRun, fingerprint: fingerprint(r)}
 	if r.GetDeadlineUnixMs() != 0 {
 		k.deadline = time.UnixMilli(r.GetDeadlineUnixMs())
 	}
@@ -86,9 +91,9 @@
 	if k.online() {
 		v.burst.arrived(now)
 	}
-	k.suspect = p.crashes.Suspect(r.GetFingerprint())
+	k.suspect = p.crashes.Suspect(k.fingerprint)
 	if k.suspect {
-		k.tried = slices.Clone(p.crashes.Hosts(r.GetFingerprint()))
+		k.tried = slices.Clone(p.crashes.Hosts(k.fingerprint))
 		v.suspects = append(v.suspects, k)
 	} else {
 		v.queue(k).Push(now, trail.NewQueued(key, r, now))
@@ -97,6 +102,21 @@
 	return p.take()
 }
 
+// fingerprint returns the requester's digest of method, path and body. Without
+// one it is computed, because calls that share a digest share their crashes.
+func fingerprint(r *wire.Call) uint64 {
+	if r.GetFingerprint() != 0 {
+		return r.GetFingerprint()
+	}
+	d := xxhash.New()
+	for _, b := range [][]byte{[]byte(r.GetMethod()), []byte(r.GetPath()), r.GetBody()} {
+		// Writing to a digest never fails. The separator keeps the parts apart.
+		_, _ = d.Write(b)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // admit returns why a call is rejected on arrival, or the empty string.
 func (p *Place) admit(now time.Time, k *call) (string, time.Duration) {
 	v := k.v
@@ -106,7 +126,7 @@
 	if v == nil || v.text == nil {
 		return codeUnknown, 0
 	}
-	if p.crashes.Rejected(k.r.GetFingerprint()) {
+	if p.crashes.Rejected(k.fingerprint) {
 		return codePoisoned, 0
 	}
 	s, w := v.available(now)
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -73,7 +73,7 @@
 func (p *Place) Crashes(now time.Time, l []*wire.Crash) []decide.Decision {
 	p.crashes.Merge(now, l)
 	for _, k := range p.waiting() {
-		if p.crashes.Rejected(k.r.GetFingerprint()) {
+		if p.crashes.Rejected(k.fingerprint) {
 			p.reject(k, codePoisoned, 0)
 		}
 	}
@@ -98,8 +98,10 @@
 // 100 ms while calls wait.
 func (p *Place) Tick(now time.Time) []decide.Decision {
 	p.expire(now)
+	p.endSilent(now)
 	p.forgetReleased(now)
 	for _, v := range p.sorted() {
+		v.forgetLoads(now)
 		p.schedule(now, v)
 	}
 	return p.take()
@@ -108,11 +110,9 @@
 // Calls returns the number of calls that wait or run.
 func (p *Place) Calls() int { return len(p.calls) }
 
-// KnownCrashes returns the fingerprints of requests that were running when a
-// backend server was lost, and a version that changes with them.
-func (p *Place) KnownCrashes() ([]*wire.Crash, int64) {
-	return p.crashes.Crashes(), p.crashes.Version()
-}
+// RecentCrashes returns the requests that were running when a backend server
+// was lost since a time.
+func (p *Place) RecentCrashes(since time.Time) []*wire.Crash { return p.crashes.Crashes(since) }
 
 // service returns the service of a name and creates it if needed.
 func (p *Place) service(name string) *service {
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -20,6 +20,8 @@
 	// How long the drain mark of a backend server counts without a new one.
 	// The host list confirms it before that.
 	drainMark = 30 * time.Second
+	// A report of other schedulers' load counts so long without a new one.
+	externalLifetime = 5 * time.Second
 	// Long enough that chance does not show in a backend server's part of the
 	// work, short enough to follow a change of load.
 	recentDecay = 30 * time.Second
@@ -43,7 +45,8 @@
 	online  int
 	batch   int
 	// Calls that it reports beyond those of this scheduler.
-	external int
+	external   int
+	externalAt time.Time
 	// Most attempts in flight in the time before each of the last load
 	// reports, and since the last one at index 0.
 	peaks [lagPeriods]int
@@ -194,12 +197,22 @@
 	}
 	s.reported = slots
 	s.external = max(running+waiting-slices.Max(s.peaks[:]), 0)
+	s.externalAt = now
 	copy(s.peaks[1:], s.peaks[:])
 	s.peaks[0] = len(s.running)
 	p.schedule(now, s.v)
 	return p.take()
 }
 
+// forgetLoads drops old reports of the load of others.
+func (v *service) forgetLoads(now time.Time) {
+	for _, s := range v.servers {
+		if now.Sub(s.externalAt) > externalLifetime {
+			s.external = 0
+		}
+	}
+}
+
 // failed counts a failure, and ejects the backend server at the second one or
 // at once.
 func (s *server) failed(now time.Time, atOnce bool) {
--- a/internal/coordination/poison/record.go
+++ b/internal/coordination/poison/record.go
@@ -23,8 +23,6 @@
 	crashes map[uint64]*crash
 	// When old suspects were last removed.
 	swept time.Time
-	// Changes with each change that other processes should know.
-	version int64
 }
 
 type crash struct {
@@ -33,6 +31,8 @@
 	hosts    []string
 	last     time.Time
 	rejected bool
+	// Whether a host was lost here, and not only at other processes.
+	own bool
 }
 
 // New returns an empty record.
@@ -48,13 +48,13 @@
 		r.crashes[fingerprint] = k
 	}
 	k.last = now
+	k.own = true
 	if !slices.Contains(k.hosts, host) {
 		k.hosts = append(k.hosts, host)
 	}
 	if len(k.hosts) >= rejectAfter {
 		k.rejected = true
 	}
-	r.version++
 	return k.rejected
 }
 
@@ -65,7 +65,6 @@
 		return
 	}
 	delete(r.crashes, fingerprint)
-	r.version++
 }
 
 // Rejected returns whether the request must not run again.
@@ -109,13 +108,14 @@
 	}
 }
 
-// Version changes when Crashes would return something else.
-func (r *Record) Version() int64 { return r.version }
-
-// Crashes returns all records in the order of their fingerprints.
-func (r *Record) Crashes() []*wire.Crash {
-	l := make([]*wire.Crash, 0, len(r.crashes))
+// Crashes returns the records of hosts lost here since a time, in the order of
+// their fingerprints.
+func (r *Record) Crashes(since time.Time) []*wire.Crash {
+	var l []*wire.Crash
 	for _, k := range r.crashes {
+		if !k.own || k.last.Before(since) {
+			continue
+		}
 		m := k.last.UnixMilli()
 		l = append(l, wire.Crash_builder{
 			Fingerprint: &k.fingerprint,
--- a/internal/coordination/sched/report.go
+++ b/internal/coordination/sched/report.go
@@ -52,12 +52,11 @@
 		return
 	}
 	i := t.member.GetId()
-	k, _ := t.p.KnownCrashes()
 	r := wire.Report_builder{
 		MemberId: &i,
 		Services: l,
 		Leaving:  &t.draining,
-		Crashes:  k,
+		Crashes:  t.p.RecentCrashes(now.Add(-crashPeriod)),
 	}.Build()
 	for o, s := range t.reports {
 		if s.r != nil && (proto.Equal(s.r, r) || now.Sub(s.at) < quietPeriod && !differ(s.r, r)) {
@@ -82,6 +81,8 @@
 	// Small changes wait so long, so that the reports of a busy scheduler stay
 	// within the control-plane budget of 9 KB/s per process.
 	quietPeriod = time.Second
+	// Crashes are repeated in the reports for so long.
+	crashPeriod = 30 * time.Second
 	// Part of a value by which it must change to be reported at once.
 	minChange = 0.25
 )
