--- a/internal/coordination/place/target_test.go
+++ b/internal/coordination/place/target_test.go
@@ -1,7 +1,6 @@
 package place_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -28,10 +27,10 @@
 // fleet is a discrete-event model of backend servers, each of which runs its
 // calls for perToken times their cost.
 type fleet struct {
-	p    *place.Place
-	now  time.Time
-	due  timetable
-	seq  int
+	p   *place.Place
+	now time.Time
+	// What happens next, the latest first.
+	due  []entry
 	keys uint64
 	// Arrival by call, and attempts that still run.
 	arrived map[uint64]time.Time
@@ -51,26 +50,8 @@
 }
 
 type entry struct {
-	at  time.Time
-	seq int
-	f   func()
-}
-
-type timetable []entry
-
-func (t timetable) Len() int { return len(t) }
-
-func (t timetable) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t timetable) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timetable) Push(x any)   { *t = append(*t, x.(entry)) }
-
-func (t *timetable) Pop() any {
-	o := *t
-	x := o[len(o)-1]
-	*t = o[:len(o)-1]
-	return x
+	at time.Time
+	f  func()
 }
 
 func newFleet(t *testing.T, queue int32) *fleet {
@@ -115,13 +96,15 @@
 }
 
 func (f *fleet) after(d time.Duration, g func()) {
-	f.seq++
-	heap.Push(&f.due, entry{f.now.Add(d), f.seq, g})
+	n := entry{f.now.Add(d), g}
+	i, _ := slices.BinarySearchFunc(f.due, n, func(a, b entry) int { return b.at.Compare(a.at) })
+	f.due = slices.Insert(f.due, i, n)
 }
 
 func (f *fleet) run(d time.Duration) {
-	for s := f.now.Add(d); f.due[0].at.Before(s); {
-		e := heap.Pop(&f.due).(entry)
+	for s := f.now.Add(d); f.due[len(f.due)-1].at.Before(s); {
+		e := f.due[len(f.due)-1]
+		f.due = f.due[:len(f.due)-1]
 		f.now = e.at
 		e.f()
 	}
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -163,3 +163,14 @@
 		check(t, "[alternatives attempt backend-server call caller reason service]", fieldNames(e))
 	})
 }
+
+// P9: an older configuration must not come back into force.
+func TestOldConfiguration(t *testing.T) {
+	run(t, view(hostA), func(r *rig) {
+		r.view(strings.Replace(strings.Replace(view(hostA), `"version":1`, `"version":2`, 1), `"slots":2`, `"slots":1`, 1))
+		r.view(view(hostA))
+		r.call(`{"caller":"shop"}`)
+		r.call(`{"caller":"shop"}`)
+		check(t, []string{"a:1 shop"}, r.live())
+	})
+}
--- a/internal/coordination/sched/rig_test.go
+++ b/internal/coordination/sched/rig_test.go
@@ -35,6 +35,8 @@
 	m sync.Mutex
 	// Plays each attempt when it is set; it closes the attempt's channel.
 	generate func(a *attempt)
+	// Called by the task for each line when it is set.
+	logged func(e *log.Entry)
 	// Text of GET /metrics.
 	metrics atomic.Value
 	lines   *memory.Handler
@@ -80,7 +82,12 @@
 		}
 		m := &wire.Member{}
 		m.SetId("sched-1")
-		l := &log.Logger{Handler: r.lines, Level: log.InfoLevel}
+		l := &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(e *log.Entry) error {
+			if r.logged != nil {
+				r.logged(e)
+			}
+			return r.lines.HandleLog(e)
+		})}
 		r.s = sched.New(c, m, p, r.v, r, r, l, r.r)
 		r.view(view)
 		f(r)
--- a/internal/coordination/sched/stream_test.go
+++ b/internal/coordination/sched/stream_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -72,7 +73,7 @@
 			if i%3 == 0 {
 				k = "ONLINE"
 			}
-			l = append(l, r.call(fmt.Sprintf(`{"caller":"c%d","class":"CLASS_%s","stream":true,"nonIdempotent":%t}`, i, k, i%11 == 0)))
+			l = append(l, r.call(fmt.Sprintf(`{"caller":"c%d","class":"CLASS_%s","stream":%t,"nonIdempotent":%t}`, i, k, i%4 > 0, i%11 == 0)))
 			time.Sleep(time.Duration(n.IntN(60)) * time.Millisecond)
 		}
 		time.Sleep(time.Minute)
@@ -95,3 +96,35 @@
 		check(t, true, c > len(l)/2)
 	})
 }
+
+// An answer that begins between the decision to preempt its call and the
+// cancellation must not reach the requester, because the call starts again.
+func TestDataAtPreemption(t *testing.T) {
+	run(t, view(hostA), func(r *rig) {
+		r.logged = func(e *log.Entry) {
+			for _, a := range r.attempts {
+				if e.Message == "sched: attempt cancelled" && e.Fields.Get("attempt") == a.q.GetAttemptId() {
+					a.data("answer")
+					// The exchange has the data before the task goes on.
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}
+		// Which of the two then goes on first is left to chance.
+		for range 50 {
+			r.attempts = nil
+			x := r.call(`{"caller":"batch","class":"CLASS_BATCH"}`)
+			r.attempts[0].head(200)
+			synctest.Wait()
+			r.call(`{"caller":"shop"}`)
+			o := r.call(`{"caller":"shop"}`)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			r.attempts[2].answer("online")
+			check(t, "body=online end=ran", o.String())
+			r.attempts[3].answer("answer")
+			check(t, "body=answer end=ran", x.String())
+			r.attempts[1].answer("online")
+		}
+	})
+}
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -153,6 +153,9 @@
 	"request-poisoned":     "backend servers were lost each time they ran this request",
 	"backend-refused":      "the backend server refused the connection",
 	"backend-draining":     "the backend server is shutting down",
+	"backend-failed":       "the backend server did not complete the request",
+	"backend-unreachable":  "the backend server can't be reached",
+	"answer-incomplete":    "the answer of the backend server is incomplete",
 	"backend-silent":       "the backend server sent nothing in time",
 	"backend-lost":         "the backend server was lost while it ran the request",
 }
