--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,11 @@
 	// How long the drain mark of a backend server counts without a new one.
 	// The host list confirms it before that.
 	drainMark = 30 * time.Second
+	// A report of other schedulers' load counts so long without a new one.
+	externalLifetime = 5 * time.Second
+	// Long enough that chance does not show in a backend server's part of the
+	// work, short enough to follow a change of load.
+	recentDecay = 30 * time.Second
 	// Periods between load reports by which a report may lag.
 	lagPeriods = 3
 )
@@ -39,7 +45,8 @@
 	online  int
 	batch   int
 	// Calls that it reports beyond those of this scheduler.
-	external int
+	external   int
+	externalAt time.Time
 	// Most attempts in flight in the time before each of the last load
 	// reports, and since the last one at index 0.
 	peaks [lagPeriods]int
@@ -57,6 +64,15 @@
 	// The suspect that waits for it to become idle, or nil.
 	reserved *call
 	prefixes prefixes
+	// Cost of the online calls dispatched, each with a weight that falls to
+	// 1/e in recentDecay; as of recentAt.
+	recent   float64
+	recentAt time.Time
+}
+
+// recentWork returns the weighted cost of the recent online calls.
+func (s *server) recentWork(now time.Time) float64 {
+	return s.recent * math.Exp(-float64(now.Sub(s.recentAt))/float64(recentDecay))
 }
 
 // present returns whether the backend server takes part in the service.
@@ -181,12 +197,22 @@
 	}
 	s.reported = slots
 	s.external = max(running+waiting-slices.Max(s.peaks[:]), 0)
+	s.externalAt = now
 	copy(s.peaks[1:], s.peaks[:])
 	s.peaks[0] = len(s.running)
 	p.schedule(now, s.v)
 	return p.take()
 }
 
+// forgetLoads drops old reports of the load of others.
+func (v *service) forgetLoads(now time.Time) {
+	for _, s := range v.servers {
+		if now.Sub(s.externalAt) > externalLifetime {
+			s.external = 0
+		}
+	}
+}
+
 // failed counts a failure, and ejects the backend server at the second one or
 // at once.
 func (s *server) failed(now time.Time, atOnce bool) {
