coordination/entry: limits before bodies are held, items checked as questions

Cause: the generated server holds a body in memory before the limit of the service is known; job items were checked by a looser form than questions are; a stored answer of a plain service was returned as JSON whatever it was; and a non-idempotent question without a key ran again when its caller resent the same request id after it may have run. Ruled out: a read-write lock that Drain takes for writing. It has no bound by a context, and a paused clock does not advance while a goroutine waits for it: the test hung until its time limit. Requests are counted by a WaitGroup. Change: limits by path, items decoded and validated by the generated schema, a bound for one event, registration kept for what may have run, forms of stored answers, time to first byte as a histogram, and a check that New has all parts. Conclusion: the HTTP server must admit bodies as large as the file limit.

--- a/internal/coordination/entry/client_test.go
+++ b/internal/coordination/entry/client_test.go
@@ -144,7 +144,7 @@
 }
 
 func line(id, model string) string {
-	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":%q,"messages":[{}]}}`+"\n", id, model)
+	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":%q,"messages":[{"role":"user"}]}}`+"\n", id, model)
 }
 
 // Guards against an input that is accepted in part: the first bad line refuses
@@ -152,18 +152,18 @@
 func TestBadInput(t *testing.T) {
 	a := line("a", "asistente")
 	m := map[string]string{
-		"":                                      "the input has no lines",
-		a + "\n":                                "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
-		a + `{"custom_id":"b"`:                  "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
-		a + a:                                   `line 2: custom_id "a" stands in line 1 too`,
-		a + line("b", "cerrado"):                `line 2: there is no model "cerrado"`,
-		a + line("", "asistente"):               "line 2: custom_id is missing",
-		a + line("b", ""):                       "line 2: body.model is missing",
-		strings.Replace(a, "POST", "GET", 1):    `line 1: method is "GET", not "POST"`,
-		strings.Replace(a, "chat/", "", 1):      `line 1: url is "/v1/completions", not "/v1/chat/completions"`,
-		strings.Replace(a, "[{}]", "[]", 1):     "line 1: body.messages is missing",
-		a + line(strings.Repeat("b", 1000), ""): "line 2: the line has more than 1000 bytes",
-		strings.Replace(a, "[{}]", `[{}],"stream":true`, 1): "line 1: body.stream is true, but items are answered whole",
+		"":                                   "the input has no lines",
+		a + "\n":                             "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
+		a + `{"custom_id":"b"`:               "line 2: the line is not a JSON object of the expected form: unexpected end of JSON input",
+		a + a:                                `line 2: custom_id "a" stands in line 1 too`,
+		a + line("b", "cerrado"):             `line 2: there is no model "cerrado"`,
+		a + line("", "asistente"):            "line 2: custom_id is missing",
+		a + line("b", ""):                    "line 2: body is not a chat request: invalid: model (string: len 0 less than minimum 1)",
+		strings.Replace(a, "POST", "GET", 1): `line 1: method is "GET", not "POST"`,
+		strings.Replace(a, "chat/", "", 1):   `line 1: url is "/v1/completions", not "/v1/chat/completions"`,
+		strings.Replace(a, `{"role":"user"}`, "", 1):                    "line 1: body is not a chat request: invalid: messages (array: len 0 less than minimum 1)",
+		a + line(strings.Repeat("b", 1000), ""):                         "line 2: the line has more than 1000 bytes",
+		strings.Replace(a, `"messages"`, `"stream":true,"messages"`, 1): "line 1: body.stream is true, but items are answered whole",
 	}
 	serve(t, "none", func(c context.Context, s *system, k openai.Client) {
 		for b, w := range m {
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -26,11 +27,13 @@
 	storedHeader         = "Bulrushtrail-Stored"
 	retryAfterHeader     = "Retry-After"
 	operatorKeyHeader    = "Bulrushtrail-Operator-Key"
+	filesPath            = "/v1/files"
 	servicesPrefix       = "/services/"
 	maxRequestIDLength   = 200
 	defaultDeadline      = 60 * time.Second
 	maxDeadline          = time.Hour
 	defaultBodyBytes     = 8 << 20
+	defaultFileBytes     = 512 << 20
 	defaultRetention     = 24 * time.Hour
 	defaultClaimShards   = 64
 	multipartMemoryBytes = 4 << 20
@@ -69,16 +72,21 @@
 	claimShards uint32
 	// Bytes of a body when the service sets no limit.
 	bodyBytes int64
+	// Bytes of an uploaded file.
+	fileBytes int64
 	l         log.Interface
 	counts    counts
 	h         http.Handler
-	// Requests hold it for reading. Drain takes it for writing, and from then
-	// on requests are refused.
-	gate sync.RWMutex
+	// Guards draining, and that no request is added to the others after it is
+	// set.
+	gate     sync.Mutex
+	draining bool
+	requests sync.WaitGroup
 }
 
 type counts struct {
 	answers, refusals *prometheus.CounterVec
+	firstByte         *prometheus.HistogramVec
 }
 
 type option = func(*Entry)
@@ -128,12 +136,25 @@
 // their own. The default is 8 MiB.
 func WithBodyBytes(limit int64) func(*Entry) { return func(s *Entry) { s.bodyBytes = limit } }
 
-// New returns an entry. All parts must be given by options.
+// WithFileBytes sets the largest upload of a file in bytes. The default is 512
+// MiB. The HTTP server must admit as much.
+func WithFileBytes(limit int64) func(*Entry) { return func(s *Entry) { s.fileBytes = limit } }
+
+// New returns an entry. An error means that a part is missing: options must
+// give all of them but the limits.
 func New(l log.Interface, r prometheus.Registerer, options ...option) (*Entry, error) {
-	s := &Entry{l: l, claimShards: defaultClaimShards, bodyBytes: defaultBodyBytes, counts: newCounts(r)}
+	s := &Entry{l: l, claimShards: defaultClaimShards, bodyBytes: defaultBodyBytes, fileBytes: defaultFileBytes, counts: newCounts(r)}
 	for _, o := range options {
 		o(s)
 	}
+	for _, p := range []any{s.route, s.claims, s.answers, s.bulk, s.store, s.views, s.mesh} {
+		if p == nil {
+			return nil, errors.New("entry: a part is missing")
+		}
+	}
+	if s.loads == nil || s.check == nil {
+		return nil, errors.New("entry: a part is missing")
+	}
 	h, e := oapi.NewServer(s, s,
 		oapi.WithMiddleware(withRawBody),
 		oapi.WithErrorHandler(s.undecodable),
@@ -155,8 +176,13 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_entry_refusals_total", Help: "Refusals by code and verdict.",
 		}, []string{"code", "verdict"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "bulrushtrail_entry_first_byte_seconds",
+			Help:    "Time from dispatch to the first byte of an answer, by service.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}, []string{"service"}),
 	}
-	r.MustRegister(k.answers, k.refusals)
+	r.MustRegister(k.answers, k.refusals, k.firstByte)
 	return k
 }
 
@@ -170,26 +196,54 @@
 	if len(i) <= maxRequestIDLength {
 		w.Header().Set(requestIDHeader, i)
 	}
-	if !s.gate.TryRLock() {
+	if !s.admit() {
 		s.refuse(w, trail.NewError("leaving", trail.NotRun, "this entry is shutting down").RetryAfter(retryAfter))
 		return
 	}
-	defer s.gate.RUnlock()
+	defer s.requests.Done()
 	// The path is matched by hand, because http.ServeMux would redirect paths
 	// that it finds unclean.
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		s.servePlain(w, r)
 		return
 	}
+	// The generated server holds a body in memory before a service is known.
+	r.Body = http.MaxBytesReader(w, r.Body, s.pathLimit(r))
 	s.h.ServeHTTP(w, r)
 }
 
+// pathLimit bounds the body of a request outside plain services in bytes.
+func (s *Entry) pathLimit(r *http.Request) int64 {
+	if r.URL.Path == filesPath {
+		return s.fileBytes
+	}
+	n := s.bodyBytes
+	for _, v := range s.views.Latest().GetConfig().GetText().GetServices() {
+		n = max(n, s.bodyLimit(v))
+	}
+	return n
+}
+
+// admit counts a request, unless the entry is draining.
+func (s *Entry) admit() bool {
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	if s.draining {
+		return false
+	}
+	s.requests.Add(1)
+	return true
+}
+
 // Drain refuses new requests and waits until those in progress have ended, or
 // c ends.
 func (s *Entry) Drain(c context.Context) error {
+	s.gate.Lock()
+	s.draining = true
+	s.gate.Unlock()
 	d := make(chan struct{})
 	go func() {
-		s.gate.Lock()
+		s.requests.Wait()
 		close(d)
 	}()
 	select {
--- a/internal/coordination/entry/exchange.go
+++ b/internal/coordination/entry/exchange.go
@@ -114,6 +114,7 @@
 	if x.claimed {
 		c = context.WithoutCancel(c)
 	}
+	t := time.Now()
 	d, g := context.WithDeadline(c, x.deadline)
 	r, e := x.s.route.Call(d, x.service.GetName(), x.call)
 	if e != nil {
@@ -126,16 +127,22 @@
 		o.Close()
 		return nil, x.failed(c, e)
 	}
+	x.s.counts.firstByte.WithLabelValues(x.service.GetName()).Observe(time.Since(t).Seconds())
 	return o, nil
 }
 
 // failed ends an attempt that gave no complete answer, and returns e. What
-// surely did not run gives its key back.
+// surely did not run gives its key back. What may have run and must not run
+// twice keeps its claim or, without one, its registration, so that a resend
+// does not run.
 func (x *exchange) failed(c context.Context, e error) error {
-	if x.claimed && trail.VerdictOf(e) == trail.NotRun {
+	b := trail.VerdictOf(e) == trail.NotRun
+	if x.claimed && b {
 		x.settle(c, wire.Outcome_builder{Verdict: wire.Verdict_VERDICT_NOT_RUN.Enum()}.Build())
 	}
-	x.abandon(c)
+	if b || x.claimed || !x.call.GetNonIdempotent() {
+		x.abandon(c)
+	}
 	return e
 }
 
--- a/internal/coordination/entry/fakes_test.go
+++ b/internal/coordination/entry/fakes_test.go
@@ -258,7 +258,11 @@
 	if s.f.take("bulk") == "down" {
 		return nil, errors.New("no depot answers")
 	}
-	return io.NopCloser(bytes.NewReader(s.m[g.GetId()])), nil
+	b, k := s.m[g.GetId()]
+	if !k {
+		return nil, errors.New("no copy")
+	}
+	return io.NopCloser(bytes.NewReader(b)), nil
 }
 
 // check stands for the check of the services text: every name that begins with
--- a/internal/coordination/entry/input.go
+++ b/internal/coordination/entry/input.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/oapi"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -25,11 +26,8 @@
 	CustomID string `json:"custom_id"`
 	Method   string `json:"method"`
 	URL      string `json:"url"`
-	Body     struct {
-		Model    string            `json:"model"`
-		Messages []json.RawMessage `json:"messages"`
-		Stream   bool              `json:"stream"`
-	} `json:"body"`
+	// A chat request. It is checked as one of a caller is.
+	Body oapi.ChatRequest `json:"body"`
 }
 
 // input is what the check of a job input finds.
@@ -141,12 +139,12 @@
 		return badInput("method is %q, not \"POST\"", t.Method)
 	case t.URL != chatPath:
 		return badInput("url is %q, not %q", t.URL, chatPath)
-	case t.Body.Model == "":
-		return badInput("body.model is missing")
-	case len(t.Body.Messages) == 0:
-		return badInput("body.messages is missing")
-	case t.Body.Stream:
+	case t.Body.Stream.Value:
 		return badInput("body.stream is true, but items are answered whole")
 	}
+	e := t.Body.Validate()
+	if e != nil {
+		return badInput("body is not a chat request: %s", e)
+	}
 	return nil
 }
--- a/internal/coordination/entry/lookup.go
+++ b/internal/coordination/entry/lookup.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,7 +37,20 @@
 	if isStream(r.GetStored().GetHeaders()) {
 		return &oapi.GetRequestOKTextEventStream{Data: bytes.NewReader(withMark(r.GetStored().GetBody(), true))}, nil
 	}
-	d := oapi.Document(r.GetStored().GetBody())
+	return storedDocument(r.GetStored())
+}
+
+// storedDocument returns a stored answer that is not a stream. Answers of
+// plain services have any form, and this operation returns only JSON.
+func storedDocument(a *wire.StoredAnswer) (oapi.GetRequestRes, error) {
+	if a.GetStatus() >= http.StatusBadRequest {
+		return nil, backendRefusal(a)
+	}
+	if !json.Valid(a.GetBody()) {
+		return nil, trail.NewError("answer-not-json", trail.Ran,
+			"the request ran with status %d, and its answer is not JSON; a resend with its idempotency key gets it", a.GetStatus())
+	}
+	d := oapi.Document(a.GetBody())
 	return &d, nil
 }
 
--- a/internal/coordination/entry/refuse.go
+++ b/internal/coordination/entry/refuse.go
@@ -32,6 +32,7 @@
 	"job-ended":             http.StatusConflict,
 	"may-have-run":          http.StatusConflict,
 	"still-running":         http.StatusConflict,
+	"answer-not-json":       http.StatusNotAcceptable,
 	"answer-not-stored":     http.StatusConflict,
 	"answer-unavailable":    http.StatusConflict,
 	"body-too-large":        http.StatusRequestEntityTooLarge,
--- a/internal/coordination/entry/session_test.go
+++ b/internal/coordination/entry/session_test.go
@@ -101,7 +101,10 @@
 		}
 		_ = n.Send(r)
 	}
-	_ = n.Recv(&wire.Reply{})
+	// The router closes its side when it has the end, or to cancel.
+	if n.Recv(&wire.Reply{}) == io.EOF && !strings.HasSuffix(l, "end") && !strings.HasPrefix(l, "refuse") {
+		s.t.later("cancelled: " + q.GetPath())
+	}
 }
 
 func names(l []*wire.Header) []string {
@@ -116,6 +119,24 @@
 type transcript struct {
 	sync.Mutex
 	b bytes.Buffer
+	// Lines that stand at the end of a step, because they have no fixed order
+	// to the others.
+	rest string
+}
+
+func (t *transcript) later(line string) {
+	t.Lock()
+	defer t.Unlock()
+	t.rest += line + "\n"
+}
+
+// settle ends a step.
+func (t *transcript) settle() {
+	synctest.Wait()
+	t.Lock()
+	defer t.Unlock()
+	t.b.WriteString(t.rest)
+	t.rest = ""
 }
 
 func (t *transcript) printf(text string, arguments ...any) {
@@ -220,12 +241,13 @@
 }
 
 // step runs one block: a fault, a pause, or a request with "@2" for the second
-// entry and "&" for the background.
+// entry, "&" for the background, and "gone" for a caller that goes away.
 func (s *system) step(t *testing.T, c context.Context, text string) {
 	h, b, _ := strings.Cut(strings.TrimSuffix(text, "\n"), "\n\n")
 	l := strings.Split(strings.TrimSpace(h), "\n")
 	f := strings.Fields(l[0])
 	s.t.printf("\n-> %s", l[0])
+	defer s.t.settle()
 	switch f[0] {
 	case "fault":
 		s.f.set(f[1], f[2])
@@ -233,6 +255,9 @@
 	case "wait":
 		s.work.Wait()
 		return
+	case "drain":
+		s.t.later(fmt.Sprintf("drained: %v", s.entries[0].Drain(c)))
+		return
 	case "put":
 		s.store.version++
 		k, n, _ := strings.Cut(f[1], "/")
@@ -250,6 +275,11 @@
 		n, v, _ := strings.Cut(k, ": ")
 		r.Header.Set(n, v)
 	}
+	if slices.Contains(f, "gone") {
+		d, g := context.WithTimeout(c, 500*time.Millisecond)
+		defer g()
+		r = r.WithContext(d)
+	}
 	n := 0
 	if slices.Contains(f, "@2") {
 		n = 1
@@ -259,7 +289,6 @@
 		return
 	}
 	s.work.Go(func() { s.do(n, r) })
-	synctest.Wait()
 }
 
 func request(c context.Context, method, path, body string) (*http.Request, error) {
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/oapi"
 )
 
 // doneEvent is the last event of a stream.
 const doneEvent = "data: [DONE]"
 
+// maxEventBytes bounds one event, which is held until it is whole.
+const maxEventBytes = 1 << 20
+
 // eventStream returns a stream in the form of the generated server, which
 // closes data if it is an io.Closer.
 func eventStream(data io.Reader) *oapi.CreateChatCompletionOKTextEventStreamHeaders {
@@ -54,6 +59,8 @@
 func (s *events) advance() {
 	b, e := s.o.next()
 	switch {
+	case e == nil && len(s.rest)+len(b) > maxEventBytes:
+		s.breakOff(trail.NewError("event-too-large", trail.MayHaveRun, "an event of the answer has more than %d bytes", maxEventBytes))
 	case e == nil:
 		s.take(b)
 	case e == io.EOF:
@@ -145,7 +152,7 @@
 	s.o.Close()
 	if !s.ended {
 		s.ended = true
-		s.o.x.abandon(s.o.c)
+		_ = s.o.x.failed(s.o.c, context.Canceled)
 	}
 	return nil
 }
