coordination/jobs: failure tests, pauses after lost answers

Cause: a write whose answer was lost was repeated without pause while the platform kept losing answers; an attempt that dropped items after a conflict was never tried again; the calls in flight could take a job's buffer far over 8 MB. Change: each try after a lost answer or a conflict waits; running calls count with the average size of a result. Tests cover cancelling, lost answers, a paused owner, poison items, refusals, an outage, the deadline and the drain.

--- a/internal/coordination/jobs/commit.go
+++ b/internal/coordination/jobs/commit.go
@@ -130,7 +130,12 @@
 		p.settled()
 	case changed:
 		a.uncertain = false
-		a.retryAt = now
+		// The first try after a conflict is soon. When the version is the same,
+		// the platform loses answers, and trying without pause would load it.
+		a.retryAt = now.Add(backoff(a.tries, a.id))
+		if t.version == p.version {
+			a.retryAt = a.retryAt.Add(minInterval)
+		}
 		p.rebase(t.job, t.version)
 	case failed, unknown:
 		a.uncertain = t.kind == unknown
@@ -171,7 +176,7 @@
 		p.bytes += len(r.line)
 	}
 	if len(l) > 0 {
-		p.attempt = &attempt{id: uuid.NewString(), results: l}
+		p.attempt = &attempt{id: uuid.NewString(), results: l, tries: a.tries, retryAt: a.retryAt}
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/jobs/failure_test.go
@@ -0,0 +1,242 @@
+package jobs_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+func cancelJob(j *wire.Job) { j.SetState(wire.JobState_JOB_STATE_CANCELLING) }
+
+// hang lets the calls of all items but the first ten run until they are
+// cancelled.
+func hang(w *world) {
+	w.k.answer = func(_ string, _ int) (*wire.Head, *wire.End) {
+		n := 0
+		for _, c := range w.k.calls {
+			n += c
+		}
+		if n > 10 {
+			return nil, nil
+		}
+		return head(200), end("", wire.Verdict_VERDICT_RAN)
+	}
+}
+
+// A cancelled job must stop its running calls, keep what was finished and
+// start nothing more.
+func TestCancel(t *testing.T) {
+	run(t, 500, func(w *world) {
+		hang(w)
+		w.start("a", newViews("a"), nil)
+		time.Sleep(5 * time.Second)
+		w.set(cancelJob)
+		synctest.Wait()
+		n := w.k.total()
+		time.Sleep(time.Minute)
+		w.check(map[string]int{"cancelled": 1, "success 200": 10})
+		if d := cmp.Diff(n, w.k.total()); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// A job that is being cancelled when its owner dies must be ended by the next
+// owner without a call, and a completion that the first owner commits late
+// must not revive it.
+func TestCancelAndOwnerChange(t *testing.T) {
+	run(t, 500, func(w *world) {
+		hang(w)
+		v := newViews("a")
+		w.start("a", v, func(o string) fault {
+			// The first commit after the owner was taken lands late.
+			if o == "update jobs" && w.k.total() > 0 {
+				return landsLate
+			}
+			return none
+		})
+		time.Sleep(1050 * time.Millisecond)
+		w.set(cancelJob)
+		n := w.k.total()
+		w.start("b", newViews("b"), nil)
+		time.Sleep(5 * time.Minute)
+		if d := cmp.Diff(wire.JobState_JOB_STATE_CANCELLED, w.job().GetState()); d != "" {
+			t.Fatal(d)
+		}
+		w.results()
+		if d := cmp.Diff(n, w.k.total()); d != "" {
+			t.Fatal(d)
+		}
+		f := false
+		for _, j := range w.p.history {
+			if f && j.GetState() != wire.JobState_JOB_STATE_CANCELLED {
+				t.Fatal("a cancelled job was revived")
+			}
+			f = j.GetState() == wire.JobState_JOB_STATE_CANCELLED
+		}
+	})
+}
+
+// A rejected item must fail with its first call, one that is lost on each
+// attempt with its fifth, one that meets a server error likewise, and an item
+// that is refused or preempted many times must still run.
+func TestItemFailures(t *testing.T) {
+	run(t, 20, func(w *world) {
+		w.k.answer = func(d string, n int) (*wire.Head, *wire.End) {
+			switch {
+			case d == "i0":
+				return nil, end("request-rejected", wire.Verdict_VERDICT_NOT_RUN)
+			case d == "i1":
+				return nil, end("runner-lost", wire.Verdict_VERDICT_MAY_HAVE_RUN)
+			case d == "i2":
+				return head(500), end("", wire.Verdict_VERDICT_RAN)
+			case d == "i3" && n < 10:
+				return nil, end("queue-full", wire.Verdict_VERDICT_NOT_RUN)
+			case d == "i4" && n < 10:
+				return nil, end("preempted", wire.Verdict_VERDICT_MAY_HAVE_RUN)
+			case d == "i5" && n < 10:
+				return head(503), end("", wire.Verdict_VERDICT_RAN)
+			}
+			return head(200), end("", wire.Verdict_VERDICT_RAN)
+		}
+		w.start("a", newViews("a"), nil)
+		time.Sleep(10 * time.Minute)
+		w.check(map[string]int{
+			"completed": 1, "success 200": 17,
+			"failure request-rejected": 1, "failure runner-lost": 1, "failure 500": 1,
+		})
+		g := map[string]int{}
+		for d, n := range w.k.calls {
+			if n > 1 || d == "i0" {
+				g[d] = n
+			}
+		}
+		if d := cmp.Diff(map[string]int{"i0": 1, "i1": 5, "i2": 5, "i3": 10, "i4": 10, "i5": 10}, g); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// While a service refuses everything, a job must not send more than its
+// retry-after allows, and it must go on afterwards.
+func TestRefusals(t *testing.T) {
+	run(t, 300, func(w *world) {
+		s := time.Now()
+		w.k.answer = func(_ string, _ int) (*wire.Head, *wire.End) {
+			if time.Since(s) < 5*time.Minute {
+				n := end("queue-full", wire.Verdict_VERDICT_NOT_RUN)
+				n.SetRetryAfterMs(5000)
+				return nil, n
+			}
+			return head(200), end("", wire.Verdict_VERDICT_RAN)
+		}
+		w.start("a", newViews("a"), nil)
+		time.Sleep(4 * time.Minute)
+		// The first limit, half of it twice, then one call in each 5 s.
+		if n := w.k.total(); n > 8+4+2+4*60/5 {
+			t.Fatalf("%d calls while the service refuses", n)
+		}
+		time.Sleep(10 * time.Minute)
+		w.check(map[string]int{"completed": 1, "success 200": 300})
+	})
+}
+
+// While the platform is down a job must go on until its results reach 8 MB,
+// then pause, and commit everything afterwards.
+func TestPlatformOutage(t *testing.T) {
+	run(t, 400, func(w *world) {
+		w.k.size = 100_000
+		var d atomic.Bool
+		w.start("a", newViews("a"), func(string) fault {
+			if d.Load() {
+				return refused
+			}
+			return none
+		})
+		time.Sleep(50 * time.Millisecond)
+		d.Store(true)
+		time.Sleep(10 * time.Minute)
+		// 8 MB are 84 results. The first 16 calls start before the size of a
+		// result is known.
+		n := w.k.total()
+		if n < 80 || n > 84+16 {
+			t.Fatalf("%d calls during the outage", n)
+		}
+		w.check(map[string]int{"in_progress": 1})
+		d.Store(false)
+		time.Sleep(10 * time.Minute)
+		w.check(map[string]int{"completed": 1, "success 200": 400})
+		w.once()
+	})
+}
+
+// Items that are left at the deadline must fail with their custom ids, whether
+// they run, wait or were not read.
+func TestDeadline(t *testing.T) {
+	run(t, 500, func(w *world) {
+		hang(w)
+		w.start("a", newViews("a"), nil)
+		time.Sleep(2 * time.Hour)
+		w.check(map[string]int{"completed": 1, "success 200": 10, "failure deadline-passed": 490})
+		if _, f := w.results()["i499"]; !f {
+			t.Fatal("the last item has no result of its own")
+		}
+	})
+}
+
+// A job whose input file does not exist must end as failed.
+func TestInputMissing(t *testing.T) {
+	run(t, 5, func(w *world) {
+		w.set(func(j *wire.Job) { j.SetInputFileId("f2") })
+		w.start("a", newViews("a"), nil)
+		time.Sleep(time.Minute)
+		w.check(map[string]int{"failed": 1})
+	})
+}
+
+// A scheduler that shuts down must commit what is finished, let calls run that
+// end in time, start none, and leave the rest to the next owner.
+func TestDrain(t *testing.T) {
+	run(t, 2000, func(w *world) {
+		w.k.delay = 3 * time.Second
+		v := newViews("a")
+		s, _ := w.start("a", v, nil)
+		time.Sleep(10 * time.Second)
+		n := w.k.total()
+		c, f := context.WithTimeout(w.c, time.Minute)
+		defer f()
+		e := s.Drain(c)
+		if e != nil {
+			t.Fatal(e)
+		}
+		if d := cmp.Diff([]int{n, n}, []int{w.k.total(), len(w.results())}); d != "" {
+			t.Fatal(d)
+		}
+		w.start("b", newViews("b"), nil)
+		time.Sleep(10 * time.Minute)
+		w.check(map[string]int{"completed": 1, "success 200": 2000})
+		w.once()
+	})
+}
+
+// A drain must end in time although calls hang.
+func TestDrainWithHangingCalls(t *testing.T) {
+	run(t, 500, func(w *world) {
+		hang(w)
+		s, _ := w.start("a", newViews("a"), nil)
+		time.Sleep(500 * time.Millisecond)
+		c, f := context.WithTimeout(w.c, time.Minute)
+		defer f()
+		e := s.Drain(c)
+		if d := cmp.Diff(nil, e); d != "" {
+			t.Fatal(d)
+		}
+		w.check(map[string]int{"in_progress": 1, "success 200": 10})
+	})
+}
--- a/internal/coordination/jobs/plan.go
+++ b/internal/coordination/jobs/plan.go
@@ -73,6 +73,9 @@
 	pending   []result
 	// Bytes of pending and of the attempt.
 	bytes int
+	// Moving average of the bytes of one result, with which the running calls
+	// count against maxPendingBytes.
+	average int
 	// The commit that runs or is to be tried again, nil for none.
 	attempt    *attempt
 	nextCommit time.Time
@@ -164,9 +167,15 @@
 	return p.mode == expired || p.mode == active && len(p.waiting) < int(p.limit.size)
 }
 
+// full says whether the results that wait, with those of the running calls,
+// may take all the memory that a job has.
+func (p *plan) full() bool {
+	return p.bytes+len(p.running)*p.average >= maxPendingBytes
+}
+
 // next returns an item to dispatch now, nil for none.
 func (p *plan) next(now time.Time) *item {
-	if p.mode != active || p.bytes >= maxPendingBytes || now.Before(p.holdUntil) || len(p.running) >= int(p.limit.size) {
+	if p.mode != active || p.full() || now.Before(p.holdUntil) || len(p.running) >= int(p.limit.size) {
 		return nil
 	}
 	for i, t := range p.waiting {
@@ -221,6 +230,7 @@
 	p.done = setDone(p.done, t.index)
 	p.pending = append(p.pending, r)
 	p.bytes += len(r.line)
+	p.average += (len(r.line) - p.average) / 8
 }
 
 func deadlineFault() *fault {
@@ -242,7 +252,7 @@
 	if p.mode == draining {
 		n(p.drainUntil)
 	}
-	if p.bytes < maxPendingBytes && len(p.running) < int(p.limit.size) {
+	if !p.full() && len(p.running) < int(p.limit.size) {
 		for _, t := range p.waiting {
 			n(later(t.notBefore, p.holdUntil))
 		}
