--- a/internal/coordination/jobs/step.go
+++ b/internal/coordination/jobs/step.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"io"
 	"strings"
 	"time"
 
@@ -64,19 +65,19 @@
 	if s.a.stored {
 		return nil
 	}
-	var l [2]bytes.Buffer
+	var l [2][]io.Reader
 	for _, r := range s.a.results {
+		i := 0
 		if r.failed {
-			l[1].Write(r.line)
-		} else {
-			l[0].Write(r.line)
+			i = 1
 		}
+		l[i] = append(l[i], bytes.NewReader(r.line))
 	}
 	for i, p := range []**wire.Segment{&s.a.successes, &s.a.failures} {
-		if l[i].Len() == 0 || *p != nil {
+		if len(l[i]) == 0 || *p != nil {
 			continue
 		}
-		g, e := b.Put(c, &l[i])
+		g, e := b.Put(c, io.MultiReader(l[i]...))
 		if e != nil {
 			return e
 		}
