--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -64,11 +64,7 @@
 		k.v.sample(now.Sub(a.began), k.r.GetCostTokens())
 	}
 	if !a.first.IsZero() {
-		var t time.Duration
-		if tokens > 1 {
-			t = now.Sub(a.first) / time.Duration(tokens-1)
-		}
-		a.s.learned.sample(now, a.first.Sub(a.began), t, a.inFlight)
+		a.s.learned.sample(a.first.Sub(a.began), k.r.GetCostTokens(), now.Sub(a.first), tokens-1, a.inFlight)
 	}
 	p.remove(k)
 	p.schedule(now, k.v)
--- a/internal/coordination/place/target_test.go
+++ b/internal/coordination/place/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -35,6 +36,9 @@
 	// Arrival by call, and attempts that still run.
 	arrived map[uint64]time.Time
 	live    map[string]bool
+	// Attempts in flight by host, and the number above which a host queues.
+	busy map[string]int
+	full int
 	// By class: time between arrival and dispatch, and slot time used.
 	waits map[wire.Class][]time.Duration
 	used  map[wire.Class]time.Duration
@@ -54,7 +58,7 @@
 	f  func()
 }
 
-func newFleet(t *testing.T, queue int32) *fleet {
+func newFleet(t *testing.T, queue, slots int32) *fleet {
 	t.Helper()
 	y, e := policy.New(policy.Fair)
 	if e != nil {
@@ -65,6 +69,8 @@
 		now:     time.UnixMilli(0),
 		arrived: map[uint64]time.Time{},
 		live:    map[string]bool{},
+		busy:    map[string]int{},
+		full:    fleetSlots,
 		waits:   map[wire.Class][]time.Duration{},
 		used:    map[wire.Class]time.Duration{},
 		began:   map[string]time.Time{},
@@ -75,7 +81,7 @@
 	f.p.Configured(f.now, wire.Text_builder{Services: []*wire.Service{wire.Service_builder{
 		Name:   proto.String("lm"),
 		Kind:   proto.String("model"),
-		Limits: wire.Limits_builder{Slots: proto.Int32(fleetSlots), QueueLength: &queue}.Build(),
+		Limits: wire.Limits_builder{Slots: &slots, QueueLength: &queue}.Build(),
 	}.Build()}}.Build())
 	for i := range fleetHosts {
 		f.p.HostSeen(f.now, wire.Host_builder{
@@ -135,6 +141,7 @@
 			f.dispatch(d, c)
 		case decide.KindCancel:
 			delete(f.live, d.Attempt())
+			f.busy[d.Host()]--
 			f.used[c] += f.now.Sub(f.began[d.Attempt()])
 		}
 	}
@@ -153,11 +160,15 @@
 	}
 	f.live[d.Attempt()] = true
 	f.began[d.Attempt()] = f.now
-	f.after(time.Duration(r.GetCostTokens())*perToken, func() {
+	f.busy[d.Host()]++
+	w := time.Duration(r.GetCostTokens()) * perToken * time.Duration(max(f.busy[d.Host()], f.full)) / time.Duration(f.full)
+	f.after(w/10, func() { f.follow(f.p.FirstToken(f.now, d.Attempt())) })
+	f.after(w, func() {
 		if !f.live[d.Attempt()] {
 			return
 		}
 		delete(f.live, d.Attempt())
+		f.busy[d.Host()]--
 		f.used[c] += f.now.Sub(f.began[d.Attempt()])
 		f.tokens += r.GetCostTokens()
 		f.done[r.GetCaller()] = append(f.done[r.GetCaller()], f.now.Sub(f.arrived[d.Key()]))
@@ -196,7 +207,7 @@
 // With batch work always waiting, online calls must not wait for it, and batch
 // work must use 90% of the idle capacity.
 func TestBatchUsesIdleCapacity(t *testing.T) {
-	f := newFleet(t, 1000)
+	f := newFleet(t, 1000, fleetSlots)
 	n := random(t)
 	f.online(n, 0.5, 0, func() uint64 { return n.Uint64N(100) })
 	for range 4000 {
@@ -225,7 +236,7 @@
 func TestSmallCaller(t *testing.T) {
 	var r []time.Duration
 	for _, k := range []int{0, 10000} {
-		f := newFleet(t, 20000)
+		f := newFleet(t, 20000, fleetSlots)
 		n := random(t)
 		f.online(n, 0.9, 0, func() uint64 { return n.Uint64N(100) })
 		f.run(30 * time.Second)
@@ -247,7 +258,7 @@
 func TestGoodputAtTwiceCapacity(t *testing.T) {
 	var g []int64
 	for _, s := range []float64{1, 2} {
-		f := newFleet(t, 1000)
+		f := newFleet(t, 1000, fleetSlots)
 		n := random(t)
 		f.online(n, s, 6*time.Second, func() uint64 { return n.Uint64N(100) })
 		f.run(time.Minute)
@@ -262,7 +273,7 @@
 // Prefix cache hits must be within 10% of the routing that sends each prefix
 // to one fixed runner, with the load per runner at most 1.25 times the mean.
 func TestPrefixAffinity(t *testing.T) {
-	f := newFleet(t, 1000)
+	f := newFleet(t, 1000, fleetSlots)
 	n := random(t)
 	z := rand.NewZipf(n, 1.2, 10, 500)
 	h := 0
@@ -293,3 +304,22 @@
 		t.Fail()
 	}
 }
+
+// A backend server that reports no slots must be filled to where it begins to
+// queue, and not without end: its latency is twice the least one at 80 calls.
+func TestLearnedLimit(t *testing.T) {
+	f := newFleet(t, 10000, 0)
+	f.full = 40
+	n := random(t)
+	for range 40 {
+		for f.p.Calls() < 5000 {
+			f.arrive("x", wire.Class_CLASS_ONLINE, 50+n.Int64N(301), 0, n.Uint64N(1000))
+		}
+		f.run(5 * time.Second)
+	}
+	l := slices.Sorted(maps.Values(f.busy))
+	t.Logf("in flight from %d to %d", l[0], l[len(l)-1])
+	if l[0] < 40 || l[len(l)-1] > 100 {
+		t.Fail()
+	}
+}
