transport/httpd, coordination/entry: names of servers, odd answers

Cause: two servers of one process registered the same metric, which panics; a head with a status below 200 made net/http panic or announce a further head. Ruled out: one registry for each server, because the admin address serves one. Change: the metrics of a server have its name as a label; such a head is a failure with the verdict may-have-run. Tests of both, of the connection limit, and of streams with other line ends and in odd pieces.

--- a/internal/coordination/entry/opened.go
+++ b/internal/coordination/entry/opened.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -14,6 +15,8 @@
 // message between processes carries it.
 const maxAnswerBytes = 12 << 20
 
+const maxStatus = 999
+
 // opened is an answer that has begun, or one that was stored before.
 type opened struct {
 	// Not nil for a stored answer; the other fields are empty then.
@@ -35,6 +38,11 @@
 		return endError(r.GetEnd())
 	}
 	o.head = r.GetHead()
+	// net/http panics for a status that is none, and takes others as the
+	// announcement of a further head.
+	if o.head.GetStatus() < http.StatusOK || o.head.GetStatus() > maxStatus {
+		return trail.NewError("answer-incomplete", trail.MayHaveRun, "the answer has status %d", o.head.GetStatus())
+	}
 	return nil
 }
 
--- a/internal/coordination/entry/session_test.go
+++ b/internal/coordination/entry/session_test.go
@@ -67,7 +67,7 @@
 	o := int64(0)
 	for w := range strings.SplitSeq(l, " + ") {
 		k, v, _ := strings.Cut(w, " ")
-		v = strings.ReplaceAll(v, `\n`, "\n")
+		v = strings.NewReplacer(`\n`, "\n", `\r`, "\r").Replace(v)
 		r := wire.Reply_builder{AttemptId: new(q.GetAttemptId())}.Build()
 		switch k {
 		case "head":
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -29,6 +29,8 @@
 type Server struct {
 	h http.Handler
 	l log.Interface
+	// Label of the metrics, because a process has more than one server.
+	name string
 	// Bytes of one request body.
 	bodyBytes int64
 	// Connections open at the same time; further ones wait to be accepted.
@@ -44,6 +46,12 @@
 
 type option = func(*Server)
 
+// WithName sets the label server of the metrics. Servers with the same
+// registerer need different names. The default is "api".
+func WithName(name string) func(*Server) {
+	return func(s *Server) { s.name = name }
+}
+
 // WithBodyBytes bounds one request body in bytes. The default is 16 MiB.
 func WithBodyBytes(limit int64) func(*Server) {
 	return func(s *Server) { s.bodyBytes = limit }
@@ -70,18 +78,20 @@
 func New(h http.Handler, l log.Interface, r prometheus.Registerer, options ...option) *Server {
 	s := &Server{
 		l:           l,
+		name:        "api",
 		bodyBytes:   defaultBodyBytes,
 		connections: defaultConnections,
 		drainBound:  defaultDrainBound,
 		condition:   func() bool { return true },
-		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "bulrushtrail_http_requests_in_flight",
-			Help: "HTTP requests in progress.",
-		}),
 	}
 	for _, o := range options {
 		o(s)
 	}
+	s.inFlight = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name:        "bulrushtrail_http_requests_in_flight",
+		Help:        "HTTP requests in progress.",
+		ConstLabels: prometheus.Labels{"server": s.name},
+	})
 	r.MustRegister(s.inFlight)
 	s.h = s.guard(h)
 	return s
--- a/internal/transport/httpd/server_test.go
+++ b/internal/transport/httpd/server_test.go
@@ -28,12 +28,12 @@
 	served chan error
 }
 
-func start(t *testing.T, h http.HandlerFunc, options ...func(*httpd.Server)) *fixture {
+func start(t *testing.T, h http.HandlerFunc, r prometheus.Registerer, options ...func(*httpd.Server)) *fixture {
 	l := &log.Logger{Handler: discard.New()}
 	c, f := context.WithCancel(t.Context())
 	n := memnet.New()
 	x := &fixture{
-		s:      httpd.New(h, l, prometheus.NewRegistry(), options...),
+		s:      httpd.New(h, l, r, options...),
 		n:      n,
 		client: &http.Client{Transport: &http.Transport{DialContext: n.DialContext}},
 		stop:   f,
@@ -71,7 +71,7 @@
 		t.Fatal(e)
 	}
 	b, _ := io.ReadAll(r.Body)
-	if strings.Contains(string(b), "a_gauge 0") {
+	if strings.Contains(string(b), `bulrushtrail_http_requests_in_flight{server="api"} 0`) {
 		return r.Status + " with gauge"
 	}
 	return r.Status
@@ -83,7 +83,7 @@
 func TestFirstTokenLeavesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, w := io.Pipe()
-		x := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.Copy(w, r) })
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.Copy(w, r) }, prometheus.NewRegistry())
 		go func() { _, _ = io.WriteString(w, "first\n") }()
 		a := x.get(t)
 		b := bufio.NewReader(a.Body)
@@ -111,7 +111,7 @@
 		x := start(t, func(w http.ResponseWriter, _ *http.Request) {
 			<-g
 			_, _ = io.WriteString(w, "whole")
-		})
+		}, prometheus.NewRegistry())
 		if !x.s.Ready() {
 			t.Fatal("not ready while serving")
 		}
@@ -147,7 +147,7 @@
 func TestStopIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const b = 3 * time.Second
-		x := start(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, httpd.WithDrainBound(b))
+		x := start(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, prometheus.NewRegistry(), httpd.WithDrainBound(b))
 		a := make(chan error)
 		go func() {
 			_, e := x.client.Get("http://server/")
@@ -187,7 +187,7 @@
 						_, e = io.WriteString(w, strings.Repeat("x", 1<<20))
 					}
 					f <- e
-				})
+				}, prometheus.NewRegistry())
 				k, e := x.n.DialContext(t.Context(), "tcp", "server:80")
 				if e != nil {
 					t.Fatal(e)
@@ -216,7 +216,7 @@
 			if e != nil {
 				http.Error(w, e.Error(), http.StatusRequestEntityTooLarge)
 			}
-		}, httpd.WithBodyBytes(4))
+		}, prometheus.NewRegistry(), httpd.WithBodyBytes(4))
 		for b, n := range map[string]int{"four": http.StatusOK, "fives": http.StatusRequestEntityTooLarge} {
 			r, e := x.client.Post("http://server/", "text/plain", strings.NewReader(b))
 			if e != nil {
@@ -231,11 +231,36 @@
 	})
 }
 
+// Guards against callers that open connections without end.
+func TestConnectionLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t, func(http.ResponseWriter, *http.Request) {}, prometheus.NewRegistry(), httpd.WithConnections(1))
+		var l []bool
+		for range 2 {
+			c, f := context.WithTimeout(t.Context(), time.Second)
+			k, e := x.n.DialContext(c, "tcp", "server:80")
+			l = append(l, e == nil)
+			f()
+			if e == nil {
+				defer k.Close()
+			}
+		}
+		if d := cmp.Diff([]bool{true, false}, l); d != "" {
+			t.Error(d)
+		}
+		// The header timeout frees the place.
+		time.Sleep(10 * time.Second)
+		r := x.get(t)
+		_ = r.Body.Close()
+		x.finish(t)
+	})
+}
+
 // Guards against a deadline of a long answer that breaks the next one on the
 // same connection.
 func TestConnectionIsReusedLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, prometheus.NewRegistry())
 		for range 3 {
 			r := x.get(t)
 			_ = r.Body.Close()
@@ -250,10 +275,9 @@
 func TestAdmin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := false
-		x := start(t, func(http.ResponseWriter, *http.Request) {}, httpd.WithCondition(func() bool { return b }))
 		g := prometheus.NewRegistry()
-		g.MustRegister(prometheus.NewGauge(prometheus.GaugeOpts{Name: "a_gauge"}))
-		a := start(t, x.s.Admin(g).ServeHTTP)
+		x := start(t, func(http.ResponseWriter, *http.Request) {}, g, httpd.WithCondition(func() bool { return b }))
+		a := start(t, x.s.Admin(g).ServeHTTP, g, httpd.WithName("admin"))
 		m := map[string]string{"before": a.status(t, "/readyz")}
 		b = true
 		m["ready"] = a.status(t, "/readyz")
