coordination/entry: refusals hide the causes of failures

Cause: messages to callers carried the texts of causes, which name processes and addresses and make more than one sentence. Ruled out: logging only; a caller has no use for the cause, an operator has. Change: a refusal has the text of the failure itself, and the log has the whole chain. A stream that breaks is logged too.

--- a/internal/coordination/entry/refuse.go
+++ b/internal/coordination/entry/refuse.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,11 +100,28 @@
 	return trail.NewError("internal", trail.MayHaveRun, "the request failed inside the system")
 }
 
+// sentence returns the text of a failure for its caller. The texts of its
+// causes name processes and addresses, which are not the caller's business.
+func sentence(f *trail.Error) string {
+	t := f.Message()
+	for e := f.Unwrap(); e != nil; e = errors.UnwrapOnce(e) {
+		k, b := strings.CutSuffix(t, ": "+e.Error())
+		if b {
+			t = k
+			break
+		}
+	}
+	if f.Place() != "" {
+		return f.Place() + ": " + t
+	}
+	return t
+}
+
 // errorBody returns the JSON form of a failure.
 func errorBody(f *trail.Error) oapi.Error {
 	b := oapi.ErrorBody{
 		Code:    f.Code(),
-		Message: f.Error(),
+		Message: sentence(f),
 		Type:    typeOf(statusOf(f)),
 		Verdict: oapi.ErrorBodyVerdict(f.Verdict().String()),
 	}
@@ -116,6 +134,9 @@
 // NewError returns the refusal for a failure of an operation.
 func (s *Entry) NewError(_ context.Context, err error) *oapi.RefusalStatusCodeWithHeaders {
 	f := s.known(err)
+	if sentence(f) != f.Error() {
+		s.l.WithError(f).Warn("entry: request failed")
+	}
 	s.counts.refusals.WithLabelValues(f.Code(), f.Verdict().String()).Inc()
 	r := &oapi.RefusalStatusCodeWithHeaders{
 		StatusCode:          statusOf(f),
--- a/internal/coordination/entry/stream.go
+++ b/internal/coordination/entry/stream.go
@@ -130,6 +130,7 @@
 func (s *events) breakOff(e error) {
 	s.ended = true
 	x := s.o.x
+	x.warn(e, "entry: answer broke off", "")
 	f := errorBody(x.s.known(x.failed(s.o.c, e)))
 	x.s.counts.refusals.WithLabelValues(f.Error.Code, string(f.Error.Verdict)).Inc()
 	b, e := json.Marshal(&f)
