coordination/route: session for a connection that goes silent

Cause: no test showed that the router survives a connection that takes bytes and passes none. Ruled out: a timeout of its own for the first reply of a call. Calls may queue at the scheduler for long, and the keepalive of the session tells silence from waiting. Change: memnet can silence connections; a session in which the running call is passed on and the next one uses a new connection. Measured: go test -race -count=10 passes for entry, route and httpd. Conclusion: a call on a silent connection is passed on after the keepalive, if its deadline allows.

--- a/internal/coordination/route/router_test.go
+++ b/internal/coordination/route/router_test.go
@@ -222,6 +222,8 @@
 	switch f[0] {
 	case "sleep-ms":
 		time.Sleep(time.Duration(number(f[1])) * time.Millisecond)
+	case "silence":
+		s.n.Silence(f[1] + ":1")
 	case "up":
 		o := s.scheds[f[1]]
 		b := o.does[0] == "down"
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -25,7 +25,7 @@
 // Listen accepts connections to address until the listener is closed. An
 // earlier listener of the address must be closed before.
 func (n *Network) Listen(address string) net.Listener {
-	l := &listener{n: n, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	l := &listener{n: n, address: address, accept: make(chan net.Conn), closed: make(chan struct{}), mute: make(chan struct{})}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.listeners[address] = l
@@ -43,8 +43,8 @@
 	}
 	a, b := net.Pipe()
 	select {
-	case l.accept <- b:
-		return a, nil
+	case l.accept <- &silent{Conn: b, mute: l.hush()}:
+		return &silent{Conn: a, mute: l.hush()}, nil
 	case <-l.closed:
 		return nil, errRefused
 	case <-c.Done():
@@ -52,12 +52,48 @@
 	}
 }
 
+// Silence makes all connections to address that exist take bytes and pass
+// none, without closing them. New connections work.
+func (n *Network) Silence(address string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	l := n.listeners[address]
+	close(l.mute)
+	l.mute = make(chan struct{})
+}
+
+// silent is a connection that can stop passing bytes.
+type silent struct {
+	net.Conn
+	// Closed when the connection falls silent.
+	mute chan struct{}
+}
+
+// Write discards the bytes of a silent connection.
+func (s *silent) Write(b []byte) (int, error) {
+	select {
+	case <-s.mute:
+		return len(b), nil
+	default:
+		return s.Conn.Write(b)
+	}
+}
+
+// hush returns the channel that silences connections made now.
+func (l *listener) hush() chan struct{} {
+	l.n.mutex.Lock()
+	defer l.n.mutex.Unlock()
+	return l.mute
+}
+
 type listener struct {
 	n       *Network
 	address string
 	accept  chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
+	// Silences the connections made so far; guarded by the network's mutex.
+	mute chan struct{}
 }
 
 // Accept returns the next connection, and net.ErrClosed after Close.
