coordination/route: one retry budget for routers and schedulers

Cause: the budget stood twice, with other bounds (100 and 64 saved retries, 0 and 1 at the start). Conclusion: one rule for retries.

--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -20,7 +20,7 @@
 func (s *Router) Call(c context.Context, target string, r *wire.Call) (trail.Replies, error) {
 	q := proto.CloneOf(r)
 	q.SetService(target)
-	s.do(func(o *state) { o.budget.earn(target) })
+	s.do(func(o *state) { o.budget(target).First() })
 	d, f := bounded(c, q)
 	p := &replies{s: s, c: d, cancel: f, call: q, first: q.GetAttemptId(), tried: map[string]bool{}}
 	e := p.dispatch(nil)
@@ -150,7 +150,7 @@
 		var b bool
 		p.s.do(func(o *state) {
 			// Nothing is spent when there is nowhere to go.
-			b = len(o.table.candidates(p.call, p.tried)) > 0 && o.budget.spend(p.call.GetService())
+			b = len(o.table.candidates(p.call, p.tried)) > 0 && o.budget(p.call.GetService()).Take()
 		})
 		if !b {
 			return false
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/retry"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/transport/mesh"
 )
@@ -29,8 +30,9 @@
 
 // state belongs to the task.
 type state struct {
-	table  *table
-	budget budget
+	table *table
+	// Repeated attempts left, by service.
+	budgets map[string]*retry.Budget
 	// Ends of the subscriptions, by member id.
 	stops map[string]context.CancelFunc
 	// End the current subscription so that a new one begins, by member id.
@@ -67,7 +69,7 @@
 
 func (s *Router) run(c context.Context, t *table, views <-chan *wire.View, first *wire.View) {
 	defer close(s.done)
-	o := &state{table: t, budget: budget{}, stops: map[string]context.CancelFunc{}, renewals: map[string]context.CancelFunc{}}
+	o := &state{table: t, budgets: map[string]*retry.Budget{}, stops: map[string]context.CancelFunc{}, renewals: map[string]context.CancelFunc{}}
 	s.view(c, o, first)
 	for {
 		select {
@@ -150,3 +152,12 @@
 	})
 	return l
 }
+
+func (s *state) budget(service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.New()
+		s.budgets[service] = b
+	}
+	return b
+}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -14,6 +13,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/standin/golden"
 	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/mesh"
 )
@@ -67,8 +67,7 @@
 // A session that has gone silent must not make its peer unreachable: the next
 // exchange runs on a new connection.
 func TestSilentSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, f := context.WithCancel(t.Context())
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
 		l := &log.Logger{Handler: discard.New()}
 		p := &pipes{accept: make(chan net.Conn)}
 		s := mesh.New(c, wire.Hello_builder{MemberId: proto("sched-1")}.Build(), p, l)
@@ -86,8 +85,6 @@
 		if d := cmp.Diff(2, len(p.dialled)); d != "" {
 			t.Fatal(d)
 		}
-		f()
-		synctest.Wait()
 	})
 }
 
