coordination/order: engines are kept matched to the services text

Cause: nothing gave orders to the engines, so a new model, version or adapter of the text reached no runner. Ruled out: orders from the entry that accepts a text (it may die before it has reached 2,500 engines), and a lease renewed for each engine (250 writes a second at the two-year size). Change: the owner of an engine compares its reported state with the text each 5 s and gives one order at a time under a fencing token, the platform's version of fences/<host>; loads are limited; a new owner waits out the lease of the one before if the engine ignores tokens. The fence names the version of the configuration: in a trial an owner with an old view set the engine back to version 1 (TestChangeOfOwner, 2 orders instead of 1), so an older configuration than the last holder's is refused. Conclusion: an order never goes back to an older text. Not covered: a runner keeps its place in the routing while it loads.

--- a/internal/command/tool/build.go
+++ b/internal/command/tool/build.go
@@ -9,6 +9,7 @@
 	"bulrushtrail.example/trail/internal/coordination/depot"
 	"bulrushtrail.example/trail/internal/coordination/entry"
 	"bulrushtrail.example/trail/internal/coordination/jobs"
+	"bulrushtrail.example/trail/internal/coordination/order"
 	"bulrushtrail.example/trail/internal/coordination/policy"
 	"bulrushtrail.example/trail/internal/coordination/recall"
 	"bulrushtrail.example/trail/internal/coordination/route"
@@ -78,10 +79,12 @@
 	if e != nil {
 		return operations{}, e
 	}
-	x := sched.New(p.life, p.self, q, p.v, bksrv.New(p.d, p.l, p.r), scrape.New(p.d), p.l, p.r)
+	b := bksrv.New(p.d, p.l, p.r)
+	x := sched.New(p.life, p.self, q, p.v, b, scrape.New(p.d), p.l, p.r)
 	k := claim.New(p.life, p.s.MemberID(), p.store, p.v, p.l, p.r)
 	r := route.New(p.life, p.s.MemberID(), p.s.DataCentre(), p.m, p.v, p.l, p.r)
 	j := jobs.New(p.life, p.s.MemberID(), p.store, p.bulk(), r, p.v, p.l, p.r)
+	order.New(p.life, p.self, p.store, p.v, b, p.l)
 	return operations{
 		call: x.ServeCall, report: x.ServeReport, claim: k.ServeClaim, settle: k.ServeSettle,
 		drains: []func(context.Context) error{x.Drain, k.Drain, j.Drain},
--- /dev/null
+++ b/internal/coordination/order/exchange.go
@@ -0,0 +1,72 @@
+package order
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	exchangeTimeout = 5 * time.Second
+	maxAnswerBytes  = 1 << 20
+)
+
+// exchange sends one request to an engine and returns the body of its answer.
+// An order is non-idempotent: it is sent once.
+func (o *Orders) exchange(c context.Context, h *wire.Host, method, path string, body []byte, token int64) ([]byte, error) {
+	c, f := context.WithTimeout(c, exchangeTimeout)
+	defer f()
+	r := wire.Call_builder{
+		AttemptId: proto.String(uuid.NewString()), Service: proto.String(h.GetService()), Method: proto.String(method), Path: proto.String(path),
+		Class: wire.Class_CLASS_ONLINE.Enum(), Body: body, NonIdempotent: proto.Bool(body != nil),
+	}.Build()
+	if token > 0 {
+		r.SetHeaders([]*wire.Header{wire.Header_builder{Name: proto.String(tokenHeader), Values: []string{strconv.FormatInt(token, 10)}}.Build()})
+	}
+	a, e := o.backends.Call(c, h.GetAddress(), r)
+	if e != nil {
+		return nil, e
+	}
+	defer a.Close()
+	return collect(a, h.GetName())
+}
+
+// collect reads a whole answer. A status other than 2xx is an error.
+func collect(a trail.Replies, host string) ([]byte, error) {
+	var b []byte
+	n := 0
+	for {
+		r, e := a.Recv()
+		if errors.Is(e, io.EOF) {
+			return b, nil
+		}
+		if e != nil {
+			return nil, e
+		}
+		switch r.WhichPart() {
+		case wire.Reply_Head_case:
+			n = int(r.GetHead().GetStatus())
+		case wire.Reply_Data_case:
+			b = append(b, r.GetData().GetChunk()...)
+			if len(b) > maxAnswerBytes {
+				return nil, trail.NewError("engine-answer", trail.MayHaveRun, "answer has more than %d bytes", maxAnswerBytes).At(host)
+			}
+		case wire.Reply_End_case:
+			if r.GetEnd().GetCode() != "" {
+				return nil, trail.NewError(r.GetEnd().GetCode(), trail.MayHaveRun, "%s", r.GetEnd().GetMessage()).At(host)
+			}
+			if n < http.StatusOK || n >= http.StatusMultipleChoices {
+				return nil, trail.NewError("engine-refused", trail.NotRun, "engine answered with status %d: %s", n, b).At(host)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/order/orders_test.go
@@ -0,0 +1,165 @@
+package order_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/order"
+	"bulrushtrail.example/trail/internal/protocol/objapi"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/standin/engine"
+	"bulrushtrail.example/trail/internal/standin/golden"
+	"bulrushtrail.example/trail/internal/standin/memnet"
+	"bulrushtrail.example/trail/internal/standin/plat"
+	"bulrushtrail.example/trail/internal/transport/bksrv"
+)
+
+const (
+	platformAddress = "10.0.0.1:8000"
+	engineAddress   = "10.0.1.1:8000"
+	// Two comparison periods.
+	settled = 11 * time.Second
+	// A lease with its margin: the least time between orders of two owners to
+	// an engine that ignores tokens.
+	leaseOver = 12 * time.Second
+	maxOrders = 100
+)
+
+// views is a view that the test replaces.
+type views struct{ v atomic.Pointer[wire.View] }
+
+func (s *views) Latest() *wire.View                          { return s.v.Load() }
+func (s *views) Subscribe(context.Context) <-chan *wire.View { return nil }
+
+func member(id string) *wire.Member {
+	return wire.Member_builder{Id: &id, Role: new("sched"), Incarnation: new(uint64(1))}.Build()
+}
+
+func view(id, version string, config int64, checked bool) *wire.View {
+	return wire.View_builder{
+		Config: wire.Config_builder{Version: &config, Text: wire.Text_builder{Services: []*wire.Service{wire.Service_builder{
+			Name: new("fit-assistant"), Kind: new("model"), Model: new("fit"), Version: &version,
+			Adapters: []string{"short-notes"}, ChecksFencing: &checked,
+		}.Build()}}.Build()}.Build(),
+		Members: []*wire.Member{member(id)},
+		Hosts: []*wire.Host{wire.Host_builder{
+			Name: new("fit-01"), Service: new("fit-assistant"), Address: new(engineAddress), Ready: new(true),
+		}.Build()},
+	}.Build()
+}
+
+// rig is a platform and an engine on a network in memory.
+type rig struct {
+	n *memnet.Network
+	l log.Interface
+	// Times of the orders that reached the engine.
+	orders chan time.Time
+}
+
+func newRig(c context.Context, checked bool) *rig {
+	r := &rig{n: memnet.New(), orders: make(chan time.Time, maxOrders), l: &log.Logger{Handler: discard.New()}}
+	r.serve(c, platformAddress, &http.Server{Handler: plat.New(c, 1000, 1000, 0, r.l, prometheus.NewRegistry())})
+	x := engine.New(c, engine.Model("old"), engine.ChecksFencing(checked))
+	r.serve(c, engineAddress, &http.Server{ConnContext: x.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Method == http.MethodPost {
+			r.orders <- time.Now()
+		}
+		x.ServeHTTP(w, q)
+	})})
+	return r
+}
+
+func (r *rig) serve(c context.Context, address string, s *http.Server) {
+	l := r.n.Listen(address)
+	go func() { _ = s.Serve(l) }()
+	context.AfterFunc(c, func() { _ = s.Close() })
+}
+
+// owner starts the orders of one scheduler.
+func (r *rig) owner(c context.Context, id string, v trail.Views) {
+	g := prometheus.NewRegistry()
+	order.New(c, member(id), objapi.New("http://"+platformAddress, r.n, r.l, g), v, bksrv.New(r.n, r.l, g), r.l)
+}
+
+func (r *rig) state(t *testing.T) (s struct {
+	Model, Version string
+	Adapters       []string
+},
+) {
+	t.Helper()
+	k := &http.Client{Transport: &http.Transport{DialContext: r.n.DialContext, DisableKeepAlives: true}}
+	a, e := k.Get("http://" + engineAddress + "/orders")
+	if e != nil {
+		t.Fatal(e)
+	}
+	defer a.Body.Close()
+	e = json.NewDecoder(a.Body).Decode(&s)
+	if e != nil {
+		t.Fatal(e)
+	}
+	return s
+}
+
+// An engine must follow the text, also when the text changes.
+func TestFollowsText(t *testing.T) {
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
+		r := newRig(c, true)
+		v := &views{}
+		v.v.Store(view("sched-1", "1", 1, true))
+		r.owner(c, "sched-1", v)
+		time.Sleep(2 * settled)
+		w := r.state(t)
+		if d := cmp.Diff([]string{"fit", "1", "short-notes"}, append([]string{w.Model, w.Version}, w.Adapters...)); d != "" {
+			t.Error(d)
+		}
+		v.v.Store(view("sched-1", "2", 2, true))
+		time.Sleep(settled)
+		if d := cmp.Diff("2", r.state(t).Version); d != "" {
+			t.Error(d)
+		}
+		n := len(r.orders)
+		time.Sleep(settled)
+		if d := cmp.Diff(n, len(r.orders)); d != "" {
+			t.Error("orders to an engine that matches:", d)
+		}
+	})
+}
+
+// A new owner must not give orders to an engine that ignores fencing tokens
+// while the owner before may still do so, and an owner that has not heard of
+// the newest configuration must give none.
+func TestChangeOfOwner(t *testing.T) {
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
+		r := newRig(c, false)
+		a, b := &views{}, &views{}
+		a.v.Store(view("sched-1", "1", 1, false))
+		b.v.Store(view("sched-1", "1", 1, false))
+		r.owner(c, "sched-1", a)
+		r.owner(c, "sched-2", b)
+		time.Sleep(2 * settled)
+		for len(r.orders) > 0 {
+			<-r.orders
+		}
+		// The second scheduler takes over and the first one has not heard of
+		// it, nor of the new text, which it must not take back.
+		b.v.Store(view("sched-2", "2", 2, false))
+		f := time.Now()
+		time.Sleep(3 * settled)
+		if d := cmp.Diff(1, len(r.orders)); d != "" {
+			t.Fatal(d)
+		}
+		if w := (<-r.orders).Sub(f); w < leaseOver {
+			t.Errorf("new owner gave an order after %v, less than %v", w, leaseOver)
+		}
+	})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -159,6 +159,7 @@
 	m.HandleFunc("GET /cache-events", s.cacheEvents)
 	m.HandleFunc("POST /v1/load_lora_adapter", s.loadAdapter)
 	m.HandleFunc("POST /orders/{order}", s.order)
+	m.HandleFunc("GET /orders", s.listOrders)
 	o := http.NewServeMux()
 	o.HandleFunc("POST /control/faults", s.setFaults)
 	o.HandleFunc("GET /control/runs", s.listRuns)
