coordination/depot, recall: refused segments end at once, wider Begin

Cause: a depot that refused a segment larger than the stream's window left the sender waiting 10 s for the window; Begin asked four depots and missed an answer whose depots had moved to the fifth place. Ruled out: asking all depots in Begin, which would cost a message to each of them for each question. Change: a refused segment is read to its end and dropped; Begin asks eight. Conclusion: with up to eight depots Begin sees every stored answer.

--- a/internal/coordination/depot/answer_test.go
+++ b/internal/coordination/depot/answer_test.go
@@ -47,6 +47,18 @@
 	return owner.Rank(n.Latest().GetMembers(), "depot", "kowalchuk\x00q1", "")
 }
 
+// pair returns the first depot for the question and the next one in another
+// data centre.
+func (n *cluster) pair() [2]string {
+	l := n.first()
+	for _, m := range l {
+		if m.GetDataCentre() != l[0].GetDataCentre() {
+			return [2]string{l[0].GetId(), m.GetId()}
+		}
+	}
+	return [2]string{l[0].GetId()}
+}
+
 // begin returns the reply to a Begin.
 func (n *cluster) begin(k *recall.Client, attempt string) string {
 	return told(k.Begin(n.c, question(attempt)))
@@ -59,19 +71,19 @@
 	run(t, []string{"a", "b", "a"}, func(n *cluster) {
 		k, _ := n.recall("e1")
 		w, _ := n.recall("e2")
-		check(t, "RESULT_BEGUN  0", n.begin(k, "a1"))
-		check(t, "RESULT_RUNNING  0", n.begin(w, "a2"))
-		check(t, "RESULT_RUNNING  0", told(w.Read(n.c, question("a2"))))
+		check(n.t, "RESULT_BEGUN  0", n.begin(k, "a1"))
+		check(n.t, "RESULT_RUNNING  0", n.begin(w, "a2"))
+		check(n.t, "RESULT_RUNNING  0", told(w.Read(n.c, question("a2"))))
 		// A long answer must not lose its registration.
 		time.Sleep(5 * time.Minute)
-		check(t, "RESULT_RUNNING  0", n.begin(w, "a2"))
-		check(t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
-		check(t, "RESULT_STORED a1 0", n.begin(w, "a3"))
-		check(t, "RESULT_STORED a1 2", told(w.Store(n.c, question("a4"))))
+		check(n.t, "RESULT_RUNNING  0", n.begin(w, "a2"))
+		check(n.t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
+		check(n.t, "RESULT_STORED a1 0", n.begin(w, "a3"))
+		check(n.t, "RESULT_STORED a1 2", told(w.Store(n.c, question("a4"))))
 		q := question("a5")
 		q.SetDigest("other")
-		check(t, "RESULT_MISMATCH  0", told(w.Begin(n.c, q)))
-		check(t, "RESULT_MISMATCH  0", told(w.Read(n.c, q)))
+		check(n.t, "RESULT_MISMATCH  0", told(w.Begin(n.c, q)))
+		check(n.t, "RESULT_MISMATCH  0", told(w.Read(n.c, q)))
 	})
 }
 
@@ -81,17 +93,17 @@
 	run(t, []string{"a", "b"}, func(n *cluster) {
 		k, f := n.recall("e1")
 		w, _ := n.recall("e2")
-		check(t, "RESULT_BEGUN  0", n.begin(k, "a1"))
+		check(n.t, "RESULT_BEGUN  0", n.begin(k, "a1"))
 		_ = k.Abandon(n.c, question("a1"))
 		synctest.Wait()
-		check(t, "RESULT_BEGUN  0", n.begin(w, "a2"))
+		check(n.t, "RESULT_BEGUN  0", n.begin(w, "a2"))
 		_ = w.Abandon(n.c, question("a2"))
 		synctest.Wait()
-		check(t, "RESULT_BEGUN  0", n.begin(k, "a3"))
-		check(t, "RESULT_RUNNING  0", n.begin(w, "a4"))
+		check(n.t, "RESULT_BEGUN  0", n.begin(k, "a3"))
+		check(n.t, "RESULT_RUNNING  0", n.begin(w, "a4"))
 		f()
 		synctest.Wait()
-		check(t, "RESULT_BEGUN  0", n.begin(w, "a5"))
+		check(n.t, "RESULT_BEGUN  0", n.begin(w, "a5"))
 	})
 }
 
@@ -106,12 +118,12 @@
 		s := n.open(n.first()[0].GetId(), o)
 		r := &wire.AnswerReply{}
 		e := s.Recv(r)
-		check(t, "RESULT_BEGUN  0", told(r, e))
+		check(n.t, "RESULT_BEGUN  0", told(r, e))
 		k, _ := n.recall("e1")
 		time.Sleep(59 * time.Second)
-		check(t, "RESULT_RUNNING  0", n.begin(k, "a2"))
+		check(n.t, "RESULT_RUNNING  0", n.begin(k, "a2"))
 		time.Sleep(2 * time.Second)
-		check(t, "RESULT_BEGUN  0", n.begin(k, "a2"))
+		check(n.t, "RESULT_BEGUN  0", n.begin(k, "a2"))
 		_ = s.Close()
 	})
 }
@@ -121,19 +133,19 @@
 func TestAnswerStaysReadable(t *testing.T) {
 	run(t, []string{"a", "b", "a", "b"}, func(n *cluster) {
 		k, _ := n.recall("e1")
-		check(t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
+		check(n.t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
 		for _, m := range n.first() {
 			n.fail(m.GetId())
-			check(t, "RESULT_STORED a1 0", told(k.Read(n.c, question("a2"))))
-			check(t, "RESULT_STORED a1 0", n.begin(k, "a2"))
+			check(n.t, "RESULT_STORED a1 0", told(k.Read(n.c, question("a2"))))
+			check(n.t, "RESULT_STORED a1 0", n.begin(k, "a2"))
 			n.recover(m.GetId())
 		}
-		f := n.first()[:2]
-		for n.first()[0] == f[0] || n.first()[1] == f[0] || n.first()[0] == f[1] || n.first()[1] == f[1] {
-			n.add("a")
+		f := n.pair()
+		for g := f; g[0] == f[0] || g[1] == f[0] || g[0] == f[1] || g[1] == f[1]; g = n.pair() {
+			n.add([]string{"a", "b"}[len(n.members)%2])
 		}
-		check(t, "RESULT_STORED a1 0", told(k.Read(n.c, question("a2"))))
-		check(t, "RESULT_STORED a1 0", n.begin(k, "a2"))
+		check(n.t, "RESULT_STORED a1 0", told(k.Read(n.c, question("a2"))))
+		check(n.t, "RESULT_STORED a1 0", n.begin(k, "a2"))
 	})
 }
 
@@ -143,12 +155,12 @@
 	run(t, []string{"a", "b", "a"}, func(n *cluster) {
 		k, _ := n.recall("e1")
 		n.fail(n.first()[0].GetId())
-		check(t, "answers-unavailable", told(k.Read(n.c, question("a1"))))
-		check(t, "RESULT_BEGUN  0", n.begin(k, "a1"))
-		check(t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
+		check(n.t, "answers-unavailable", told(k.Read(n.c, question("a1"))))
+		check(n.t, "RESULT_BEGUN  0", n.begin(k, "a1"))
+		check(n.t, "RESULT_STORED a1 2", told(k.Store(n.c, question("a1"))))
 		n.fail(n.first()[1].GetId())
 		n.fail(n.first()[2].GetId())
-		check(t, "answers-unavailable", told(k.Store(n.c, question("a2"))))
-		check(t, "answers-unavailable", n.begin(k, "a2"))
+		check(n.t, "answers-unavailable", told(k.Store(n.c, question("a2"))))
+		check(n.t, "answers-unavailable", n.begin(k, "a2"))
 	})
 }
--- a/internal/coordination/depot/segment.go
+++ b/internal/coordination/depot/segment.go
@@ -36,7 +36,22 @@
 	r := d.put(c, s, o)
 	d.report("put", r)
 	_ = s.SetDeadline(time.Now().Add(progressTimeout))
-	_ = s.Send(r)
+	e := s.Send(r)
+	if e == nil && r.GetCode() != "" && r.GetCode() != codeCopy {
+		discard(s)
+	}
+}
+
+// discard reads the chunks of a segment that was refused. The sender would
+// otherwise wait for the window of the stream before it reads the reply.
+func discard(s *frame.Stream) {
+	for {
+		k := &wire.Chunk{}
+		e := s.Recv(k)
+		if e != nil || k.GetLast() {
+			return
+		}
+	}
 }
 
 // ServeCopy fetches a segment from another depot and stores it here. It replies
--- a/internal/coordination/depot/segment_test.go
+++ b/internal/coordination/depot/segment_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -47,15 +48,15 @@
 	run(t, []string{"a", "a", "b"}, func(n *cluster) {
 		g := n.put()
 		if d := cmp.Diff(true, len(g.GetDepots()) == 2 && g.GetDepots()[1] == "d3"); d != "" {
-			t.Fatal(d, g)
+			n.t.Fatal(d, g)
 		}
 		for _, d := range g.GetDepots() {
 			n.fail(d)
 			if x := cmp.Diff(string(payload), n.get(g, 0, 0)); x != "" {
-				t.Fatal(x)
+				n.t.Fatal(x)
 			}
 			if x := cmp.Diff(string(payload[70_000:250_000]), n.get(g, 70_000, 180_000)); x != "" {
-				t.Fatal(x)
+				n.t.Fatal(x)
 			}
 			n.recover(d)
 		}
@@ -63,11 +64,11 @@
 		b[150_000]++
 		_ = os.WriteFile(n.segment(g.GetDepots()[0], g), b, 0o600)
 		if x := cmp.Diff(string(payload[70_000:]), n.get(g, 70_000, 0)); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 		n.fail(g.GetDepots()[1])
 		if x := cmp.Diff("segment-unavailable", n.get(g, 0, 0)); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 	})
 }
@@ -82,14 +83,14 @@
 			h := n.put()
 			x := h.GetDepots()
 			if len(x) != 2 || (x[0] < "d3") == (x[1] < "d3") || strings.Contains(strings.Join(x, " "), d) {
-				t.Fatalf("%s has failed, copies are at %v", d, x)
+				n.t.Fatalf("%s has failed, copies are at %v", d, x)
 			}
 		}
 		n.fail("d3")
 		n.fail("d4")
 		_, e := n.bulk().Put(n.c, bytes.NewReader(payload))
 		if x := cmp.Diff([]string{"depots-unavailable", "not-run"}, []string{trail.CodeOf(e), trail.VerdictOf(e).String()}); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 	})
 }
@@ -100,19 +101,19 @@
 	run(t, []string{"a"}, func(n *cluster) {
 		_, e := n.bulk().Put(n.c, bytes.NewReader(payload))
 		if x := cmp.Diff("depots-unavailable", trail.CodeOf(e)); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 		g, e := n.bulk().WithCopies(1).Put(n.c, bytes.NewReader(payload))
 		if e != nil {
-			t.Fatal(e)
+			n.t.Fatal(e)
 		}
 		if x := cmp.Diff(string(payload), n.get(g, 0, 0)); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 	})
 	run(t, []string{"a", "a"}, func(n *cluster) {
 		if x := cmp.Diff(2, len(n.put().GetDepots())); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 	})
 }
@@ -146,7 +147,7 @@
 		r := &wire.PutReply{}
 		e := s.Recv(r)
 		if x := cmp.Diff([]string{"copy-failed", "d1"}, []string{r.GetCode(), strings.Join(r.GetSegment().GetDepots(), " ")}); x != "" || e != nil {
-			t.Fatal(x, e)
+			n.t.Fatal(x, e)
 		}
 		_ = s.Close()
 		s = n.open("d1", putOpen("s2"))
@@ -154,7 +155,7 @@
 		_ = s.Close()
 		e = s.Recv(r)
 		if x := cmp.Diff([]string{"stream-broken", ""}, []string{r.GetCode(), strings.Join(r.GetSegment().GetDepots(), " ")}); x != "" || e != nil {
-			t.Fatal(x, e)
+			n.t.Fatal(x, e)
 		}
 		n.recover("d2")
 		for i, w := range map[string]string{"s1": "", "s2": "segment-missing"} {
@@ -168,7 +169,7 @@
 			s = n.open("d2", o)
 			e = s.Recv(r)
 			if x := cmp.Diff(w, r.GetCode()); x != "" || e != nil {
-				t.Fatal(x, e)
+				n.t.Fatal(x, e)
 			}
 			_ = s.Close()
 		}
@@ -188,15 +189,22 @@
 		r := &wire.PutReply{}
 		e := w.Recv(r)
 		if x := cmp.Diff("draining", r.GetCode()); x != "" || e != nil || len(q) > 0 {
-			t.Fatal(x, e, len(q))
+			n.t.Fatal(x, e, len(q))
+		}
+		// A segment that is larger than the window of a stream must be refused
+		// at once too.
+		b := time.Now()
+		_, e = n.bulk().Put(n.c, bytes.NewReader(payload))
+		if x := cmp.Diff([]string{"depots-unavailable", "0s"}, []string{trail.CodeOf(e), time.Since(b).String()}); x != "" {
+			n.t.Fatal(x)
 		}
 		_ = s.Send(chunk(true))
 		e = s.Recv(r)
 		if x := cmp.Diff([]string{"", "d1 d2"}, []string{r.GetCode(), strings.Join(r.GetSegment().GetDepots(), " ")}); x != "" || e != nil {
-			t.Fatal(x, e)
+			n.t.Fatal(x, e)
 		}
 		if x := cmp.Diff(nil, <-q); x != "" {
-			t.Fatal(x)
+			n.t.Fatal(x)
 		}
 		_, _ = s.Close(), w.Close()
 	})
--- a/internal/coordination/recall/client.go
+++ b/internal/coordination/recall/client.go
@@ -16,9 +16,10 @@
 
 const (
 	// Depots that Begin asks for an answer from before a change of members. A
-	// change moves one depot into or out of the first places, so that these
-	// cover the changes within the time in which callers resend.
-	beginReads = 4
+	// depot that joins moves an earlier one back by one place at most, so that
+	// these cover six joins within the time for which answers are kept. Asking
+	// all would cost each question a message to each depot.
+	beginReads = 8
 	retryAfter = time.Second
 )
 
