coordination/jobs: test of the commit interval with many jobs

Cause: the bound of 100 writes a second over all jobs had no test. Change: 500 active jobs make the interval 5 s. Conclusion: the interval follows the number of active jobs.

--- a/internal/coordination/jobs/failure_test.go
+++ b/internal/coordination/jobs/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bulrushtrail.example/trail/internal/coordination/owner"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -257,3 +259,31 @@
 		w.check(map[string]int{"completed": 1, "success 200": 20})
 	})
 }
+
+// With many active jobs in the system each must commit less often, so that all
+// together write at most 100 times a second.
+func TestManyJobs(t *testing.T) {
+	run(t, 20, func(w *world) {
+		m := []*wire.Member{{}, {}}
+		m[0].SetId("a")
+		m[1].SetId("b")
+		for i := range m {
+			m[i].SetRole("sched")
+		}
+		// Jobs of another scheduler, which does not run here.
+		for i, n := 0, 0; n < 499; i++ {
+			j := &wire.Job{}
+			j.SetId(fmt.Sprint("x", i))
+			j.SetState(wire.JobState_JOB_STATE_IN_PROGRESS)
+			if owner.First(m, "sched", j.GetId(), "").GetId() != owner.First(m, "sched", "j1", "").GetId() {
+				w.create("jobs", j.GetId(), j)
+				n++
+			}
+		}
+		w.start(owner.First(m, "sched", "j1", "").GetId(), newViews("a", "b"), nil)
+		time.Sleep(4900 * time.Millisecond)
+		w.check(map[string]int{"in_progress": 1})
+		time.Sleep(200 * time.Millisecond)
+		w.check(map[string]int{"completed": 1, "success 200": 20})
+	})
+}
