coordination/jobs: pause between watches, drain ends cancelled jobs

Cause: a platform that closes each watch at once was called without pause, and a drain left a job that was being cancelled with its finished results. Change: watches start at most once a second; cancelling goes on in a drain. Conclusion: a watch costs the platform at most one call a second and process.

--- a/internal/coordination/jobs/failure_test.go
+++ b/internal/coordination/jobs/failure_test.go
@@ -287,3 +287,31 @@
 		w.check(map[string]int{"completed": 1, "success 200": 20})
 	})
 }
+
+// A platform that closes each watch at once must not be called without pause,
+// and a drain must still end a job that is cancelled meanwhile.
+func TestWatchClosedAtOnce(t *testing.T) {
+	run(t, 500, func(w *world) {
+		hang(w)
+		var n atomic.Int64
+		s, _ := w.start("a", newViews("a"), func(o string) fault {
+			if o == "watch jobs" {
+				n.Add(1)
+				time.AfterFunc(time.Millisecond, w.p.closeWatches)
+			}
+			return none
+		})
+		time.Sleep(10500 * time.Millisecond)
+		if d := cmp.Diff(int64(11), n.Load()); d != "" {
+			w.t.Fatal(d)
+		}
+		w.set(cancelJob)
+		c, f := context.WithTimeout(w.c, time.Minute)
+		defer f()
+		e := s.Drain(c)
+		if e != nil {
+			w.t.Fatal(e)
+		}
+		w.check(map[string]int{"cancelled": 1, "success 200": 10})
+	})
+}
--- a/internal/coordination/jobs/follow.go
+++ b/internal/coordination/jobs/follow.go
@@ -26,6 +26,7 @@
 func (s *Jobs) follow(c context.Context) {
 	var v int64
 	for c.Err() == nil {
+		b := time.Now()
 		e := error(nil)
 		if v == 0 {
 			v, e = s.list(c)
@@ -35,18 +36,18 @@
 		}
 		if errors.Is(e, trail.ErrTooOld) {
 			v = 0
-			continue
 		}
-		if e == nil || c.Err() != nil {
-			continue
+		if e != nil && c.Err() == nil {
+			s.l.WithError(e).Warn("jobs: jobs can't be watched")
 		}
-		s.l.WithError(e).Warn("jobs: jobs can't be watched")
-		t := time.NewTimer(followRetry)
+		// Also after a watch that the platform closed at once: each one counts
+		// against its rate.
+		w := time.NewTimer(max(followRetry-time.Since(b), 0))
 		select {
 		case <-c.Done():
-		case <-t.C:
+		case <-w.C:
 		}
-		t.Stop()
+		w.Stop()
 	}
 }
 
--- a/internal/coordination/jobs/plan.go
+++ b/internal/coordination/jobs/plan.go
@@ -212,7 +212,8 @@
 	p.waiting = nil
 }
 
-// drain stops dispatch. Calls may run until the given time.
+// drain stops dispatch. Calls may run until the given time. A job that is being
+// cancelled or fails stays so: its end needs no more than a commit.
 func (p *plan) drain(until time.Time) {
 	if p.mode == active || p.mode == expired {
 		p.mode, p.waiting, p.drainUntil = draining, nil, until
--- a/internal/coordination/jobs/task.go
+++ b/internal/coordination/jobs/task.go
@@ -29,6 +29,8 @@
 	// Context of the running calls.
 	calls context.Context
 	stop  context.CancelFunc
+	// The plan knows that the process shuts down.
+	drains bool
 }
 
 func newTask(s *Jobs, id string) *task {
@@ -82,7 +84,7 @@
 		q = n.lines
 	}
 	d := t.s.draining
-	if t.p.mode == draining {
+	if t.drains {
 		d = nil
 	}
 	select {
@@ -103,11 +105,8 @@
 	case x := <-t.updates:
 		t.p.observe(x.job, x.version)
 	case <-d:
+		t.drains = true
 		t.p.drain(t.s.drainUntil)
-		if t.p.mode != draining {
-			// A job that is being cancelled or fails ends by itself soon.
-			t.p.mode, t.p.reason = ended, "process shuts down"
-		}
 	}
 }
 
