coordination/depot: tests wait for greetings at their end

Cause: 2 of at most 40 runs ended with a dial that the closed listener had not accepted; its greeting has a deadline, but bubble time stops with the test. Ruled out: ending the dial with the client, which is in another package. Change: the end of each test lets a minute of bubble time pass.

--- a/internal/coordination/depot/cluster_test.go
+++ b/internal/coordination/depot/cluster_test.go
@@ -105,6 +105,9 @@
 		}
 		f(n)
 		g()
+		// A dial that was not accepted any more ends with the deadline of its
+		// greeting, which is in bubble time.
+		time.Sleep(time.Minute)
 		synctest.Wait()
 	})
 }
