coordination/depot, recall: a different answer is no second copy

Cause: when the first depot was down for a store and back for a later one, the second depot's earlier answer was counted as a copy of the later one. Change: depots and clients compare the answer that stays. Conclusion: two reported copies are the same answer.

--- a/internal/coordination/depot/answer.go
+++ b/internal/coordination/depot/answer.go
@@ -154,6 +154,9 @@
 	if e != nil {
 		return e
 	}
+	if r.GetCopies() > 0 && !proto.Equal(r.GetStored(), o.GetStored()) {
+		return trail.NewError("copy-failed", trail.NotRun, "the other depot holds an earlier answer")
+	}
 	if r.GetCopies() == 0 {
 		return trail.NewError("copy-failed", trail.NotRun, "the other depot answers %s: %s", r.GetResult().String(), r.GetMessage())
 	}
--- a/internal/coordination/depot/answer_test.go
+++ b/internal/coordination/depot/answer_test.go
@@ -164,3 +164,16 @@
 		check(n.t, "answers-unavailable", n.begin(k, "a2"))
 	})
 }
+
+// An answer whose second depot holds an earlier one must not count it as a
+// copy.
+func TestEarlierAnswerIsNoCopy(t *testing.T) {
+	run(t, []string{"a", "b"}, func(n *cluster) {
+		k, _ := n.recall("e1")
+		f := n.first()[0].GetId()
+		n.fail(f)
+		check(n.t, "RESULT_STORED a1 1", told(k.Store(n.c, question("a1"))))
+		n.recover(f)
+		check(n.t, "RESULT_STORED a2 1", told(k.Store(n.c, question("a2"))))
+	})
+}
--- a/internal/coordination/recall/client.go
+++ b/internal/coordination/recall/client.go
@@ -112,7 +112,7 @@
 		}
 		if h == nil {
 			h = a
-		} else {
+		} else if proto.Equal(h.GetStored(), a.GetStored()) {
 			h.SetCopies(h.GetCopies() + a.GetCopies())
 		}
 		if h.GetCopies() >= 2 {
