coordination/entry, claim: a key without a living holder is answered at once

Cause: a resend of a key whose entry was lost waited for an outcome until its own deadline, though none could come any more. Ruled out: asking whether the holder's entry is still a member (a frozen one is, and its list lags). Change: a held claim names its age; past the service's deadline and the time to settle, the answer may have run is final and given at once. Sessions show answers that took 5 s or more. Conclusion: a resend waits only while an outcome can come.

--- a/internal/coordination/claim/answer.go
+++ b/internal/coordination/claim/answer.go
@@ -25,11 +25,12 @@
 	})
 }
 
-func (s *shard) held(o *operation, n *wire.ClaimEntry) {
+func (s *shard) held(o *operation, n *wire.ClaimEntry, now time.Time) {
 	s.answer(o, result{
 		claim: wire.ClaimReply_builder{
 			Result:  wire.ClaimReply_RESULT_HELD.Enum(),
 			Outcome: proto.CloneOf(n.GetOutcome()),
+			AgeMs:   new(now.UnixMilli() - n.GetTakenUnixMs()),
 		}.Build(),
 		reason: "key is held",
 		holder: n.GetAttemptId(),
@@ -75,7 +76,7 @@
 	case n.GetDigest() != o.claim.GetDigest():
 		s.mismatch(o, n)
 	default:
-		s.held(o, n)
+		s.held(o, n, now)
 	}
 }
 
--- a/internal/coordination/claim/decide.go
+++ b/internal/coordination/claim/decide.go
@@ -88,7 +88,7 @@
 		s.mismatch(o, n)
 		return false
 	case !notRun(n):
-		s.held(o, n)
+		s.held(o, n, now)
 		return false
 	}
 	m := wire.ClaimEntry_builder{
--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -10,6 +10,10 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
+// settleTime is the longest that the outcome of an ended attempt takes to be
+// known: storing its answer and settling its claim.
+const settleTime = answerTimeout + storeTimeout
+
 // claim commits the key for this attempt. It returns the stored answer when an
 // earlier attempt ran, and waits for one whose outcome is not known.
 func (x *exchange) claim(c context.Context) (*wire.StoredAnswer, error) {
@@ -32,6 +36,9 @@
 			return x.replay(c, r.GetOutcome())
 		case r.GetOutcome().GetVerdict() == wire.Verdict_VERDICT_MAY_HAVE_RUN:
 			return nil, mayHaveRun()
+		case r.GetAgeMs() > x.patience().Milliseconds():
+			// Its entry is gone: no outcome comes any more.
+			return nil, mayHaveRun()
 		default:
 			h = true
 		}
@@ -41,6 +48,16 @@
 	}
 }
 
+// patience is the age at which a claim without an outcome is given up: an
+// attempt ends by the deadline of its service and is settled soon after.
+func (x *exchange) patience() time.Duration {
+	d := time.Duration(x.service.GetLimits().GetDeadlineMs()) * time.Millisecond
+	if d == 0 {
+		d = defaultDeadline
+	}
+	return d + settleTime
+}
+
 func mayHaveRun() error {
 	return trail.NewError("may-have-run", trail.MayHaveRun,
 		"an earlier request with this idempotency key may have run, and its outcome is not known")
--- a/internal/coordination/entry/fakes_test.go
+++ b/internal/coordination/entry/fakes_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -144,15 +145,28 @@
 	case h != nil && h.GetDigest() != r.GetDigest():
 		return wire.ClaimReply_builder{Result: wire.ClaimReply_RESULT_MISMATCH.Enum()}.Build(), nil
 	case h != nil:
-		return wire.ClaimReply_builder{Result: wire.ClaimReply_RESULT_HELD.Enum(), Outcome: h.GetOutcome()}.Build(), nil
+		return heldReply(h), nil
+	}
+	h = wire.ClaimEntry_builder{AttemptId: new(r.GetAttemptId()), Digest: new(r.GetDigest()), TakenUnixMs: new(time.Now().UnixMilli())}.Build()
+	s.held[k] = h
+	if m == "orphaned" {
+		// An entry took the key a minute ago and was lost.
+		h.SetAttemptId("attempt-of-lost-entry")
+		h.SetTakenUnixMs(time.Now().Add(-time.Minute).UnixMilli())
+		return heldReply(h), nil
 	}
-	s.held[k] = wire.ClaimEntry_builder{AttemptId: new(r.GetAttemptId()), Digest: new(r.GetDigest())}.Build()
 	if m == "lost" {
 		return nil, errLost
 	}
 	return wire.ClaimReply_builder{Result: wire.ClaimReply_RESULT_GRANTED.Enum()}.Build(), nil
 }
 
+func heldReply(h *wire.ClaimEntry) *wire.ClaimReply {
+	return wire.ClaimReply_builder{
+		Result: wire.ClaimReply_RESULT_HELD.Enum(), Outcome: h.GetOutcome(), AgeMs: new(time.Now().UnixMilli() - h.GetTakenUnixMs()),
+	}.Build()
+}
+
 func (s *claims) Settle(_ context.Context, r *wire.Settle) (*wire.SettleReply, error) {
 	s.Lock()
 	defer s.Unlock()
--- a/internal/coordination/entry/session_test.go
+++ b/internal/coordination/entry/session_test.go
@@ -222,9 +222,13 @@
 var shown = []string{"Allow", "Content-Type", "X-Request-Id", "Bulrushtrail-Verdict", "Bulrushtrail-Stored", "Retry-After"}
 
 // do sends one request to an entry and writes the answer to the transcript.
+// longWait is the time from which a session shows how long an answer took.
+const longWait = 5 * time.Second
+
 func (s *system) do(n int, r *http.Request) {
 	b := r.Method + " " + r.URL.String()
 	w := httptest.NewRecorder()
+	f := time.Now()
 	defer func() {
 		if p := recover(); p != nil {
 			s.t.printf("<- %s: %v after %q", b, p, w.Body.String())
@@ -232,6 +236,9 @@
 	}()
 	s.entries[n].ServeHTTP(w, r)
 	t := fmt.Sprintf("<- %s: %d", b, w.Code)
+	if d := time.Since(f); d >= longWait {
+		t += " after " + d.String()
+	}
 	for _, k := range shown {
 		if v := w.Header().Get(k); v != "" {
 			t += "\n   " + k + ": " + v
