internal: errors by cockroachdb/errors throughout

Cause: 19 files used the standard package, whose New and Join keep neither place nor arguments apart from the text. Change: one import in each; no other line. Measured: make check and the tests of coordination, state and protocol pass. Conclusion: the house style's library is used everywhere.

--- a/internal/coordination/bulk/send.go
+++ b/internal/coordination/bulk/send.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/transport/frame"
--- a/internal/coordination/claim/shard.go
+++ b/internal/coordination/claim/shard.go
@@ -1,10 +1,10 @@
 package claim
 
 import (
-	"errors"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
 	trail "bulrushtrail.example/trail"
--- a/internal/coordination/depot/chunk.go
+++ b/internal/coordination/depot/chunk.go
@@ -1,10 +1,11 @@
 package depot
 
 import (
-	"errors"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/transport/frame"
 )
--- a/internal/coordination/depot/segment.go
+++ b/internal/coordination/depot/segment.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/seglog"
--- a/internal/coordination/jobs/call.go
+++ b/internal/coordination/jobs/call.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
--- a/internal/coordination/jobs/follow.go
+++ b/internal/coordination/jobs/follow.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
--- a/internal/coordination/jobs/input.go
+++ b/internal/coordination/jobs/input.go
@@ -4,10 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
--- a/internal/coordination/jobs/jobs.go
+++ b/internal/coordination/jobs/jobs.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
--- a/internal/coordination/jobs/step.go
+++ b/internal/coordination/jobs/step.go
@@ -5,11 +5,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"io"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
--- a/internal/coordination/jobs/take.go
+++ b/internal/coordination/jobs/take.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
--- a/internal/protocol/objapi/call.go
+++ b/internal/protocol/objapi/call.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 )
 
--- a/internal/standin/plat/api.go
+++ b/internal/standin/plat/api.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/internal/state/answer/file.go
+++ b/internal/state/answer/file.go
@@ -1,12 +1,13 @@
 package answer
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const fileSuffix = ".answers"
--- a/internal/state/answer/record.go
+++ b/internal/state/answer/record.go
@@ -3,10 +3,10 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
 	"hash/crc32"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
--- a/internal/state/answer/task.go
+++ b/internal/state/answer/task.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 func (s *Log) run(c context.Context, t *state) {
--- a/internal/state/seglog/log.go
+++ b/internal/state/seglog/log.go
@@ -1,7 +1,6 @@
 package seglog
 
 import (
-	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -9,6 +8,7 @@
 	"strings"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/internal/state/seglog/read.go
+++ b/internal/state/seglog/read.go
@@ -1,10 +1,11 @@
 package seglog
 
 import (
-	"errors"
 	"hash/crc32"
 	"io"
 	"os"
+
+	"github.com/cockroachdb/errors"
 )
 
 // reader reads a range of a segment block by block.
--- a/internal/state/seglog/trailer.go
+++ b/internal/state/seglog/trailer.go
@@ -3,10 +3,11 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
-	"errors"
 	"hash/crc32"
 	"io"
 	"os"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/internal/state/seglog/write.go
+++ b/internal/state/seglog/write.go
@@ -2,10 +2,11 @@
 
 import (
 	"crypto/sha256"
-	"errors"
 	"hash/crc32"
 	"io"
 	"os"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Put stores the bytes of r under an id and returns their digest and size once
