standin/replay: policies measured by replay of traces

Cause: the stated targets of design.md, section 1.4, were only checked by a model within the tests of package place, with one policy and made-up load. Ruled out: a simulator of the cluster (one scheduler and its runners decide everything that is measured); files of traces (the generator gives the same trace for the same seed); a share of one prefix for all callers, which every runner has cached after a second. Change: package replay drives place with each policy in one event loop, with the pace of the engine stand-in. Subcommand "replay" of standin prints the scenarios side by side and each target as met or by how much it is missed.

--- a/internal/standin/progrm/run.go
+++ b/internal/standin/progrm/run.go
@@ -19,6 +19,7 @@
 		engine(out),
 		plain(out),
 		load(out),
+		replay(out),
 	}
 }
 
--- /dev/null
+++ b/internal/standin/replay/batch.go
@@ -0,0 +1,105 @@
+package replay
+
+import (
+	"time"
+)
+
+// backlog is the number of batch items without a deadline that always wait or
+// run: the most that one job has in flight.
+const backlog = 256
+
+// backlogCaller submits the backlog.
+const backlogCaller = "backlog"
+
+// job is a batch job of the trace.
+type job struct {
+	deadline time.Time
+	missed   bool
+}
+
+// submit sends all items of a job.
+func (r *run) submit(l *line) {
+	j := &job{deadline: r.c.now.Add(l.window)}
+	for range l.Items {
+		r.arrive(&call{l: l, j: j})
+	}
+}
+
+// startBacklog keeps items waiting from the start, like those of the trace's
+// jobs in turn.
+func (r *run) startBacklog() {
+	var l []*line
+	for _, x := range r.s.t.lines {
+		if x.Kind == kindBatch {
+			o := *x
+			o.Caller = backlogCaller
+			l = append(l, &o)
+		}
+	}
+	if len(l) == 0 {
+		return
+	}
+	for i := range backlog {
+		r.arrive(&call{l: l[i%len(l)]})
+	}
+}
+
+// itemEnded sends an item again that was not completed, or the next one of the
+// backlog.
+func (r *run) itemEnded(k *call, code string, wait time.Duration) {
+	n := &call{l: k.l, j: k.j}
+	switch {
+	case k.j == nil && code == "":
+		r.c.after(0, func() { r.arrive(n) })
+	case k.j == nil:
+		r.c.after(wait, func() { r.arrive(n) })
+	case code == "":
+		if r.c.now.After(k.j.deadline) {
+			r.missed(k.j)
+		}
+	case r.c.now.Add(wait).After(k.j.deadline):
+		r.missed(k.j)
+	default:
+		r.c.after(wait, func() { r.arrive(n) })
+	}
+}
+
+func (r *run) missed(j *job) {
+	r.f.missedItems++
+	if !j.missed {
+		j.missed = true
+		r.f.missedJobs++
+	}
+}
+
+// burstCaller is the one with many requests.
+const burstCaller = "region"
+
+// startBurst sends a caller's burst at half time, and one request each of the
+// small callers in the rest of the trace.
+func (r *run) startBurst() {
+	var l *line
+	for _, x := range r.s.t.lines {
+		if x.Kind == kindOnline {
+			l = x
+			break
+		}
+	}
+	if l == nil {
+		return
+	}
+	b := *l
+	b.Caller, b.Prefix = burstCaller, burstCaller
+	r.c.after(r.s.t.length/2, func() {
+		for range r.s.burst {
+			r.arrive(&call{l: &b, online: true})
+		}
+	})
+	g := r.s.t.length / 2 / time.Duration(r.s.small+1)
+	for i := range r.s.small {
+		o := *l
+		o.Caller = hostName(i)
+		o.Prefix = o.Caller
+		r.c.after(r.s.t.length/2+time.Duration(i+1)*g, func() { r.arrive(&call{l: &o, online: true, small: true}) })
+	}
+}
