--- a/internal/coordination/sched/exchange.go
+++ b/internal/coordination/sched/exchange.go
@@ -208,6 +208,8 @@
 	switch {
 	case m.unanswered && f.verdict == trail.NotRun && unconnected(f.code):
 		f.o = refused
+	case m.unanswered && f.verdict == trail.NotRun && f.code == codeLeaving:
+		f.o = draining
 	case f.code == codeLost:
 		f.o = crashed
 	}
--- a/internal/coordination/sched/reply.go
+++ b/internal/coordination/sched/reply.go
@@ -14,7 +14,9 @@
 	codeRefused     = "backend-refused"
 	codeUnreachable = "backend-unreachable"
 	codeDraining    = "backend-draining"
-	codeLost        = "backend-lost"
+	// The client of the backend servers has read the drain mark.
+	codeLeaving = "backend-leaving"
+	codeLost    = "backend-lost"
 	// The answer ended early or has a gap.
 	codeIncomplete = "answer-incomplete"
 )
