coordination/sched, route, place: a poisoned request is rejected everywhere

Cause: each scheduler counted crashes on its own. Schedulers sent them in their reports, but nothing read them and nothing wrote crashes/<fingerprint>, so that one request went on to crash engines of other schedulers. Four more faults were found on the way: - the place module rejected with request-poisoned, the entry and the job owner know request-rejected, so that the job owner ran a rejected item again; - the router passed a rejected call on to the next scheduler; - replies to a call that the router had passed on named the derived attempt, so that the job owner dropped them and counted answer-incomplete; - a suspect could be the probe call to a dead engine, whose reset connection was then the second crash of an innocent request.

Ruled out: only the reports, because a call that is passed on can overtake them; writing the object before the rejection, because a call must not wait for the platform.

Change: the End of a call names its crashes, and the router hands them on with the call. The router gives all reports to the scheduler of its process, and a report is sent at once after a crash. The scheduler that rejects writes crashes/<fingerprint> by conditional create, repeated until it took effect. The code is request-rejected everywhere, and it ends a call in the router. Replies that the router delivers name the caller's attempt. A model engine that was lost takes no suspect until it has shown life by a load report, a token or an answer; a suspect without another engine goes to another scheduler. Golden sessions and tests that held request-poisoned now hold request-rejected.

Conclusion: a request that crashes each engine costs at most two of them in these tests. A resend that reaches another scheduler before the report of the first crash would cost one more; the tests have not shown it.

--- a/internal/command/tool/build.go
+++ b/internal/command/tool/build.go
@@ -81,6 +81,8 @@
 	x := sched.New(p.life, p.self, q, p.v, bksrv.New(p.d, p.l, p.r), scrape.New(p.d), p.l, p.r)
 	k := claim.New(p.life, p.s.MemberID(), p.store, p.v, p.l, p.r)
 	r := route.New(p.life, p.s.MemberID(), p.s.DataCentre(), p.m, p.v, p.l, p.r)
+	r.Forward(x.Reported)
+	x.KeepRejections(p.store)
 	j := jobs.New(p.life, p.s.MemberID(), p.store, p.bulk(), r, p.v, p.l, p.r)
 	return operations{
 		call: x.ServeCall, report: x.ServeReport, claim: k.ServeClaim, settle: k.ServeSettle,
--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -46,6 +46,7 @@
 		a.k.passed = true
 		a.k.verdict = trail.MayHaveRun
 		a.first = now
+		a.s.lost = false
 	}
 	return nil
 }
@@ -121,6 +122,7 @@
 	}
 	a.s.failed(now, true)
 	a.s.prefixes = prefixes{}
+	a.s.lost = a.k.v.model()
 	f := a.k.fingerprint
 	a.k.suspect = true
 	if p.crashes.Crashed(now, f, a.s.name) {
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -20,7 +20,7 @@
 	codeQueueFull   = "queue-full"
 	codeDeadline    = "deadline-unreachable"
 	codeExceeded    = "deadline-exceeded"
-	codePoisoned    = "request-poisoned"
+	codePoisoned    = "request-rejected"
 	codeRefused     = "backend-refused"
 	codeServerDrain = "backend-draining"
 	codeLost        = "backend-lost"
--- a/internal/coordination/place/dispatch.go
+++ b/internal/coordination/place/dispatch.go
@@ -76,7 +76,7 @@
 // call has not failed.
 func (v *service) otherPresent(now time.Time, k *call) bool {
 	return slices.ContainsFunc(v.servers, func(s *server) bool {
-		return s.present(now) && !slices.Contains(k.tried, s.name)
+		return s.present(now) && !(k.suspect && s.lost) && !slices.Contains(k.tried, s.name)
 	})
 }
 
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -61,6 +61,10 @@
 	// Calls that it may run after an ejection, 0 in full service. It grows by
 	// one with each completed call.
 	ramp int
+	// Whether it was lost and has shown no life since. A suspect must not test
+	// it: a connection that a dead backend server resets would count against
+	// the request. Only model engines, which report their load, are marked.
+	lost bool
 	// The suspect that waits for it to become idle, or nil.
 	reserved *call
 	prefixes prefixes
@@ -195,6 +199,7 @@
 	if s == nil {
 		return nil
 	}
+	s.lost = false
 	s.reported = slots
 	s.external = max(running+waiting-slices.Max(s.peaks[:]), 0)
 	s.externalAt = now
@@ -232,6 +237,7 @@
 
 // completed counts a call that the backend server ran to its end.
 func (s *server) completed(now time.Time) {
+	s.lost = false
 	s.failures = 0
 	if s.ramp == 0 || now.Before(s.ejectedUntil) {
 		return
@@ -244,6 +250,7 @@
 
 // recovered returns the backend server to full service.
 func (s *server) recovered() {
+	s.lost = false
 	s.failures = 0
 	s.ejections = 0
 	s.ejectedUntil = time.Time{}
--- a/internal/coordination/place/suspect.go
+++ b/internal/coordination/place/suspect.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	trail "bulrushtrail.example/trail"
 )
 
 // runSuspects runs the calls that were running when a host was lost, one at a
@@ -12,7 +14,12 @@
 	for len(v.suspects) > 0 && v.alone == nil {
 		k := v.suspects[0]
 		if !v.otherPresent(now, k) {
-			p.reject(k, codeLost, minRetryAfter)
+			c := codeLost
+			if k.verdict == trail.NotRun {
+				// Another scheduler may have a backend server for it.
+				c = codeNoServer
+			}
+			p.reject(k, c, minRetryAfter)
 			continue
 		}
 		s := v.reserve(now, k)
@@ -36,7 +43,7 @@
 func (v *service) reserve(now time.Time, k *call) *server {
 	var m *server
 	for _, s := range v.servers {
-		if !s.usable(now) || slices.Contains(k.tried, s.name) {
+		if !s.usable(now) || s.lost || slices.Contains(k.tried, s.name) {
 			if s.reserved == k {
 				s.reserved = nil
 			}
--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -140,10 +140,14 @@
 	"peer-unreachable":   true,
 }
 
+// codeRejected says that the request has crashed too many backend servers. It
+// must not reach another one, whatever the verdict.
+const codeRejected = "request-rejected"
+
 // passes says whether the call goes to another scheduler after the failure e,
 // and prepares its next attempt.
 func (p *replies) passes(e error) bool {
-	if p.begun || p.c.Err() != nil {
+	if p.begun || p.c.Err() != nil || trail.CodeOf(e) == codeRejected {
 		return false
 	}
 	v := trail.VerdictOf(e)
@@ -187,6 +191,7 @@
 		}
 		switch {
 		case f != nil && p.passes(f):
+			p.call.SetCrashes(append(p.call.GetCrashes(), r.GetEnd().GetCrashes()...))
 			p.release()
 			e = p.dispatch(f)
 		case e == nil && r.HasHead():
@@ -205,6 +210,11 @@
 // deliver returns the head that waited, if any, and then r.
 func (p *replies) deliver(r *wire.Reply) *wire.Reply {
 	p.begun = true
+	// The caller knows only the attempt that it began.
+	r.SetAttemptId(p.first)
+	if p.head != nil {
+		p.head.SetAttemptId(p.first)
+	}
 	if r.HasEnd() {
 		if p.mayHaveRun && r.GetEnd().GetVerdict() == wire.Verdict_VERDICT_NOT_RUN {
 			r.GetEnd().SetVerdict(wire.Verdict_VERDICT_MAY_HAVE_RUN)
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -35,6 +35,8 @@
 	stops map[string]context.CancelFunc
 	// End the current subscription so that a new one begins, by member id.
 	renewals map[string]context.CancelFunc
+	// Receives each report, nil for none.
+	reported func(*wire.Report)
 }
 
 type counts struct {
@@ -137,6 +139,12 @@
 	return k
 }
 
+// Forward passes each report of a scheduler on as it arrives, those of one
+// scheduler in order. The reports must not be changed.
+func (s *Router) Forward(to func(*wire.Report)) {
+	s.do(func(o *state) { o.reported = to })
+}
+
 // Loads returns the newest report of each scheduler that has sent one, by
 // member id. The reports must not be changed.
 func (s *Router) Loads() []*wire.Report {
--- a/internal/coordination/route/router_test.go
+++ b/internal/coordination/route/router_test.go
@@ -203,6 +203,9 @@
 		case e != nil:
 			s.failed(e)
 			return
+		case r.GetAttemptId() != "attempt-"+f[0]:
+			// Replies to a call that was passed on name the caller's attempt.
+			fmt.Fprintf(s.w, "  reply of attempt %s\n", r.GetAttemptId())
 		case r.HasHead():
 			fmt.Fprintln(s.w, "  head")
 		case r.HasData():
--- a/internal/coordination/route/subscribe.go
+++ b/internal/coordination/route/subscribe.go
@@ -70,12 +70,17 @@
 			return
 		}
 		_ = n.SetReadDeadline(time.Time{})
+		var f func(*wire.Report)
 		s.do(func(o *state) {
+			f = o.reported
 			// A report that came before the scheduler failed proves nothing.
 			if c.Err() == nil {
 				o.table.reported(m.GetId(), r)
 			}
 		})
+		if f != nil {
+			f(r)
+		}
 	}
 }
 
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -22,7 +22,8 @@
 	e.x.key = t.keys
 	t.exchanges[e.x.key] = e.x
 	close(e.x.accepted)
-	return t.p.Arrived(now, e.x.key, e.x.r)
+	d := t.learn(now, e.x.r.GetCrashes())
+	return append(d, t.p.Arrived(now, e.x.key, e.x.r)...)
 }
 
 // departure is a call whose exchange has ended. A call that is still in the
@@ -95,7 +96,11 @@
 	case draining:
 		return t.p.Draining(now, e.attempt)
 	case crashed:
-		return t.p.Crashed(now, e.attempt)
+		d := t.p.Crashed(now, e.attempt)
+		t.keepRejections(now)
+		// The other schedulers must know before the call comes to them.
+		t.report(now)
+		return d
 	}
 	return t.p.Failed(now, e.attempt, e.verdict, e.code)
 }
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -71,7 +71,7 @@
 		r.call(`{"caller":"other"}`)
 		check(t, false, r.attempts[3].address == a.address)
 		a.crash()
-		check(t, "body= end=may_have_run code=request-poisoned", x.String())
+		check(t, "body= end=may_have_run code=request-rejected", x.String())
 		// The other suspect waits until a backend server is idle.
 		check(t, []string{r.attempts[3].address + " other"}, r.live())
 		r.attempts[3].answer("")
@@ -79,7 +79,7 @@
 		r.attempts[4].answer("fine")
 		check(t, "body=fine end=ran", y.String())
 		z := r.call(`{"caller":"bad","fingerprint":7}`)
-		check(t, "body= end=not_run code=request-poisoned", z.String())
+		check(t, "body= end=not_run code=request-rejected", z.String())
 		check(t, 5, len(r.attempts))
 	})
 }
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -59,6 +59,7 @@
 		hosts:     map[string]*wire.Host{},
 		fetching:  map[string]bool{},
 		reports:   map[chan *wire.Report]sent{},
+		kept:      map[uint64]bool{},
 	}
 	go t.run(views.Latest(), views.Subscribe(c))
 	return s
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -46,6 +46,10 @@
 	draining bool
 	// Closed when the last call has ended after a drain.
 	idle []chan struct{}
+	// Where rejections are kept, nil for nowhere.
+	store trail.Store
+	// Fingerprints of the rejections that are kept or being kept.
+	kept map[uint64]bool
 }
 
 func (t *task) run(latest *wire.View, views <-chan *wire.View) {
@@ -98,7 +102,7 @@
 			t.forget(d.Attempt())
 		case decide.KindReject:
 			if x != nil {
-				x.order(order{end: end(d)})
+				x.order(order{end: t.end(d)})
 			}
 		}
 	}
@@ -131,7 +135,7 @@
 }
 
 // end returns the last reply to a call that was rejected.
-func end(d decide.Decision) *wire.End {
+func (t *task) end(d decide.Decision) *wire.End {
 	v := verdict(d.Verdict())
 	r := d.Reason()
 	m := messages[r]
@@ -139,7 +143,7 @@
 		m = "the request was not completed"
 	}
 	w := d.RetryAfter().Milliseconds()
-	return wire.End_builder{Verdict: &v, Code: &r, Message: &m, RetryAfterMs: &w}.Build()
+	return wire.End_builder{Verdict: &v, Code: &r, Message: &m, RetryAfterMs: &w, Crashes: t.crashesOf(d.Call())}.Build()
 }
 
 // messages explains the codes of the place module to callers.
@@ -150,7 +154,7 @@
 	"queue-full":           "too many requests wait for the service",
 	"deadline-unreachable": "the deadline can't be met",
 	"deadline-exceeded":    "the deadline passed before the answer was complete",
-	"request-poisoned":     "backend servers were lost each time they ran this request",
+	"request-rejected":     "backend servers were lost each time they ran this request",
 	"backend-refused":      "the backend server refused the connection",
 	"backend-draining":     "the backend server is shutting down",
 	"backend-failed":       "the backend server did not complete the request",
