--- a/internal/standin/fleet/batch_test.go
+++ b/internal/standin/fleet/batch_test.go
@@ -78,16 +78,16 @@
 // completes waits until n more items than before are completed.
 func (s *small) completes(entry int, id string, n int64) {
 	s.t.Helper()
-	was := int64(-1)
+	w := int64(-1)
 	s.until(fmt.Sprintf("%d more items are completed", n), func() bool {
 		b := s.batch(entry, id)
 		if b == nil {
 			return false
 		}
-		if was < 0 {
-			was = b.RequestCounts.Completed
+		if w < 0 {
+			w = b.RequestCounts.Completed
 		}
-		return b.RequestCounts.Completed >= was+n
+		return b.RequestCounts.Completed >= w+n
 	})
 }
 
--- a/internal/standin/fleet/leaving_test.go
+++ b/internal/standin/fleet/leaving_test.go
@@ -99,14 +99,14 @@
 	})
 	mark(true)
 	l := s.startLoad()
-	total := s.stays(l, engine)
+	o := s.stays(l, engine)
 	l.more("load goes on")
-	if v := s.runs(engine).Total; v != total {
-		t.Errorf("%s ran %d more requests after its mark took effect", engine, v-total)
+	if v := s.runs(engine).Total; v != o {
+		t.Errorf("%s ran %d more requests after its mark took effect", engine, v-o)
 	}
 	l.end()
-	if whole := s.checkStreams("leaving", w); whole != len(w) {
-		t.Errorf("%d of %d streams in progress are whole", whole, len(w))
+	if h := s.checkStreams("leaving", w); h != len(w) {
+		t.Errorf("%d of %d streams in progress are whole", h, len(w))
 	}
 	if n := l.failed.Load(); n > 0 {
 		t.Errorf("%d questions of the load failed", n)
--- a/internal/standin/fleet/once_test.go
+++ b/internal/standin/fleet/once_test.go
@@ -35,44 +35,44 @@
 	if e != nil {
 		t.Fatal(e)
 	}
-	id := b.ID
-	s.resubmit(2, k, id)
-	s.completes(1, id, 1)
+	u := b.ID
+	s.resubmit(2, k, u)
+	s.completes(1, u, 1)
 
-	s.killAndRestart(s.owner(id))
-	s.resubmit(3, k, id)
-	s.completes(1, id, 1)
+	s.killAndRestart(s.owner(u))
+	s.resubmit(3, k, u)
+	s.completes(1, u, 1)
 
 	s.killAndRestart("depot-1")
-	s.completes(1, id, 1)
+	s.completes(1, u, 1)
 
 	s.Kill("entry-1")
-	s.resubmit(2, k, id)
+	s.resubmit(2, k, u)
 	s.restart("entry-1")
-	s.completes(1, id, 1)
+	s.completes(1, u, 1)
 
 	s.platformFaults(map[string]any{"lost-answers": map[string]any{"kind": "jobs"}})
-	s.completes(1, id, 2)
+	s.completes(1, u, 2)
 	s.platformFaults(map[string]any{})
-	s.completes(1, id, 1)
+	s.completes(1, u, 1)
 
 	s.platformOutage()
-	s.completes(1, id, 1)
+	s.completes(1, u, 1)
 
-	s.replaceOwner(id)
-	s.completes(1, id, 1)
+	s.replaceOwner(u)
+	s.completes(1, u, 1)
 
 	n := s.engines()[0]
 	s.Kill(n)
-	s.resubmit(3, k, id)
-	if b := s.batch(2, id); b == nil || b.Status != openai.BatchStatusInProgress {
+	s.resubmit(3, k, u)
+	if b := s.batch(2, u); b == nil || b.Status != openai.BatchStatusInProgress {
 		t.Fatalf("batch is not in progress at the last fault: %v", b)
 	}
 	s.restart(n)
 	for _, n := range s.engines() {
 		s.engineFaults(n, map[string]any{"slow": fastFactor})
 	}
-	b = s.finished(2, id)
+	b = s.finished(2, u)
 	if b.Status != openai.BatchStatusCompleted {
 		t.Fatalf("batch is %s with %d of %d items", b.Status, b.RequestCounts.Completed, b.RequestCounts.Total)
 	}
@@ -86,7 +86,7 @@
 	}
 	for i := 1; i <= 3; i++ {
 		s.checkOutput(i, b, k)
-		s.resubmit(i, k, id)
+		s.resubmit(i, k, u)
 	}
 }
 
@@ -168,10 +168,10 @@
 
 func (s *small) questionOnce(n int) {
 	s.t.Helper()
-	id := fmt.Sprintf("pregunta-%d", n)
+	u := fmt.Sprintf("pregunta-%d", n)
 	o, d := fmt.Sprintf("entry-%d", n), fmt.Sprintf("depot-%d", n)
-	b := chatBody("How many mesh racks are left at counter "+id, 100, true)
-	a, e := http.DefaultClient.Do(s.question(s.t.Context(), n, b, id))
+	b := chatBody("How many mesh racks are left at counter "+u, 100, true)
+	a, e := http.DefaultClient.Do(s.question(s.t.Context(), n, b, u))
 	if e != nil {
 		s.t.Fatal(e)
 	}
@@ -182,15 +182,15 @@
 	}
 	s.Kill(o)
 	r := n%3 + 1
-	var whole string
+	var h string
 	s.until("resent question is answered", func() bool {
-		v, w := s.ask(r, b, id)
-		whole = w
+		v, w := s.ask(r, b, u)
+		h = w
 		return v == http.StatusOK
 	})
-	s.checkStream("resent", whole, b)
-	if !strings.Contains(whole, ": stored=true") {
-		s.t.Errorf("answer is not stored:\n%s", whole)
+	s.checkStream("resent", h, b)
+	if !strings.Contains(h, ": stored=true") {
+		s.t.Errorf("answer is not stored:\n%s", h)
 	}
 	s.restart(o)
 	s.Kill(d)
@@ -201,11 +201,11 @@
 	for i := 1; i <= 3; i++ {
 		var w string
 		s.until(fmt.Sprintf("entry %d gives the stored answer", i), func() bool {
-			v, x := s.get(s.EntryURL(i)+"/v1/requests/"+id, smallCaller)
+			v, x := s.get(s.EntryURL(i)+"/v1/requests/"+u, smallCaller)
 			w = v
 			return x == http.StatusOK
 		})
-		if d := cmp.Diff(whole, w); d != "" {
+		if d := cmp.Diff(h, w); d != "" {
 			s.t.Errorf("stored answer through entry %d (-sent +stored):\n%s", i, d)
 		}
 	}
--- a/internal/standin/fleet/own_answer_test.go
+++ b/internal/standin/fleet/own_answer_test.go
@@ -27,19 +27,19 @@
 	s.during("killed", e[:1], func() { s.Kill(e[0]) })
 	s.restart(e[0])
 
-	refuse := map[string]any{"crash": true, "crash-mode": "refuse"}
-	s.during("crashed", e[1:2], func() { s.engineFaults(e[1], refuse) })
+	r := map[string]any{"crash": true, "crash-mode": "refuse"}
+	s.during("crashed", e[1:2], func() { s.engineFaults(e[1], r) })
 	s.engineFaults(e[1], map[string]any{"restart": true})
 
-	silence := map[string]any{"silence": true}
-	s.during("silent", e[2:3], func() { s.engineFaults(e[2], silence) })
+	q := map[string]any{"silence": true}
+	s.during("silent", e[2:3], func() { s.engineFaults(e[2], q) })
 	s.serves(e[2])
 
 	s.platformFaults(map[string]any{"outage": "close"})
 	for _, n := range []string{"silent, platform down", "silent again, platform down"} {
 		s.during(n, e[2:], func() {
-			s.engineFaults(e[2], silence)
-			s.engineFaults(e[3], silence)
+			s.engineFaults(e[2], q)
+			s.engineFaults(e[3], q)
 		})
 		s.serves(e[2])
 		s.serves(e[3])
@@ -65,10 +65,10 @@
 		return true
 	})
 	fault()
-	whole := s.checkStreams(what, w)
-	s.t.Logf("%s: %d of %d streams are whole", what, whole, len(w))
-	if len(engines) == 0 && whole < len(w) {
-		s.t.Errorf("%s: %d of %d streams are whole", what, whole, len(w))
+	h := s.checkStreams(what, w)
+	s.t.Logf("%s: %d of %d streams are whole", what, h, len(w))
+	if len(engines) == 0 && h < len(w) {
+		s.t.Errorf("%s: %d of %d streams are whole", what, h, len(w))
 	}
 }
 
--- a/internal/standin/fleet/stream_test.go
+++ b/internal/standin/fleet/stream_test.go
@@ -9,16 +9,16 @@
 // The fault is "CODE VERDICT" of an error event, or tells what is missing.
 func streamOf(events string) (text, fault string) {
 	var b strings.Builder
-	done := false
+	n := false
 	for _, l := range strings.Split(events, "\n") {
 		d, y := strings.CutPrefix(l, "data: ")
 		switch {
 		case !y:
 			continue
-		case done:
+		case n:
 			return b.String(), "event after the end: " + d
 		case d == "[DONE]":
-			done = true
+			n = true
 			continue
 		}
 		var v struct {
@@ -43,7 +43,7 @@
 			b.WriteString(c.Delta.Content)
 		}
 	}
-	if !done {
+	if !n {
 		return b.String(), "no end"
 	}
 	return b.String(), ""
