--- a/internal/standin/fleet/main_test.go
+++ b/internal/standin/fleet/main_test.go
@@ -43,7 +43,19 @@
 // start runs a deployment of examples/ and puts its services text in force.
 func start(t *testing.T, deployment string) *fleet.Fleet {
 	t.Helper()
-	x, e := fleet.New(filepath.Join(examples, deployment, "deployment.json"), t.TempDir(), program)
+	return startFiles(t, filepath.Join(examples, deployment, "deployment.json"), filepath.Join(examples, deployment, "services.json"))
+}
+
+// startSmall runs the deployment of testdata/, which leaves room for the race
+// detector in every process.
+func startSmall(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	return startFiles(t, "testdata/small.json", "testdata/services.json")
+}
+
+func startFiles(t *testing.T, deployment, services string) *fleet.Fleet {
+	t.Helper()
+	x, e := fleet.New(deployment, t.TempDir(), program)
 	if e != nil {
 		t.Fatal(e)
 	}
@@ -55,7 +67,7 @@
 	if e != nil {
 		t.Fatal(e)
 	}
-	operate(t, x, "apply", "-f", filepath.Join(examples, deployment, "services.json"))
+	operate(t, x, "apply", "-f", services)
 	return x
 }
 
