coordination/view: newest configuration of all peers, known before ready

Cause: a scheduler that watches the platform, missed a text while it was frozen and ran on in an outage stayed with the old text, and so did processes of its data centre that started then: they asked the peers one after the other, and the first answer ended the questions. Also, a process was ready as soon as it knew the members; an entry that had started anew answered unknown-model for a model that exists. Ruled out: a text that the watch brings late, because the socket of a frozen process holds it; the test ends the watch by an outage before the freeze. A view has a configuration of version 0 when the platform has none, and a process is ready when it knows the configuration and the members.

--- a/internal/command/tool/serve.go
+++ b/internal/command/tool/serve.go
@@ -166,7 +166,7 @@
 // ready says whether the process takes work: the agreed state is known and no
 // shutdown was asked for.
 func (p *process) ready() bool {
-	return p.c.Err() == nil && p.v.Latest().GetMembersVersion() > 0
+	return p.c.Err() == nil && p.v.Known()
 }
 
 func (p *process) shutDown(o operations) error {
--- a/internal/coordination/view/relay.go
+++ b/internal/coordination/view/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"bulrushtrail.example/trail/internal/coordination/owner"
@@ -17,8 +18,10 @@
 	// How long a process that reaches no watcher watches the platform itself
 	// before it tries the watchers again.
 	directPeriod = 30 * time.Second
-	// A platform that has not answered for so long at start is taken as down.
-	startPeriod = 3 * time.Second
+	// Schedulers that are asked for their view besides the peers of the
+	// settings, which may have left since.
+	askedScheds = 3
+	askTimeout  = 2 * time.Second
 )
 
 // watchers returns the members of this data centre that watch the platform.
@@ -41,7 +44,6 @@
 		go v.whileWatchers(d, f, w)
 		switch {
 		case len(w) == 0:
-			go v.askPeers(d)
 			v.watchPlatform(d)
 		case slices.ContainsFunc(w, v.isSelf):
 			v.watchPlatform(d)
@@ -84,22 +86,41 @@
 	v.watchPlatform(d)
 }
 
-// askPeers learns the view from the peers of the settings when the platform
-// does not answer at start.
+// askPeers takes the view of each peer of the settings and of a few schedulers
+// while the platform does not answer. A process that starts then, or was frozen
+// and missed changes, gets the newest that they hold.
 func (v *Views) askPeers(c context.Context) {
-	if !pause(c, startPeriod) {
-		return
+	l := slices.Clone(v.peers)
+	r := owner.Rank(v.Latest().GetMembers(), "sched", "ask/"+v.self.GetId(), "")
+	for _, m := range r[:min(len(r), askedScheds)] {
+		l = append(l, m.GetPeerAddress())
 	}
-	for c.Err() == nil && v.Latest().GetMembersVersion() == 0 {
-		for _, p := range v.peers {
-			d, f := context.WithTimeout(c, directPeriod)
-			_ = v.subscribeTo(d, p)
-			f()
-		}
-		if !pause(c, platformRetry) {
-			return
+	slices.Sort(l)
+	var w sync.WaitGroup
+	for _, p := range slices.Compact(l) {
+		if p != v.self.GetPeerAddress() {
+			w.Go(func() { v.ask(c, p) })
 		}
 	}
+	w.Wait()
+}
+
+// ask applies the first view that a peer sends, which is all that it knows.
+func (v *Views) ask(c context.Context, address string) {
+	c, f := context.WithTimeout(c, askTimeout)
+	defer f()
+	s, e := v.m.Open(c, address, wire.Open_builder{Watch: &wire.WatchRequest{}}.Build())
+	if e != nil {
+		return
+	}
+	defer s.Close()
+	g := context.AfterFunc(c, func() { _ = s.SetDeadline(time.Now()) })
+	defer g()
+	n := &wire.View{}
+	e = s.Recv(n)
+	if e == nil {
+		v.publish(c, n)
+	}
 }
 
 // subscribeTo applies what the peer sends until the stream ends.
--- a/internal/coordination/view/state.go
+++ b/internal/coordination/view/state.go
@@ -39,7 +39,7 @@
 		MembersVersion: proto.Int64(v.GetMembersVersion()), HostsVersion: proto.Int64(v.GetHostsVersion()), CrashesVersion: proto.Int64(v.GetCrashesVersion()),
 	}.Build()
 	o := false
-	if n.GetConfig().GetVersion() > v.GetConfig().GetVersion() {
+	if newerConfig(n, v) {
 		w.SetConfig(n.GetConfig())
 		o = true
 	}
@@ -61,10 +61,17 @@
 	return w, o
 }
 
+// newerConfig says whether the configuration of v is newer than that of w. A
+// view without one does not know yet whether the platform has one; when it has
+// none, the version is 0.
+func newerConfig(v, w *wire.View) bool {
+	return v.GetConfig().GetVersion() > w.GetConfig().GetVersion() || v.HasConfig() && !w.HasConfig()
+}
+
 // newer returns the parts of v that are newer than in sent.
 func newer(v, sent *wire.View) *wire.View {
 	w := &wire.View{}
-	if v.GetConfig().GetVersion() > sent.GetConfig().GetVersion() {
+	if newerConfig(v, sent) {
 		w.SetConfig(v.GetConfig())
 	}
 	if v.GetMembersVersion() > sent.GetMembersVersion() {
@@ -91,15 +98,17 @@
 	var e error
 	switch l.kind {
 	case kindConfigs:
+		k := wire.Config_builder{Version: proto.Int64(0), Text: &wire.Text{}}.Build()
 		for _, o := range l.objects {
 			if o.Name() != currentName {
 				continue
 			}
 			t := &wire.Text{}
 			e = o.Decode(t)
-			if e == nil {
-				v.SetConfig(wire.Config_builder{Version: proto.Int64(o.Version()), Text: t}.Build())
-			}
+			k = wire.Config_builder{Version: proto.Int64(o.Version()), Text: t}.Build()
+		}
+		if e == nil {
+			v.SetConfig(k)
 		}
 	case kindMembers:
 		m, f := each(l.objects, func() *wire.Member { return &wire.Member{} })
--- a/internal/coordination/view/views.go
+++ b/internal/coordination/view/views.go
@@ -68,12 +68,20 @@
 	return s.feed
 }
 
-// Wait returns once a configuration and the members are known, or c ends.
+// Known says whether the members are known, and the configuration or that
+// there is none. A process that took work before would refuse it for services
+// that exist.
+func (v *Views) Known() bool {
+	n := v.Latest()
+	return n.HasConfig() && n.GetMembersVersion() > 0
+}
+
+// Wait returns once Known holds, or c ends.
 func (v *Views) Wait(c context.Context) error {
 	c, f := context.WithCancel(c)
 	defer f()
 	for w := range v.Subscribe(c) {
-		if w.GetMembersVersion() > 0 {
+		if w.HasConfig() && w.GetMembersVersion() > 0 {
 			return nil
 		}
 	}
--- a/internal/coordination/view/views_test.go
+++ b/internal/coordination/view/views_test.go
@@ -112,3 +112,48 @@
 		}
 	}
 }
+
+// started is a platform that lists the members at once and the configurations
+// when the test says how many there are.
+type started struct {
+	platform
+	configs chan int
+}
+
+func (p *started) List(c context.Context, kind string) ([]object.Object, int64, error) {
+	if kind != "configs" {
+		return nil, 1, nil
+	}
+	select {
+	case n := <-p.configs:
+		return []object.Object{config(5)}[:n], 5, nil
+	case <-c.Done():
+		return nil, 0, trail.ErrUnavailable
+	}
+}
+
+// A process that takes work before it knows the configuration refuses it for
+// services that exist. A system without a configuration must start all the
+// same.
+func TestKnownNeedsConfig(t *testing.T) {
+	for n, w := range []int64{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			c, f := context.WithCancel(t.Context())
+			l := &log.Logger{Handler: discard.New()}
+			p := &started{platform{watches: make(chan chan trail.Change)}, make(chan int)}
+			s := wire.Member_builder{Id: proto.String("entry-1"), Role: proto.String("entry"), DataCentre: proto.String("regina")}.Build()
+			v := view.New(c, s, p, mesh.New(c, &wire.Hello{}, unreachable{}, l), nil, l, prometheus.NewRegistry())
+			synctest.Wait()
+			if v.Known() || v.Latest().GetMembersVersion() == 0 {
+				t.Error("known with the members alone")
+			}
+			p.configs <- n
+			synctest.Wait()
+			if d := cmp.Diff(w, v.Latest().GetConfig().GetVersion()); d != "" || !v.Known() {
+				t.Error(d, v.Known())
+			}
+			f()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/coordination/view/watch.go
+++ b/internal/coordination/view/watch.go
@@ -27,6 +27,7 @@
 		l, n, e := v.store.List(c, kind)
 		if e != nil {
 			v.l.WithError(e).WithField("kind", kind).Debug("view: list failed")
+			v.unanswered(c, kind)
 			if !pause(c, platformRetry) {
 				return
 			}
@@ -51,6 +52,7 @@
 			return
 		}
 		if e != nil {
+			v.unanswered(c, kind)
 			if !pause(c, platformRetry) {
 				return
 			}
@@ -69,6 +71,13 @@
 	}
 }
 
+// unanswered asks the peers once for all kinds when the platform fails.
+func (v *Views) unanswered(c context.Context, kind string) {
+	if kind == kindConfigs {
+		go v.askPeers(c)
+	}
+}
+
 func (v *Views) publishList(c context.Context, kind string, version int64, objects map[string]object.Object) {
 	l := list{kind: kind, version: version, objects: make([]object.Object, 0, len(objects))}
 	for _, o := range objects {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -10,12 +10,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 )
 
 const (
 	// Operator key of the deployments that this package starts.
 	operatorKey  = "operator"
+	readyPath    = "/readyz"
 	readyTimeout = 30 * time.Second
 	readyPeriod  = 50 * time.Millisecond
 	// Graceful shutdown of one process.
@@ -101,7 +103,7 @@
 		"-peer-address", h + ":7000", "-admin-address", h + ":7001", "-platform-url", f.PlatformURL(),
 		"-peers", f.network + ".20:7000," + f.network + ".21:7000",
 	}, arguments...)
-	f.add(n, "bulrushtrail", "http://"+h+":7001/readyz", a...)
+	f.add(n, "bulrushtrail", "http://"+h+":7001"+readyPath, a...)
 }
 
 func (f *Fleet) add(name, program, ready string, arguments ...string) {
@@ -197,6 +199,12 @@
 // EntryURL returns the URL of entry i, counted from 1.
 func (f *Fleet) EntryURL(i int) string { return fmt.Sprintf("http://%s.%d:8080", f.network, 59+i) }
 
+// AdminURL returns the URL of the metrics and health checks of a process of
+// the system.
+func (f *Fleet) AdminURL(name string) string {
+	return strings.TrimSuffix(f.process(name).ready, readyPath)
+}
+
 // OperatorKey returns the key of the operators' API.
 func (f *Fleet) OperatorKey() string { return operatorKey }
 
