transport/httpd, state/conf: an entry takes requests during a drain delay

Cause: on SIGTERM an entry closed its listener and idle connections at once, while its balancer still sent on them. Ruled out: Server.SetKeepAlivesEnabled(false), which closes the idle connections too; refusing new requests during the delay, which callers would see. Change: the setting drain-delay of entries, 2 s unless set, is the first part of drain-timeout. In it the process is not ready, takes requests and closes each connection after its answer. The entry refuses requests only after its server has stopped. Conclusion: a balancer that follows readiness loses no request to the close.

--- a/internal/command/tool/build.go
+++ b/internal/command/tool/build.go
@@ -52,7 +52,8 @@
 	h := httpd.New(x, p.l, p.r,
 		httpd.WithBodyBytes(p.s.FileBytes()),
 		httpd.WithConnections(p.s.Connections()),
-		httpd.WithDrainBound(p.s.DrainTimeout()),
+		httpd.WithDrainDelay(p.s.DrainDelay()),
+		httpd.WithDrainBound(p.s.DrainTimeout()-p.s.DrainDelay()),
 		httpd.WithCondition(p.ready),
 	)
 	return operations{api: h, drains: []func(context.Context) error{x.Drain}}, nil
--- a/internal/command/tool/serve.go
+++ b/internal/command/tool/serve.go
@@ -135,7 +135,7 @@
 		if e != nil {
 			return e
 		}
-		o.drains = append(o.drains, p.serveAPI(o.api, a, failed))
+		o.drains = []func(context.Context) error{inOrder(append([]func(context.Context) error{p.serveAPI(o.api, a, failed)}, o.drains...))}
 		h = o.api.Admin(p.r)
 	}
 	go func() { failed <- x.Serve(c, n) }()
@@ -163,6 +163,18 @@
 	}
 }
 
+// inOrder runs the drains one after the other. An entry refuses requests only
+// when its server takes no more of them.
+func inOrder(l []func(context.Context) error) func(context.Context) error {
+	return func(c context.Context) error {
+		var e error
+		for _, d := range l {
+			e = errors.CombineErrors(e, d(c))
+		}
+		return e
+	}
+}
+
 // ready says whether the process takes work: the agreed state is known and no
 // shutdown was asked for.
 func (p *process) ready() bool {
--- a/internal/state/conf/settings.go
+++ b/internal/state/conf/settings.go
@@ -16,10 +16,13 @@
 	codeSetting = "setting"
 	// The longest an online request may run, so that no planned stop cuts one.
 	defaultDrainTimeout = 120 * time.Second
-	defaultBodyBytes    = 8 << 20
-	defaultFileBytes    = 256 << 20
-	defaultConnections  = 10000
-	defaultCopies       = 2
+	// Balancers check the readiness of an entry about once a second, and some
+	// wait for a second failure.
+	defaultDrainDelay  = 2 * time.Second
+	defaultBodyBytes   = 8 << 20
+	defaultFileBytes   = 256 << 20
+	defaultConnections = 10000
+	defaultCopies      = 2
 )
 
 // Settings are the settings of one process. Check must have accepted them
@@ -44,9 +47,11 @@
 	dataFolder string
 	// JSON object from caller key to caller name; empty lets each key name
 	// its caller, which is for trials only.
-	callersFile   string
-	operatorKey   string
-	drainTimeout  time.Duration
+	callersFile  string
+	operatorKey  string
+	drainTimeout time.Duration
+	// Part of drainTimeout.
+	drainDelay    time.Duration
 	bodyBytes     int64
 	fileBytes     int64
 	connections   int
@@ -74,6 +79,7 @@
 		f.StringVar(&s.callersFile, "callers-file", "", "JSON file: object from caller key to caller name")
 		f.BoolVar(&s.unnamedCaller, "unnamed-callers", false, "accept any key as its caller's name; for trials only")
 		f.StringVar(&s.operatorKey, "operator-key", "", "key of the operators' API; best set by environment")
+		f.DurationVar(&s.drainDelay, "drain-delay", defaultDrainDelay, "time at the start of a graceful shutdown in which requests are still taken, until the balancer stops sending")
 		f.Int64Var(&s.bodyBytes, "body-bytes", defaultBodyBytes, "largest body of a request, in bytes")
 		f.Int64Var(&s.fileBytes, "file-bytes", defaultFileBytes, "largest uploaded file, in bytes")
 		f.IntVar(&s.connections, "connections", defaultConnections, "most connections open at a time")
@@ -120,6 +126,9 @@
 func (s *Settings) checkEntry(l trail.Errors) trail.Errors {
 	l = address(l, "http-address", s.httpAddress)
 	l = required(l, "operator-key", s.operatorKey)
+	if s.drainDelay < 0 || s.drainDelay >= s.drainTimeout {
+		l = fault(l, "drain-delay", "%v is not between 0 and the drain-timeout of %v", s.drainDelay, s.drainTimeout)
+	}
 	if s.bodyBytes <= 0 || s.bodyBytes > defaultBodyBytes {
 		l = fault(l, "body-bytes", "%d is not between 1 and %d", s.bodyBytes, int64(defaultBodyBytes))
 	}
@@ -208,6 +217,10 @@
 // DrainTimeout returns the longest graceful shutdown.
 func (s *Settings) DrainTimeout() time.Duration { return s.drainTimeout }
 
+// DrainDelay returns the time in which an entry that shuts down is not ready
+// but still takes requests; 0 for other roles. It is part of DrainTimeout.
+func (s *Settings) DrainDelay() time.Duration { return s.drainDelay }
+
 // BodyBytes returns the largest body of a request.
 func (s *Settings) BodyBytes() int64 { return s.bodyBytes }
 
--- a/internal/state/conf/settings_test.go
+++ b/internal/state/conf/settings_test.go
@@ -30,11 +30,11 @@
 func TestCheck(t *testing.T) {
 	f := flag.NewFlagSet("entry", flag.ContinueOnError)
 	s := conf.New(f, "entry")
-	e := ff.Parse(f, []string{"-peer-address", "localhost:1", "-copies", "3", "-log-level", "loud"})
+	e := ff.Parse(f, []string{"-peer-address", "localhost:1", "-copies", "3", "-drain-delay", "120s", "-log-level", "loud"})
 	if e != nil {
 		t.Fatal(e)
 	}
-	w := []string{"admin-address", "callers-file", "copies", "data-centre", "http-address", "log-level", "member-id", "operator-key", "peer-address", "platform-url"}
+	w := []string{"admin-address", "callers-file", "copies", "data-centre", "drain-delay", "http-address", "log-level", "member-id", "operator-key", "peer-address", "platform-url"}
 	if d := cmp.Diff(w, places(s.Check())); d != "" {
 		t.Error(d)
 	}
--- a/internal/transport/httpd/guard.go
+++ b/internal/transport/httpd/guard.go
@@ -9,10 +9,14 @@
 )
 
 // guard bounds the body and the time without progress, and flushes each write.
+// During the drain delay each answer ends its connection.
 func (s *Server) guard(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Inc()
 		defer s.inFlight.Dec()
+		if !s.serving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		k := http.NewResponseController(w)
 		b := &body{ReadCloser: r.Body, k: k}
 		r.Body = http.MaxBytesReader(w, b, s.bodyBytes)
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -35,6 +35,8 @@
 	connections int
 	// Time that requests in progress have after the context of Serve ends.
 	drainBound time.Duration
+	// Time after the context of Serve ends in which requests are still taken.
+	drainDelay time.Duration
 	// What must hold besides a running Serve.
 	condition func() bool
 	// Whether Serve runs and was not told to stop.
@@ -61,6 +63,15 @@
 	return func(s *Server) { s.drainBound = bound }
 }
 
+// WithDrainDelay sets the time after the context of Serve ends in which the
+// server is not ready but still takes requests, and closes each connection
+// after its answer. A balancer that follows readiness sends nothing more when
+// the listener and the idle connections are closed; a request that meets the
+// close of its connection would be lost. The default is 0.
+func WithDrainDelay(delay time.Duration) func(*Server) {
+	return func(s *Server) { s.drainDelay = delay }
+}
+
 // WithCondition makes readiness depend on condition too, which must not block.
 func WithCondition(condition func() bool) func(*Server) {
 	return func(s *Server) { s.condition = condition }
@@ -88,8 +99,8 @@
 }
 
 // Serve accepts connections on n until c ends, or n fails. Then the server is
-// not ready, accepts nothing more, and gives requests in progress the drain
-// bound to finish. It returns an error when n failed or the bound passed.
+// not ready, accepts nothing more after the drain delay, and gives requests in
+// progress the drain bound to finish. It returns an error when n failed or the bound passed.
 func (s *Server) Serve(c context.Context, n net.Listener) error {
 	// Contexts of requests don't derive from c, so that requests in progress
 	// survive its end.
@@ -113,7 +124,10 @@
 
 func (s *Server) shutDown(c context.Context, h *http.Server) error {
 	s.serving.Store(false)
-	s.l.Info("httpd: shutdown started")
+	s.l.WithField("delay", s.drainDelay.String()).Info("httpd: shutdown started")
+	// Server.SetKeepAlivesEnabled would close the idle connections at once, so
+	// the guard asks for the close of each connection instead.
+	time.Sleep(s.drainDelay)
 	c, f := context.WithTimeout(context.WithoutCancel(c), s.drainBound)
 	defer f()
 	e := h.Shutdown(c)
--- a/internal/transport/httpd/server_test.go
+++ b/internal/transport/httpd/server_test.go
@@ -143,6 +143,36 @@
 	})
 }
 
+// Guards against a stop that closes a connection just as the load balancer,
+// which has not yet seen that the server is not ready, sends on it.
+func TestDrainDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const d = 2 * time.Second
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }, httpd.WithDrainDelay(d))
+		_, _ = io.Copy(io.Discard, x.get(t).Body)
+		x.stop()
+		synctest.Wait()
+		if x.s.Ready() {
+			t.Error("ready after the stop")
+		}
+		// The first request goes on the idle connection, the second on a new one.
+		for range 2 {
+			r := x.get(t)
+			b, _ := io.ReadAll(r.Body)
+			if string(b) != "whole" || !r.Close {
+				t.Errorf("answer %q, connection closes: %v", b, r.Close)
+			}
+		}
+		time.Sleep(d)
+		synctest.Wait()
+		_, e := x.client.Get("http://server/")
+		if e == nil {
+			t.Error("accepts after the delay")
+		}
+		x.finish(t)
+	})
+}
+
 // Guards against a stop that waits for ever for a request that does not end.
 func TestStopIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
