coordination/route, claimc: a draining scheduler's refusal goes to the next

Cause: a planned stop of a scheduler reached callers as scheduler-draining, and as claim-refused for reorders, although another scheduler could take them. The members name a leaving scheduler a moment after it begins to refuse. Ruled out: cut requests; the rolling restart cut none, before and after. Change: the route passes calls that a scheduler refuses because it drains or has stopped on to the next one; the claim client asks the next scheduler when a claim is refused as draining, for which nothing was written. Measured: TestRollingRestart stops and starts all nine processes under load.

--- a/internal/coordination/claimc/client.go
+++ b/internal/coordination/claimc/client.go
@@ -25,6 +25,9 @@
 	releaseTries = 4
 	releasePause = 2 * time.Second
 	retryAfter   = 2 * time.Second
+	// Code of claim.Claims for a claim that it refuses without a write because
+	// its process shuts down.
+	codeDraining = "draining"
 )
 
 // Client takes and settles keys. It implements trail.Claims.
@@ -96,7 +99,8 @@
 }
 
 // exchange asks the schedulers in the order of preference until one can be
-// reached.
+// reached that is not shutting down. The members name one that shuts down a
+// moment late.
 func (k *Client) exchange(c context.Context, shard uint32, o *wire.Open, reply proto.Message) error {
 	l := owner.Rank(k.v.Latest().GetMembers(), "sched", claim.OwnerKey(shard), "")
 	var e error = trail.NewError("no-scheduler", trail.NotRun, "no scheduler is known")
@@ -107,7 +111,11 @@
 		var s *frame.Stream
 		s, e = k.m.Open(c, m.GetPeerAddress(), o)
 		if e == nil {
-			return receive(c, s, reply)
+			e = receive(c, s, reply)
+			if e != nil || !draining(reply) {
+				return e
+			}
+			continue
 		}
 		if trail.VerdictOf(e) != trail.NotRun {
 			return e
@@ -117,6 +125,11 @@
 	return e
 }
 
+func draining(reply proto.Message) bool {
+	a, b := reply.(*wire.ClaimReply)
+	return b && a.GetResult() == wire.ClaimReply_RESULT_REFUSED && a.GetCode() == codeDraining
+}
+
 func receive(c context.Context, s *frame.Stream, reply proto.Message) error {
 	defer s.Close()
 	e := s.SetDeadline(time.Now().Add(replyTimeout))
--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -132,9 +132,11 @@
 // refusals are the codes by which a scheduler says that another one may be
 // able to run the call.
 var refusals = map[string]bool{
-	"no-backend-server": true,
-	"leaving":           true,
-	"peer-unreachable":  true,
+	"no-backend-server":  true,
+	"leaving":            true,
+	"scheduler-draining": true,
+	"scheduler-stopped":  true,
+	"peer-unreachable":   true,
 }
 
 // passes says whether the call goes to another scheduler after the failure e,
