--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -136,6 +136,7 @@
 	"backend-draining":   true,
 	"backend-refused":    true,
 	"scheduler-draining": true,
+	"scheduler-stopped":  true,
 	"leaving":            true,
 	"peer-unreachable":   true,
 }
