--- a/internal/standin/fleet/once_test.go
+++ b/internal/standin/fleet/once_test.go
@@ -72,21 +72,28 @@
 	for _, n := range s.engines() {
 		s.engineFaults(n, map[string]any{"slow": fastFactor})
 	}
-	b = s.finished(2, u)
+	s.endsOnce(u, k)
+}
+
+// endsOnce waits for the end of the batch and checks its results through every
+// entry, also after a depot has lost its data.
+func (s *small) endsOnce(id string, k *items) {
+	s.t.Helper()
+	b := s.finished(2, id)
 	if b.Status != openai.BatchStatusCompleted {
-		t.Fatalf("batch is %s with %d of %d items", b.Status, b.RequestCounts.Completed, b.RequestCounts.Total)
+		s.t.Fatalf("batch is %s with %d of %d items", b.Status, b.RequestCounts.Completed, b.RequestCounts.Total)
 	}
 	for i := 1; i <= 3; i++ {
 		s.checkOutput(i, b, k)
 	}
 	s.Kill("depot-2")
-	e = os.RemoveAll(filepath.Join(s.folder, "data-2"))
+	e := os.RemoveAll(filepath.Join(s.folder, "data-2"))
 	if e != nil {
-		t.Fatal(e)
+		s.t.Fatal(e)
 	}
 	for i := 1; i <= 3; i++ {
 		s.checkOutput(i, b, k)
-		s.resubmit(i, k, u)
+		s.resubmit(i, k, id)
 	}
 }
 
--- a/internal/standin/fleet/preempt_test.go
+++ b/internal/standin/fleet/preempt_test.go
@@ -40,6 +40,30 @@
 	if e != nil {
 		t.Fatal(e)
 	}
+	s.fillsEngines()
+	c, f := context.WithCancel(t.Context())
+	defer f()
+	s.burst(c)
+	if s.cancelled() == 0 {
+		t.Error("no batch item gave way")
+	}
+	m := 0
+	for _, d := range s.Names("sched-") {
+		m += checkSteps(t, d, s.Log(d), b.ID)
+	}
+	if m == 0 {
+		t.Error("no scheduler has logged that a batch attempt gave way")
+	}
+	t.Logf("%d batch attempts gave way", m)
+	if o := s.batch(2, b.ID); o == nil || o.RequestCounts.Completed > shortItems {
+		t.Errorf("batch items have ended: %v", o)
+	}
+}
+
+// fillsEngines waits until each engine has work and their number of requests
+// stays for some polls.
+func (s *small) fillsEngines() {
+	s.t.Helper()
 	n := 0
 	y := 0
 	s.until("batch work fills its part of all engines", func() bool {
@@ -57,50 +81,45 @@
 		}
 		return y == 20
 	})
-	t.Logf("%d batch items run", n)
-	c, f := context.WithCancel(t.Context())
-	defer f()
+	s.t.Logf("%d batch items run", n)
+}
+
+// burst sends questions that last until c ends, and waits until each has its
+// first token while none has ended.
+func (s *small) burst(c context.Context) {
+	s.t.Helper()
 	var u, x atomic.Int64
 	for i := range 3 * burstPerEntry {
 		q := s.question(c, i%3+1, chatBody(fmt.Sprintf("Burst question %d", i), burstTokens, true), fmt.Sprintf("burst-%d", i))
 		go func() {
-			defer x.Add(1)
-			a, e := http.DefaultClient.Do(q)
-			if e != nil {
-				return
-			}
-			defer a.Body.Close()
-			r := bufio.NewReader(a.Body)
-			l, e := r.ReadString('\n')
-			if e != nil || a.StatusCode != http.StatusOK || !strings.Contains(l, `"content"`) {
-				t.Logf("question got %d %s", a.StatusCode, l)
-				return
-			}
-			u.Add(1)
-			for e == nil {
-				_, e = r.ReadString('\n')
-			}
+			s.follow(q, &u)
+			x.Add(1)
 		}()
 	}
 	s.until("each question has its first token", func() bool {
 		if x.Load() > 0 {
-			t.Fatalf("%d questions ended when %d had a first token", x.Load(), u.Load())
+			s.t.Fatalf("%d questions ended when %d had a first token", x.Load(), u.Load())
 		}
 		return u.Load() == 3*burstPerEntry
 	})
-	if s.cancelled() == 0 {
-		t.Error("no batch item gave way")
-	}
-	m := 0
-	for _, d := range s.Names("sched-") {
-		m += checkSteps(t, d, s.Log(d), b.ID)
+}
+
+// follow reads a stream to its end and counts it at its first token.
+func (s *small) follow(q *http.Request, first *atomic.Int64) {
+	a, e := http.DefaultClient.Do(q)
+	if e != nil {
+		return
 	}
-	if m == 0 {
-		t.Error("no scheduler has logged that a batch attempt gave way")
+	defer a.Body.Close()
+	r := bufio.NewReader(a.Body)
+	l, e := r.ReadString('\n')
+	if e != nil || a.StatusCode != http.StatusOK || !strings.Contains(l, `"content"`) {
+		s.t.Logf("question got %d %s", a.StatusCode, l)
+		return
 	}
-	t.Logf("%d batch attempts gave way", m)
-	if o := s.batch(2, b.ID); o == nil || o.RequestCounts.Completed > shortItems {
-		t.Errorf("batch items have ended: %v", o)
+	first.Add(1)
+	for e == nil {
+		_, e = r.ReadString('\n')
 	}
 }
 
