--- a/internal/state/answer/log.go
+++ b/internal/state/answer/log.go
@@ -29,6 +29,7 @@
 	l      log.Interface
 	stores chan store
 	reads  chan read
+	scans  chan chan []extent
 	done   chan struct{}
 }
 
@@ -84,7 +85,7 @@
 		}
 	}
 	l.WithFields(log.Fields{"answers": len(t.places), "files": len(p), "damaged": d}).Info("answer: folder opened")
-	s := &Log{l: l, stores: make(chan store), reads: make(chan read), done: make(chan struct{})}
+	s := &Log{l: l, stores: make(chan store), reads: make(chan read), scans: make(chan chan []extent), done: make(chan struct{})}
 	go s.run(c, t)
 	return s, nil
 }
@@ -112,15 +113,10 @@
 // Read returns the answer stored for a caller and request id. The error has
 // the code "answer-missing" when there is none or its record is damaged.
 func (s *Log) Read(c context.Context, caller, request string) (*wire.StoredAnswer, error) {
-	r := read{keyOf(caller, request), make(chan location, 1)}
-	select {
-	case s.reads <- r:
-	case <-c.Done():
-		return nil, c.Err()
-	case <-s.done:
-		return nil, os.ErrClosed
+	p, e := s.locate(c, caller, request)
+	if e != nil {
+		return nil, e
 	}
-	p := <-r.reply
 	if p.f == nil {
 		return nil, trail.NewError("answer-missing", trail.NotRun, "no answer is stored")
 	}
@@ -131,3 +127,16 @@
 	}
 	return a.GetStored(), nil
 }
+
+// locate asks the task where an answer is.
+func (s *Log) locate(c context.Context, caller, request string) (location, error) {
+	r := read{keyOf(caller, request), make(chan location, 1)}
+	select {
+	case s.reads <- r:
+		return <-r.reply, nil
+	case <-c.Done():
+		return location{}, c.Err()
+	case <-s.done:
+		return location{}, os.ErrClosed
+	}
+}
--- a/internal/state/answer/task.go
+++ b/internal/state/answer/task.go
@@ -18,6 +18,8 @@
 			return
 		case r := <-s.reads:
 			r.reply <- t.places[r.k]
+		case r := <-s.scans:
+			r <- t.extents()
 		case a := <-s.stores:
 			t.commit(s.gather(a))
 		case <-w.C:
