internal/coordination/depot: replace lost copies

Cause: segments and answers got two copies when they were written. Nothing copied them again when a depot was lost or came back with an empty disk, so the loss of the other holder lost data (P1).

Ruled out: - A record of where the second copy is: it would have to be kept durably and corrected after each copy. A check asks the other depots instead, in the order in which they would take a copy. - Put for sending segments: with Copy the receiver bounds what it fetches from all others together. - Checking only after changes that were seen: a depot misses those during its own restart, so it also checks after its start.

Change: losses.go decides from the members when a check is due (60 s after a depot is gone or has a new incarnation, and after the own start). recopy.go checks and copies to the first depot in rendezvous order in another data centre, at 16 MB/s. A failed check is repeated after 60 s. An answer that every target has in an earlier form is counted as a conflict and not repeated. Copy is answered at once when the segment is there. bulk.Get asks the depots that the segment names, then the others in rendezvous order of its id, and those that are leaving at the end.

Guards, all under the paused clock. On the code before the change these tests failed: TestLostOneAfterAnother, TestDataCentresLost, TestEmptyFolder, TestEmptyFolderAndShortAbsence, TestCopiesAreRepeated, TestLossDuringOwnRestart, TestCopyRate (nothing was copied), TestReadersFindCopies, TestCopyOfWhatIsThere.

Measured: go test -race passes for coordination, state and transport, for depot in three runs, and for TestTour of fleet. The rate of answers, real processes with a lost depot and large folders were not tested.

Conclusion: a second loss after the check loses nothing. Losing both holders within the delay and the copying still loses what only they had.

--- a/internal/coordination/bulk/pair.go
+++ b/internal/coordination/bulk/pair.go
@@ -34,24 +34,26 @@
 }
 
 // holders returns the depots that may have a copy: first those that the
-// segment names, then all others, because copies are moved when a host goes
-// away. Leaving depots still serve reads.
+// segment names, with the client's data centre before others, then the rest in
+// rendezvous order of the segment id, because that is where a depot copies a
+// segment whose second copy is lost. Leaving depots still serve reads and come
+// last of the rest.
 func (k *Client) holders(s *wire.Segment) []*wire.Member {
-	var l []*wire.Member
-	for _, m := range k.v.Latest().GetMembers() {
-		if m.GetRole() == role {
+	v := k.v.Latest().GetMembers()
+	l := owner.Rank(v, role, s.GetId(), "")
+	for _, m := range v {
+		if m.GetRole() == role && m.GetLeaving() {
 			l = append(l, m)
 		}
 	}
 	o := func(m *wire.Member) int {
-		n := 0
-		if !slices.Contains(s.GetDepots(), m.GetId()) {
-			n += 2
+		switch {
+		case !slices.Contains(s.GetDepots(), m.GetId()):
+			return 2
+		case m.GetDataCentre() != k.dataCentre:
+			return 1
 		}
-		if m.GetDataCentre() != k.dataCentre {
-			n++
-		}
-		return n
+		return 0
 	}
 	slices.SortStableFunc(l, func(a, b *wire.Member) int { return o(a) - o(b) })
 	return l
--- a/internal/coordination/depot/cluster_test.go
+++ b/internal/coordination/depot/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,8 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/coordination/bulk"
 	"bulrushtrail.example/trail/internal/coordination/depot"
@@ -31,6 +34,10 @@
 	// Folder of each depot, by member id.
 	folders map[string]string
 	depots  map[string]*depot.Depot
+	// Ends the process of each depot, by member id.
+	stops map[string]context.CancelFunc
+	// Metrics of each depot, by member id.
+	metrics map[string]*prometheus.Registry
 	// Guards what follows.
 	mutex     sync.Mutex
 	listeners map[string]*listener
@@ -98,7 +105,8 @@
 		c, g := context.WithCancel(t.Context())
 		n := &cluster{
 			t: t, c: c, l: &log.Logger{Handler: discard.New()}, folders: map[string]string{},
-			depots: map[string]*depot.Depot{}, listeners: map[string]*listener{},
+			depots: map[string]*depot.Depot{}, stops: map[string]context.CancelFunc{},
+			metrics: map[string]*prometheus.Registry{}, listeners: map[string]*listener{},
 		}
 		for _, d := range centres {
 			n.add(d)
@@ -115,21 +123,31 @@
 // add starts one more depot.
 func (n *cluster) add(centre string) {
 	n.t.Helper()
-	d := fmt.Sprint("d", len(n.members)+1)
 	m := &wire.Member{}
-	m.SetId(d)
+	m.SetId(fmt.Sprint("d", len(n.members)+1))
 	m.SetRole("depot")
 	m.SetDataCentre(centre)
-	m.SetPeerAddress(d)
+	m.SetPeerAddress(m.GetId())
+	n.folders[m.GetId()] = n.t.TempDir()
+	n.start(m.GetId())
+	n.join(m)
+}
+
+// start runs a depot on its folder.
+func (n *cluster) start(d string) {
+	n.t.Helper()
+	c, f := context.WithCancel(n.c)
 	l := &listener{n: n, id: d, accept: make(chan net.Conn, 100), closed: make(chan struct{})}
-	w := n.mesh(d)
-	n.folders[d] = n.t.TempDir()
-	s, e := depot.New(n.c, d, n.folders[d], w, n, n.l, nil)
+	h := &wire.Hello{}
+	h.SetMemberId(d)
+	w := mesh.New(c, h, n, n.l)
+	r := prometheus.NewRegistry()
+	s, e := depot.New(c, d, n.folders[d], w, n, n.l, r)
 	if e != nil {
 		n.t.Fatal(e)
 	}
 	go func() {
-		_ = w.Serve(n.c, l, func(c context.Context, f *frame.Stream, o *wire.Open, _ *wire.Hello) {
+		_ = w.Serve(c, l, func(c context.Context, f *frame.Stream, o *wire.Open, _ *wire.Hello) {
 			switch {
 			case o.HasPut():
 				s.ServePut(c, f, o.GetPut())
@@ -144,10 +162,44 @@
 	}()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.depots[d], n.listeners[d] = s, l
+	n.depots[d], n.listeners[d], n.stops[d], n.metrics[d] = s, l, f, r
+}
+
+// join adds a member.
+func (n *cluster) join(m *wire.Member) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	n.members = append(n.members, m)
 }
 
+// leave removes a member and returns it.
+func (n *cluster) leave(d string) *wire.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	i := slices.IndexFunc(n.members, func(m *wire.Member) bool { return m.GetId() == d })
+	m := n.members[i]
+	n.members = slices.Delete(slices.Clone(n.members), i, i+1)
+	return m
+}
+
+// kill ends a depot's process and removes the member.
+func (n *cluster) kill(d string) *wire.Member {
+	n.fail(d)
+	n.stops[d]()
+	return n.leave(d)
+}
+
+// restart ends a depot's process and starts it again after a time, with a new
+// incarnation.
+func (n *cluster) restart(d, folder string, after time.Duration) {
+	m := proto.CloneOf(n.kill(d))
+	time.Sleep(after)
+	m.SetIncarnation(m.GetIncarnation() + 1)
+	n.folders[d] = folder
+	n.start(d)
+	n.join(m)
+}
+
 // fail cuts a depot's connections and refuses new ones.
 func (n *cluster) fail(d string) {
 	n.mutex.Lock()
--- a/internal/coordination/depot/copy.go
+++ b/internal/coordination/depot/copy.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/transport/frame"
@@ -62,8 +64,16 @@
 	return r.GetSegment().GetDepots(), nil
 }
 
-// fetch stores a segment that another depot has.
+// fetch stores a segment that another depot has, at the bounded rate. It
+// returns at once when the segment is here.
 func (d *Depot) fetch(c context.Context, o *wire.Copy) *wire.PutReply {
+	h, n, e := d.segments.Stat(o.GetSegment().GetId())
+	if e == nil && h == o.GetSegment().GetDigest() {
+		w := proto.CloneOf(o.GetSegment())
+		w.SetSizeBytes(n)
+		w.SetDepots([]string{d.id})
+		return stored(w)
+	}
 	if !d.enter(c) {
 		return refusal(o.GetSegment(), codeDraining, "the depot is shutting down")
 	}
@@ -80,13 +90,28 @@
 	f := context.AfterFunc(c, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
 	defer f()
 	r := &chunkReader{s: s, recv: func(k *wire.Chunk) error { return recvGet(s, k) }}
-	w, e := d.store(o.GetSegment(), r)
+	w, e := d.store(o.GetSegment(), &pacedReader{c: c, r: r, l: d.copyRate})
 	if e != nil {
 		return refusal(o.GetSegment(), codeOf(e), e.Error())
 	}
 	return stored(w)
 }
 
+// pacedReader bounds the rate at which r is read.
+type pacedReader struct {
+	c context.Context
+	r io.Reader
+	l *rate.Limiter
+}
+
+func (p *pacedReader) Read(b []byte) (int, error) {
+	n, e := p.r.Read(b[:min(len(b), copyBurst)])
+	if e != nil {
+		return n, e
+	}
+	return n, p.l.WaitN(p.c, n)
+}
+
 // recvGet receives one chunk of the reply to a Get.
 func recvGet(s *frame.Stream, k *wire.Chunk) error {
 	r := &wire.GetReply{}
--- a/internal/coordination/depot/depot.go
+++ b/internal/coordination/depot/depot.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+	"golang.org/x/time/rate"
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/state/answer"
@@ -32,6 +33,13 @@
 	done     chan struct{}
 	bytes    *prometheus.CounterVec
 	served   *prometheus.CounterVec
+	// Bounds what this depot fetches of others and what it sends of answers
+	// when copies are replaced.
+	copyRate *rate.Limiter
+	// Depots whose loss was not dealt with yet.
+	pending prometheus.Gauge
+	// Segments and answers whose second copy was checked.
+	checked *prometheus.CounterVec
 }
 
 // New opens the data folder of member id. Its task ends with c.
@@ -57,8 +65,18 @@
 			Name: "bulrushtrail_depot_operations_total",
 			Help: "Operations served by result.",
 		}, []string{"operation", "result"}),
+		copyRate: rate.NewLimiter(copyBytesPerSecond, copyBurst),
+		pending: f.NewGauge(prometheus.GaugeOpts{
+			Name: "bulrushtrail_depot_recopy_pending",
+			Help: "Depots lost or restarted for which the second copies of the data here were not all checked yet.",
+		}),
+		checked: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_depot_recopy_checked_total",
+			Help: "Segments and answers whose second copy was checked after a loss, by kind and result.",
+		}, []string{"kind", "result"}),
 	}
 	go d.run(c)
+	go d.watchLosses(c)
 	return d, nil
 }
 
