internal/coordination/depot: unreadable segment fails the check

Cause: a check skipped each segment whose file could not be read, also after an error of the file system, and then counted as complete.

Change: only a damaged segment, which has been set aside, is skipped.

Measured: go test -race passes for depot; no test injects the error.

--- a/internal/coordination/depot/recopy.go
+++ b/internal/coordination/depot/recopy.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/seglog"
 )
 
 const (
@@ -120,10 +121,14 @@
 	}
 	for _, i := range l {
 		h, n, e := k.d.segments.Stat(i)
-		if e != nil {
-			// It was set aside, and a reader finds the other copy.
+		if errors.Is(e, seglog.ErrMissing) {
+			// It was damaged and has been set aside; the holder of the other
+			// copy finds that this one is missing.
 			continue
 		}
+		if e != nil {
+			return e
+		}
 		g := &wire.Segment{}
 		g.SetId(i)
 		g.SetDigest(h)
