coordination/jobs, protocol/chunks: batch items are sent as streams

Cause: a preempted item that is not a stream starts anew, because the engine can only resume streams; with online bursts this wasted the work done. Ruled out: exporting the KV cache at preemption (the engines' orders for it are not used yet). Change: the job owner asks for an event stream and joins it into the whole answer with the accumulator of the API's client library; an answer in JSON is taken as it is.

--- a/internal/coordination/jobs/call.go
+++ b/internal/coordination/jobs/call.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/chunks"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -65,7 +67,7 @@
 			o.body = append(o.body, r.GetData().GetChunk()...)
 		case r.HasEnd():
 			o.end(r.GetEnd())
-			return nil
+			return o.join()
 		}
 	}
 }
@@ -86,3 +88,18 @@
 		o.code, o.message = "answer-incomplete", "the answer has no status"
 	}
 }
+
+// join turns an event stream into the whole answer. A backend server that does
+// not stream answers in JSON at once.
+func (o *outcome) join() error {
+	if !o.complete || !bytes.HasPrefix(o.body, []byte("data:")) {
+		return nil
+	}
+	b, e := chunks.Join(o.body)
+	if e != nil {
+		o.complete = false
+		return e
+	}
+	o.body = b
+	return nil
+}
--- a/internal/coordination/jobs/item.go
+++ b/internal/coordination/jobs/item.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -91,6 +93,23 @@
 	return h.Sum64()
 }
 
+// streamed returns the body with the answer asked for as an event stream: a
+// preempted stream is resumed, while a whole answer would start anew.
+func streamed(body []byte) []byte {
+	if !gjson.ParseBytes(body).IsObject() {
+		return body
+	}
+	b, e := sjson.SetBytes(body, "stream", true)
+	if e != nil {
+		return body
+	}
+	n, e := sjson.SetBytes(b, "stream_options.include_usage", true)
+	if e != nil {
+		return b
+	}
+	return n
+}
+
 // call returns the request of one attempt.
 func (t *item) call(j *wire.Job, model, attempt string, configVersion int64) *wire.Call {
 	h := &wire.Header{}
@@ -105,7 +124,8 @@
 	r.SetMethod(t.method)
 	r.SetPath(t.path)
 	r.SetHeaders([]*wire.Header{h})
-	r.SetBody(t.body)
+	r.SetBody(streamed(t.body))
+	r.SetStream(true)
 	r.SetDeadlineUnixMs(j.GetDeadlineUnix() * 1000)
 	r.SetCostTokens(int64(len(t.body))/bytesPerToken + t.tokens)
 	r.SetFingerprint(t.fingerprint())
--- /dev/null
+++ b/internal/protocol/chunks/join_test.go
@@ -0,0 +1,57 @@
+package chunks_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/protocol/chunks"
+)
+
+func chunk(id, delta, finish string) string {
+	return `data: {"id":"` + id + `","object":"chat.completion.chunk","created":7,"model":"fit","choices":[{"index":0,"delta":` + delta + `,"finish_reason":` + finish + `}]}` + "\n\n"
+}
+
+// A batch result must not differ from the whole answer because its item was
+// preempted and resumed, and a broken stream must not pass for an answer.
+func TestJoin(t *testing.T) {
+	for _, k := range []struct{ name, stream, content, finish string }{
+		{"whole", chunk("a", `{"role":"assistant","content":"boxed "}`, "null") + chunk("a", `{"content":"shape"}`, "null") + chunk("a", `{}`, `"stop"`) + "data: [DONE]\n\n", "boxed shape", "stop"},
+		{"resumed", chunk("a", `{"role":"assistant","content":"boxed "}`, "null") + chunk("b", `{"content":"shape"}`, "null") + chunk("b", `{}`, `"length"`) + "data: [DONE]\n\n", "boxed shape", "length"},
+		{"no event", "data: [DONE]\n\n", "", ""},
+		{"not a chunk", "data: {\"id\":\n\n", "", ""},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			b, e := chunks.Join([]byte(k.stream))
+			if k.finish == "" {
+				if e == nil {
+					t.Fatalf("no error for %q", b)
+				}
+				return
+			}
+			if e != nil {
+				t.Fatal(e)
+			}
+			var g struct {
+				ID, Object string
+				Choices    []struct {
+					Finish  string `json:"finish_reason"`
+					Message struct{ Role, Content string }
+				}
+			}
+			e = json.Unmarshal(b, &g)
+			if e != nil {
+				t.Fatal(e)
+			}
+			m := g.Choices[0]
+			if d := cmp.Diff([]string{"a", "chat.completion", "assistant", k.content, k.finish}, []string{g.ID, g.Object, m.Message.Role, m.Message.Content, m.Finish}); d != "" {
+				t.Error(d)
+			}
+			if strings.Contains(string(b), "delta") {
+				t.Errorf("parts of the stream are left: %s", b)
+			}
+		})
+	}
+}
