standin/replay, docs: figures with batch items as streams

Cause: jobs send items as streams now, and the replay measured items that start anew. Ruled out: keeping the old default beside the new one (its figures describe no running code).

--- a/internal/standin/progrm/replay.go
+++ b/internal/standin/progrm/replay.go
@@ -50,7 +50,7 @@
 	f.IntVar(&s.batchShare, "batch-share", -1, "batch share in place of that of the deployment, 0 to 100")
 	f.IntVar(&s.cache, "cache", 16<<10, "tokens in the prefix cache of a runner")
 	f.BoolVar(&s.prefix, "batch-prefix", false, "let batch items carry the hash of their prefix, which jobs don't")
-	f.BoolVar(&s.stream, "batch-stream", false, "let batch items be streams that resume after a preemption, which jobs don't")
+	f.BoolVar(&s.stream, "batch-stream", true, "let batch items be streams that resume after a preemption, as jobs send them")
 	f.BoolVar(&s.curve, "curve", false, "measure the day with batch shares from 0 to 100 instead")
 	f.BoolVar(&s.json, "json", false, "print the report as JSON")
 	return &ffcli.Command{
--- a/internal/standin/replay/replay.go
+++ b/internal/standin/replay/replay.go
@@ -39,6 +39,7 @@
 	s := &Replay{
 		policies: []string{policy.RoundRobin, policy.LeastOutstanding, policy.Fair},
 		seed:     1, length: 2 * time.Minute, batchShare: -1, cache: defaultCache,
+		batchStream: true,
 	}
 	for _, o := range options {
 		o(s)
@@ -69,7 +70,8 @@
 }
 
 // BatchItems lets batch items carry the hash of their prefix, and be streams,
-// which resume after a preemption. The jobs of package jobs do neither.
+// which resume after a preemption. Package jobs sends streams without hashes,
+// which is the default.
 func BatchItems(prefix, stream bool) func(*Replay) {
 	return func(s *Replay) { s.batchPrefix, s.batchStream = prefix, stream }
 }
