coordination/entry: reorders with the same text are different requests

Cause: the merge of the crash reports between schedulers made TestReorderConnectionClosed hang (4 min 35 s until the timeout): two plain services closed connections after running reorders, the fingerprint of method, path and body was the same for every reorder, and all later ones were rejected everywhere as poisoned. Ruled out: no counting for plain services (a GET that crashes them is resent by its caller); a new connection as evidence of a crash (right, but it changes the backend client and its verdicts' timing). Change: the fingerprint of a non-idempotent call to a plain service also contains its idempotency key, or its request id without one. Measured: the test hung twice before and passes in 23 s after, with -race. Conclusion: a reorder is judged by itself. An unkeyed reorder that crashes plain services is not recognised when it is sent again.

--- a/internal/coordination/entry/exchange.go
+++ b/internal/coordination/entry/exchange.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -44,7 +45,7 @@
 	if wait == 0 {
 		wait = defaultDeadline
 	}
-	r.SetFingerprint(fingerprint(r))
+	r.SetFingerprint(fingerprint(v, r))
 	if s.rejected(r.GetFingerprint()) {
 		return nil, trail.NewError("request-rejected", trail.NotRun, "backend servers were lost while they ran this request")
 	}
@@ -85,7 +86,15 @@
 	return append(b, r.GetBody()...)
 }
 
-func fingerprint(r *wire.Call) uint64 { return xxhash.Sum64(parts(r)) }
+func fingerprint(v *wire.Service, r *wire.Call) uint64 {
+	b := parts(r)
+	if v.GetKind() == plainKind && r.GetNonIdempotent() {
+		// Two reorders with the same text are two requests: one that is lost
+		// must not count against the next.
+		b = append(b, cmp.Or(headerOf(r.GetHeaders(), keyHeader), r.GetRequestId())...)
+	}
+	return xxhash.Sum64(b)
+}
 
 func digest(r *wire.Call) string {
 	h := sha256.Sum256(parts(r))
