coordination/entry: the shard of a key is computed in one place

Cause: the entry had a shard formula of its own, which the client of the claims replaced by the one of package claim. Change: the entry's formula and its option are gone. Measured: go test ./internal/coordination/entry passes. Conclusion: one rule places the claims.

--- a/internal/coordination/entry/claim.go
+++ b/internal/coordination/entry/claim.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -110,15 +108,8 @@
 	return r.GetStored(), nil
 }
 
-// shard places a key. Callers' keys are spread evenly and a key always falls
-// in the same shard.
-func (x *exchange) shard() uint32 {
-	return uint32(xxhash.Sum64String(x.call.GetCaller()+"\x00"+x.key) % uint64(x.s.claimShards))
-}
-
 func (x *exchange) claimRequest() *wire.Claim {
 	r := &wire.Claim{}
-	r.SetShard(x.shard())
 	r.SetCaller(x.call.GetCaller())
 	r.SetKey(x.key)
 	r.SetAttemptId(x.call.GetAttemptId())
@@ -130,7 +121,6 @@
 // is told that the request may have run.
 func (x *exchange) settle(c context.Context, o *wire.Outcome) {
 	r := &wire.Settle{}
-	r.SetShard(x.shard())
 	r.SetCaller(x.call.GetCaller())
 	r.SetKey(x.key)
 	r.SetAttemptId(x.call.GetAttemptId())
--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -35,7 +35,6 @@
 	defaultBodyBytes     = 8 << 20
 	defaultFileBytes     = 512 << 20
 	defaultRetention     = 24 * time.Hour
-	defaultClaimShards   = 64
 	multipartMemoryBytes = 4 << 20
 	// Time that the platform has to answer one call.
 	storeTimeout = 2 * time.Second
@@ -68,8 +67,6 @@
 	// Caller names by key. Empty when the key itself is the caller's name.
 	keys        map[string]string
 	operatorKey string
-	// The same at every entry, because it places the claims.
-	claimShards uint32
 	// Bytes of a body when the service sets no limit.
 	bodyBytes int64
 	// Bytes of an uploaded file.
@@ -143,7 +140,7 @@
 // New returns an entry. An error means that a part is missing: options must
 // give all of them but the limits.
 func New(l log.Interface, r prometheus.Registerer, options ...option) (*Entry, error) {
-	s := &Entry{l: l, claimShards: defaultClaimShards, bodyBytes: defaultBodyBytes, fileBytes: defaultFileBytes, counts: newCounts(r)}
+	s := &Entry{l: l, bodyBytes: defaultBodyBytes, fileBytes: defaultFileBytes, counts: newCounts(r)}
 	for _, o := range options {
 		o(s)
 	}
