verdict, sched, bksrv, jobs, route, entry: verdicts of messages are read in one place

Cause: five packages mapped the verdict of a message by themselves. Ruled out: using the protobuf enum throughout (its zero value is unspecified, while the cautious verdict must be the zero value). Change: trail.ReadVerdict stands beside the type; the five copies are gone. Measured: make check, and the tests of bksrv, sched, jobs, route and entry pass without the race detector; the tests with real processes were not run again on this commit. Conclusion: no behaviour changes.

--- a/internal/coordination/entry/opened.go
+++ b/internal/coordination/entry/opened.go
@@ -78,13 +78,7 @@
 	if n.GetCode() == "" {
 		return trail.NewError("answer-incomplete", trail.MayHaveRun, "the answer has no head")
 	}
-	v := trail.MayHaveRun
-	switch n.GetVerdict() {
-	case wire.Verdict_VERDICT_NOT_RUN:
-		v = trail.NotRun
-	case wire.Verdict_VERDICT_RAN:
-		v = trail.Ran
-	}
+	v := trail.ReadVerdict(n.GetVerdict())
 	return trail.NewError(n.GetCode(), v, "%s", n.GetMessage()).RetryAfter(time.Duration(n.GetRetryAfterMs()) * time.Millisecond)
 }
 
--- a/internal/coordination/jobs/call.go
+++ b/internal/coordination/jobs/call.go
@@ -76,14 +76,7 @@
 	o.retryAfter = time.Duration(n.GetRetryAfterMs()) * time.Millisecond
 	o.code, o.message = n.GetCode(), n.GetMessage()
 	o.complete = o.code == "" && o.status != 0
-	switch n.GetVerdict() {
-	case wire.Verdict_VERDICT_NOT_RUN:
-		o.verdict = trail.NotRun
-	case wire.Verdict_VERDICT_RAN:
-		o.verdict = trail.Ran
-	default:
-		o.verdict = trail.MayHaveRun
-	}
+	o.verdict = trail.ReadVerdict(n.GetVerdict())
 	if !o.complete && o.code == "" {
 		o.code, o.message = "answer-incomplete", "the answer has no status"
 	}
--- a/internal/coordination/route/replies.go
+++ b/internal/coordination/route/replies.go
@@ -288,13 +288,7 @@
 		return nil
 	}
 	n := r.GetEnd()
-	v := trail.MayHaveRun
-	switch n.GetVerdict() {
-	case wire.Verdict_VERDICT_NOT_RUN:
-		v = trail.NotRun
-	case wire.Verdict_VERDICT_RAN:
-		v = trail.Ran
-	}
+	v := trail.ReadVerdict(n.GetVerdict())
 	return trail.NewError(n.GetCode(), v, "%s", n.GetMessage()).RetryAfter(time.Duration(n.GetRetryAfterMs()) * time.Millisecond)
 }
 
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -174,16 +174,6 @@
 	return wire.Verdict_VERDICT_MAY_HAVE_RUN
 }
 
-func parseVerdict(v wire.Verdict) trail.Verdict {
-	switch v {
-	case wire.Verdict_VERDICT_NOT_RUN:
-		return trail.NotRun
-	case wire.Verdict_VERDICT_RAN:
-		return trail.Ran
-	}
-	return trail.MayHaveRun
-}
-
 // log writes the line of one decision.
 func (t *task) log(d decide.Decision) {
 	r := d.Call()
--- a/internal/transport/bksrv/client.go
+++ b/internal/transport/bksrv/client.go
@@ -144,7 +144,7 @@
 // others to the same backend server may have gone silent too, and a new
 // connection costs less than another timeout.
 func (s *Client) ended(target string, r *wire.Call, e *wire.End) {
-	s.ends.WithLabelValues(verdict(e.GetVerdict()).String(), e.GetCode()).Inc()
+	s.ends.WithLabelValues(trail.ReadVerdict(e.GetVerdict()).String(), e.GetCode()).Inc()
 	if e.GetCode() == "" {
 		return
 	}
@@ -153,16 +153,6 @@
 	}
 	s.l.WithFields(log.Fields{
 		"attempt-id": r.GetAttemptId(), "target": target, "code": e.GetCode(),
-		"verdict": verdict(e.GetVerdict()).String(), "crashed": e.GetCrashed(),
+		"verdict": trail.ReadVerdict(e.GetVerdict()).String(), "crashed": e.GetCrashed(),
 	}).Info("bksrv: call ended without an answer")
 }
-
-func verdict(v wire.Verdict) trail.Verdict {
-	switch v {
-	case wire.Verdict_VERDICT_NOT_RUN:
-		return trail.NotRun
-	case wire.Verdict_VERDICT_RAN:
-		return trail.Ran
-	}
-	return trail.MayHaveRun
-}
--- a/verdict.go
+++ b/verdict.go
@@ -1,5 +1,7 @@
 package trail
 
+import "bulrushtrail.example/trail/internal/protocol/wire"
+
 // Verdict says whether a request may have run. A caller of the system decides
 // by it whether a repeated request can do harm.
 type Verdict int
@@ -35,3 +37,15 @@
 	}
 	return MayHaveRun
 }
+
+// ReadVerdict returns the verdict of a message. One that is not set, or that
+// this process does not know, is MayHaveRun.
+func ReadVerdict(v wire.Verdict) Verdict {
+	switch v {
+	case wire.Verdict_VERDICT_NOT_RUN:
+		return NotRun
+	case wire.Verdict_VERDICT_RAN:
+		return Ran
+	}
+	return MayHaveRun
+}
