--- /dev/null
+++ b/internal/command/daemon/disk.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/transport/httpd"
+)
+
+// disk answers requests to evacuate hosts with disks until c ends. Nothing is
+// kept on the disks, so an evacuation is done at once.
+func disk(c context.Context, p *process) error {
+	s := httpd.New(nil, p.l, prometheus.NewRegistry())
+	p.metrics(c, s)
+	i := inform.New(c, p.store, "evacuations", p.l)
+	for {
+		w := i.Changed()
+		for n, o := range i.All() {
+			p.evacuate(c, n, o, i)
+		}
+		select {
+		case <-w:
+		case <-c.Done():
+			return nil
+		}
+	}
+}
+
+// evacuate reports that a host can be taken away. Every process with the role
+// does so, since the host's own may be gone; one of them succeeds.
+func (p *process) evacuate(c context.Context, name string, o object.Object, i *inform.Informer) {
+	v := &wire.Evacuation{}
+	e := o.Decode(v)
+	if e != nil {
+		p.l.WithError(e).WithField("evacuation", name).Warn("disk: evacuation is not readable")
+		return
+	}
+	if v.GetDone() {
+		return
+	}
+	v.SetDone(true)
+	n, e := object.Encode("evacuations", name, o.Version(), v)
+	if e != nil {
+		p.l.WithError(e).Error("disk: evacuation not encoded")
+		return
+	}
+	n, e = p.store.Update(c, n)
+	l := p.l.WithFields(log.Fields{"evacuation": name})
+	switch {
+	case e == nil:
+		i.Put(n)
+		l.Info("disk: host can be taken away, it keeps nothing")
+	case errors.Is(e, trail.ErrConflict), errors.Is(e, trail.ErrNotFound):
+		l.Debug("disk: evacuation was answered by another process")
+	default:
+		l.WithError(e).Warn("disk: evacuation not answered yet")
+	}
+}
--- /dev/null
+++ b/internal/command/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon is the command line of bulrushd, the program that runs on the
+// users' platform.
+package daemon
--- /dev/null
+++ b/internal/command/daemon/front.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/direct"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/gossip"
+	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/coordination/member"
+	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/state/rules"
+	"bulrushtrail.example/trail/internal/transport/httpd"
+	"bulrushtrail.example/trail/internal/transport/pool"
+	api "bulrushtrail.example/trail/platform/front"
+	"bulrushtrail.example/trail/platform/server"
+)
+
+const (
+	// Crashes of different backend servers after which a request is rejected.
+	// A server that goes down takes up to eight requests with it, of which
+	// seven have no part in it.
+	rejectAfter = 3
+	// The balancer takes a host out after two failed checks a second apart.
+	drainDelay = 2400 * time.Millisecond
+	// Part of the stop time that is left for the end of the process itself.
+	exitTime = 600 * time.Millisecond
+	// Time before the end of the drain in which batch jobs are released.
+	releaseTime = 1300 * time.Millisecond
+	// Entries of backend servers that lapsed while the platform was away are
+	// back within two seconds.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// frontRole is a running front.
+type frontRole struct {
+	*process
+	self    *wire.Front
+	f       *fleet.Fleet
+	pool    *pool.Pool
+	configs *inform.Informer
+	hosts   *inform.Informer
+	fronts  *inform.Informer
+	gossip  *gossip.Task
+	direct  *direct.Server
+	jobs    *batch.Jobs
+	api     *httpd.Server
+}
+
+// front serves callers until c ends.
+func front(c context.Context, p *process) error {
+	a, e := net.Listen("tcp", p.n.GetApiAddress())
+	if e != nil {
+		return errors.Wrap(e, "listen for callers")
+	}
+	b, e := net.Listen("tcp", p.n.GetReadyAddress())
+	if e != nil {
+		return errors.Wrap(e, "listen for readiness checks")
+	}
+	n, e := net.ListenPacket("udp", p.peerAddress())
+	if e != nil {
+		return errors.Wrap(e, "listen for other fronts")
+	}
+	// Ends after the graceful shutdown.
+	l, f := context.WithCancel(context.WithoutCancel(c))
+	defer f()
+	s := newFront(l, p, n)
+	m := member.New(l, p.store, s.self, p.l)
+	serve(l, b, api.Ready(s.api.Ready))
+	p.metrics(l, s.api)
+	go s.followConfig(l)
+	go s.followHosts(l)
+	d := make(chan struct{})
+	context.AfterFunc(c, func() { s.drain(d) })
+	e = s.api.Serve(c, a)
+	if c.Err() == nil {
+		return errors.Wrap(e, "serve callers")
+	}
+	<-d
+	m.Remove(l)
+	return e
+}
+
+func newFront(c context.Context, p *process, n net.PacketConn) *frontRole {
+	s := &frontRole{process: p}
+	s.self = wire.Front_builder{
+		Name: proto.String(p.n.GetName()), Incarnation: &p.incarnation,
+		DataCentre: proto.String(p.n.GetDataCentre()), PeerAddress: proto.String(p.peerAddress()),
+	}.Build()
+	s.f = fleet.New(p.n.GetName(), p.n.GetDataCentre())
+	s.pool = pool.New(p.d, p.r)
+	u := server.New(s.pool)
+	s.configs = inform.New(c, p.store, "configs", p.l)
+	s.hosts = inform.New(c, p.store, "hosts", p.l)
+	s.fronts = inform.New(c, p.store, member.Kind, p.l)
+	q := poison.New(rejectAfter)
+	// The parts tell each other of changes through s, which is complete before
+	// the first request.
+	s.direct = direct.New(s.f, q, u, p.l, p.r, func() { s.gossip.Wake() }, func(id string) { s.jobs.Crowded(id) })
+	s.jobs = batch.New(c, s.self, p.store, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
+	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, p.l, p.r, s.jobs.Wake)
+	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
+		httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
+	return s
+}
+
+func (s *frontRole) stopTime() time.Duration {
+	return time.Duration(s.n.GetStopSeconds()*float64(time.Second)) - exitTime
+}
+
+// ready says whether the front can serve: it knows the configuration and the
+// backend servers. It stays ready while the platform is away.
+func (s *frontRole) ready() bool {
+	return s.direct.Table() != nil && s.hosts.Known() && s.f.Size() > 0
+}
+
+// drain finishes the batch jobs of a front that stops, while its requests in
+// progress end.
+func (s *frontRole) drain(done chan<- struct{}) {
+	defer close(done)
+	s.gossip.Leave()
+	c, f := context.WithTimeout(context.Background(), s.stopTime()-releaseTime)
+	defer f()
+	s.jobs.Drain(c)
+}
+
+// followConfig puts each new configuration in force until c ends.
+func (s *frontRole) followConfig(c context.Context) {
+	for {
+		w := s.configs.Changed()
+		o, ok := s.configs.Get("current")
+		if ok {
+			s.apply(o)
+		}
+		select {
+		case <-w:
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+func (s *frontRole) apply(o object.Object) {
+	t := &wire.RouteTable{}
+	e := o.Decode(t)
+	if e != nil {
+		s.l.WithError(e).Error("bulrushd: configuration is not readable, the one in force stays")
+		return
+	}
+	r := rules.New(t)
+	h := s.direct.Table()
+	if h != nil && h.Version() >= r.Version() {
+		return
+	}
+	s.direct.SetTable(r)
+	s.l.WithField("config-version", r.Version()).Info("bulrushd: configuration in force")
+}
+
+// followHosts tells the fleet of each change of the registry until c ends.
+func (s *frontRole) followHosts(c context.Context) {
+	for {
+		w := s.hosts.Changed()
+		d := s.setServers()
+		select {
+		case <-w:
+		case <-d:
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// setServers tells the fleet of the registry. It returns a channel that has a
+// value when entries that lapsed must be looked at again; nil for never.
+func (s *frontRole) setServers() <-chan time.Time {
+	if !s.hosts.Known() {
+		return nil
+	}
+	var l []*wire.BackendServer
+	for n, o := range s.hosts.All() {
+		b := &wire.BackendServer{}
+		e := o.Decode(b)
+		if e != nil {
+			s.l.WithError(e).WithField("server", n).Warn("bulrushd: backend server left out, its entry is not readable")
+			continue
+		}
+		l = append(l, b)
+	}
+	now := time.Now()
+	u := now
+	b, e := s.hosts.Trouble()
+	if !b.IsZero() && e.IsZero() {
+		u = now.Add(lapseGrace)
+	} else if !e.IsZero() {
+		u = e.Add(lapseGrace)
+	}
+	s.f.SetServers(now, l, u)
+	s.jobs.Wake()
+	if u.After(now) {
+		return time.After(u.Sub(now) + time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/batch/accept.go
@@ -0,0 +1,115 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+const (
+	// Pause before a refused write is tried again.
+	writePause = 60 * time.Millisecond
+	// Wait of callers whose job could not be kept.
+	refusedWait = 700 * time.Millisecond
+)
+
+// Accept keeps a job with its items. It returns nil once the job is accepted,
+// also when it had been before. The error's verdict says whether any part of
+// the job may run.
+func (s *Jobs) Accept(c context.Context, id, host, path string, items []*wire.BatchItem) error {
+	if s.accepted(id) {
+		return nil
+	}
+	l := split(items, s.valueBytes)
+	for n, i := range l {
+		e := s.create(c, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
+		if e != nil && !errors.Is(e, trail.ErrExists) {
+			// Nothing runs before the job object exists.
+			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").At(id).RetryAfter(refusedWait)
+		}
+	}
+	j := wire.BatchJob_builder{
+		Host: &host, Path: &path, Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
+		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
+	}.Build()
+	e := s.create(c, kindJobs, id, j)
+	if errors.Is(e, trail.ErrExists) {
+		return nil
+	}
+	if e != nil {
+		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job was not kept").At(id).RetryAfter(refusedWait)
+	}
+	s.l.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
+	s.own(id, j, items)
+	return nil
+}
+
+func (s *Jobs) accepted(id string) bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.known[id] != nil
+}
+
+// create stores a new object. A write that was refused is tried again, and one
+// whose answer was lost is settled by reading back, until c ends. An object
+// that this call has created counts as created, also when an earlier try did.
+func (s *Jobs) create(c context.Context, kind, name string, m proto.Message) error {
+	o, e := object.Encode(kind, name, 0, m)
+	if e != nil {
+		return trail.WrapError(e, "internal", trail.NotRun, "value was not encoded").At(name)
+	}
+	// Whether an earlier try may have taken effect.
+	d := false
+	for {
+		_, e = s.store.Create(c, o)
+		if errors.Is(e, trail.ErrExists) && d {
+			return nil
+		}
+		if e == nil || errors.Is(e, trail.ErrExists) {
+			return e
+		}
+		d = d || trail.VerdictOf(e) != trail.NotRun
+		if !wait(c, writePause) {
+			break
+		}
+	}
+	if d {
+		return trail.WrapError(e, trail.CodeOf(e), trail.MayHaveRun, "object may have been created").At(name)
+	}
+	return e
+}
+
+// wait returns false when c ends first.
+func wait(c context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.Done():
+		return false
+	}
+}
+
+// split divides items into groups whose values fit an object.
+func split(items []*wire.BatchItem, limit int) [][]*wire.BatchItem {
+	var l [][]*wire.BatchItem
+	n := 0
+	for _, i := range items {
+		w := proto.Size(i)
+		if len(l) == 0 || n+w > limit {
+			l = append(l, nil)
+			n = 0
+		}
+		l[len(l)-1] = append(l[len(l)-1], i)
+		n += w
+	}
+	return l
+}
--- /dev/null
+++ b/internal/coordination/batch/owner.go
@@ -0,0 +1,239 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// owned is a job that this front runs.
+type owned struct {
+	id string
+	k  *known
+	// Progress of items that have run in part, by index.
+	progress map[int]*progress
+	// Results that are not listed yet.
+	results []*wire.BatchResult
+	// A goroutine is listing results.
+	committing bool
+	// Ends the runs and commits of the job.
+	c    context.Context
+	stop context.CancelCauseFunc
+}
+
+// progress is the output of an item so far.
+type progress struct {
+	// Id of the last event, empty before the first.
+	last string
+	// Data of the events, joined by line feeds.
+	text []byte
+	// Whether any event was taken in.
+	begun bool
+}
+
+// own starts to run a job whose items are known.
+func (s *Jobs) own(id string, j *wire.BatchJob, items []*wire.BatchItem) {
+	k := s.remember(id, j)
+	s.m.Lock()
+	defer s.m.Unlock()
+	if s.owned[id] != nil || s.leaving || j.GetEnded() {
+		return
+	}
+	k.input = items
+	o := &owned{id: id, k: k, progress: map[int]*progress{}}
+	o.c, o.stop = context.WithCancelCause(context.Background())
+	s.owned[id] = o
+	due, n := s.plan(k)
+	l := make([]string, 0, len(items))
+	for _, i := range items {
+		l = append(l, i.GetId())
+	}
+	s.agenda.Add(id, time.Now().Add(due), n, l, k.listed())
+	s.Wake()
+}
+
+// plan returns when the results of a job are due and how often an item may
+// fail, as its route has it.
+func (s *Jobs) plan(k *known) (time.Duration, int) {
+	t := s.table()
+	if t == nil {
+		return 0, 1
+	}
+	u := t.Match(k.host, k.path)
+	return time.Duration(u.GetDueMs()) * time.Millisecond, int(u.GetAttempts())
+}
+
+// drop stops running a job.
+func (s *Jobs) drop(id, reason string) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	o := s.owned[id]
+	if o == nil {
+		return
+	}
+	delete(s.owned, id)
+	s.agenda.Remove(id)
+	o.stop(errDropped)
+	s.l.WithFields(log.Fields{"job-id": id, "reason": reason}).Info("batch: job no longer run here")
+}
+
+// review looks for jobs that were ended, or whose owner is gone, until c ends.
+func (s *Jobs) review(c context.Context) {
+	for wait(c, reviewPause) {
+		l, _, e := s.store.List(c, kindJobs)
+		if e != nil {
+			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
+			continue
+		}
+		for _, o := range l {
+			j := &wire.BatchJob{}
+			e = o.Decode(j)
+			if e != nil {
+				s.l.WithError(e).WithField("job-id", o.Name()).Warn("batch: job is not readable")
+				continue
+			}
+			s.consider(c, o.Name(), j)
+		}
+	}
+}
+
+// consider compares a job's object with what this front does.
+func (s *Jobs) consider(c context.Context, id string, j *wire.BatchJob) {
+	s.m.Lock()
+	o := s.owned[id]
+	v := s.leaving
+	s.m.Unlock()
+	switch {
+	case o != nil && j.GetEnded():
+		s.remember(id, j)
+		s.drop(id, "ended by its caller")
+	case o != nil && !s.mine(j):
+		s.drop(id, "taken over by "+j.GetOwner())
+	case o == nil && !v && !j.GetEnded() && !j.GetComplete() && s.orphaned(j) && s.heir(id):
+		s.adopt(c, id)
+	}
+}
+
+func (s *Jobs) mine(j *wire.BatchJob) bool {
+	return j.GetOwner() == s.self.GetName() && j.GetIncarnation() == s.self.GetIncarnation()
+}
+
+// orphaned says whether nobody runs the job. A front that has just started
+// does not know yet who lives.
+func (s *Jobs) orphaned(j *wire.BatchJob) bool {
+	if s.mine(j) {
+		return true
+	}
+	if time.Since(s.born) < settlePause {
+		return false
+	}
+	return j.GetOwner() == "" || !s.f.Alive(time.Now(), j.GetOwner(), j.GetIncarnation())
+}
+
+// heir says whether this front comes first among the live ones for a job.
+func (s *Jobs) heir(id string) bool {
+	m := xxhash.Sum64String(id + "/" + s.self.GetName())
+	for _, n := range s.f.Peers(time.Now()) {
+		if xxhash.Sum64String(id+"/"+n) > m {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt takes a job over.
+func (s *Jobs) adopt(c context.Context, id string) {
+	d := false
+	e := s.change(c, id, func(j *wire.BatchJob) bool {
+		d = !j.GetEnded() && !j.GetComplete() && s.orphaned(j)
+		if !d {
+			return false
+		}
+		j.SetOwner(s.self.GetName())
+		j.SetIncarnation(s.self.GetIncarnation())
+		return true
+	})
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", id).Warn("batch: job of a lost front not taken over yet")
+		return
+	}
+	if !d {
+		return
+	}
+	s.load(c, id)
+}
+
+// load reads the items and results of a job that this front has taken over.
+func (s *Jobs) load(c context.Context, id string) {
+	k, e := s.job(c, id)
+	if e == nil {
+		e = s.readInput(c, id, k)
+	}
+	if e == nil {
+		e = s.refresh(c, id, k)
+	}
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", id).Warn("batch: job of a lost front not read yet")
+		return
+	}
+	s.m.Lock()
+	j, i := proto.CloneOf(k.job), k.input
+	s.m.Unlock()
+	s.l.WithField("job-id", id).Info("batch: job of a lost front taken over")
+	s.own(id, j, i)
+}
+
+// Drain starts no new runs, waits for those in progress until c ends, lists
+// what they gave, and releases the jobs.
+func (s *Jobs) Drain(c context.Context) {
+	s.m.Lock()
+	s.leaving = true
+	s.m.Unlock()
+	for s.running() > 0 && wait(c, dispatchPause) {
+	}
+	c, f := context.WithTimeout(context.WithoutCancel(c), releaseTimeout)
+	defer f()
+	s.m.Lock()
+	var l []*owned
+	for _, o := range s.owned {
+		l = append(l, o)
+	}
+	s.m.Unlock()
+	for _, o := range l {
+		s.commit(c, o)
+		s.release(c, o.id)
+	}
+}
+
+// release lets another front run a job.
+func (s *Jobs) release(c context.Context, id string) {
+	s.drop(id, "front is stopping")
+	e := s.change(c, id, func(j *wire.BatchJob) bool {
+		if !s.mine(j) || j.GetComplete() {
+			return false
+		}
+		j.SetOwner("")
+		return true
+	})
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", id).Warn("batch: job not released, another front takes it over later")
+	}
+}
+
+// Bound of the time in which a stopping front releases its jobs.
+const releaseTimeout = 1200 * time.Millisecond
+
+func (s *Jobs) running() int {
+	s.m.Lock()
+	defer s.m.Unlock()
+	n := 0
+	for _, l := range s.runs {
+		n += len(l)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/fleet/choose.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	// Part of a request's target that it may spend in a backend server's
+	// queue; the rest is for the prompt and the first event.
+	queueShare = 0.6
+	// First and longest time in which a backend server is left alone after a
+	// failure.
+	firstAvoid = 300 * time.Millisecond
+	maxAvoid   = 3 * time.Second
+	// Refused callers come back within this span after the first place is
+	// expected, so that they don't come together.
+	minReturn    = 250 * time.Millisecond
+	returnSpread = 1200 * time.Millisecond
+)
+
+// Why a backend server was chosen, or none.
+const (
+	ReasonFree    = "free-slot"
+	ReasonYield   = "batch-yields"
+	ReasonQueue   = "queue"
+	ReasonFull    = "full"
+	ReasonNone    = "no-backend-server"
+	ReasonDropped = "unknown-backend-server"
+)
+
+// Take chooses a backend server for an online request and counts it there. The
+// target is the time to its first byte within which an answer is on time. It
+// skips the ids in tried. Without a server it returns nil; the reason tells
+// why, and the time is when the caller may come back. The draw, from 0 up to
+// but not including 1, spreads the callers that come back.
+func (f *Fleet) Take(now time.Time, name string, target time.Duration, tried []string, draw float64) (*wire.BackendServer, string, time.Duration) {
+	f.m.Lock()
+	defer f.m.Unlock()
+	v := f.service(name)
+	var b *server
+	var k place
+	for _, s := range v.servers {
+		if !s.usable(now) || contains(tried, s.b.GetId()) {
+			continue
+		}
+		p := f.place(s)
+		if b == nil || p.before(k) {
+			b, k = s, p
+		}
+	}
+	w := minReturn + time.Duration(draw*float64(returnSpread))
+	if b == nil {
+		return nil, ReasonNone, w
+	}
+	if k.tier == tierQueue && k.load >= v.depth(b.slots(), target) {
+		return nil, ReasonFull, w
+	}
+	b.online++
+	return b.b, reasons[k.tier], 0
+}
+
+// depth returns how many online requests may wait at a backend server.
+func (v *service) depth(slots int, target time.Duration) int {
+	d := float64(slots) * queueShare * float64(target) / float64(max(v.hold, time.Millisecond))
+	return int(math.Round(d))
+}
+
+const (
+	tierFree = iota
+	tierYield
+	tierQueue
+)
+
+var reasons = [...]string{tierFree: ReasonFree, tierYield: ReasonYield, tierQueue: ReasonQueue}
+
+// place is how good a backend server is for one more online request.
+type place struct {
+	tier int
+	// Requests that compete with the new one; in the queue tier, those that
+	// wait.
+	load  int
+	far   bool
+	order uint64
+}
+
+func (p place) before(q place) bool {
+	if p.tier != q.tier {
+		return p.tier < q.tier
+	}
+	if p.load != q.load {
+		return p.load < q.load
+	}
+	if p.far != q.far {
+		return !p.far
+	}
+	return p.order < q.order
+}
+
+func (f *Fleet) place(s *server) place {
+	p := place{far: s.b.GetDataCentre() != f.dataCentre, order: s.order}
+	switch {
+	case s.total() < s.slots():
+		p.tier = tierFree
+		p.load = s.total()
+	case s.totalOnline() < s.slots():
+		p.tier = tierYield
+		p.load = s.totalOnline()
+	default:
+		p.tier = tierQueue
+		p.load = s.totalOnline() - s.slots()
+	}
+	return p
+}
+
+// TakeBatch chooses a backend server with a free slot for a batch item and
+// counts it there; nil when no slot is free.
+func (f *Fleet) TakeBatch(now time.Time, name string) *wire.BackendServer {
+	f.m.Lock()
+	defer f.m.Unlock()
+	var b *server
+	var k place
+	for _, s := range f.service(name).servers {
+		if !s.usable(now) || s.total() >= s.slots() {
+			continue
+		}
+		p := f.place(s)
+		if b == nil || p.before(k) {
+			b, k = s, p
+		}
+	}
+	if b == nil {
+		return nil
+	}
+	b.batch++
+	return b.b
+}
+
+// Excess returns how many batch items this front must take away from a backend
+// server, because more requests are there than slots. The fronts with batch
+// items there give them up in an order that all compute alike.
+func (f *Fleet) Excess(id string) int {
+	f.m.Lock()
+	defer f.m.Unlock()
+	s := f.servers[id]
+	if s == nil || s.batch == 0 {
+		return 0
+	}
+	x := s.total() - s.slots()
+	for n, p := range f.peers {
+		if x <= 0 {
+			return 0
+		}
+		if n < f.self {
+			x -= batchAt(p.load, s.hash)
+		}
+	}
+	return max(min(x, s.batch), 0)
+}
+
+func batchAt(l *wire.Load, hash uint64) int {
+	for _, s := range l.GetServers() {
+		if s.GetServer() == hash {
+			return int(s.GetBatch())
+		}
+	}
+	return 0
+}
+
+// Done ends an online request that Take has counted. Held is the time in which
+// it held a slot to a complete answer, 0 when there was none.
+func (f *Fleet) Done(id string, held time.Duration) {
+	f.m.Lock()
+	defer f.m.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	s.online = max(s.online-1, 0)
+	if held > 0 {
+		s.failures = 0
+		v := f.service(s.b.GetService())
+		v.hold += time.Duration(holdWeight * float64(held-v.hold))
+	}
+}
+
+// DoneBatch ends a batch item that TakeBatch has counted.
+func (f *Fleet) DoneBatch(id string, answered bool) {
+	f.m.Lock()
+	defer f.m.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	s.batch = max(s.batch-1, 0)
+	if answered {
+		s.failures = 0
+	}
+}
+
+// Failed records that a backend server broke a request, or that it could not
+// be reached at all. An unreachable one is left alone for a while that doubles
+// with each failure; one that broke a single request is not, since answers are
+// lost now and then by servers that are well. It returns how long the backend
+// server is left alone.
+func (f *Fleet) Failed(now time.Time, id string, unreachable bool) time.Duration {
+	f.m.Lock()
+	defer f.m.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return 0
+	}
+	s.failures++
+	n := s.failures - 1
+	if unreachable {
+		n = s.failures
+	}
+	if n == 0 {
+		return 0
+	}
+	d := min(firstAvoid<<min(n-1, 10), maxAvoid)
+	s.avoided = now.Add(d)
+	return d
+}
+
+func contains(l []string, id string) bool {
+	for _, i := range l {
+		if i == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet.go
@@ -0,0 +1,263 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	// A front that has been silent for so long counts as gone. Its datagrams
+	// come every 250 ms.
+	peerTimeout = 2 * time.Second
+	// Weight of the newest answer in the average time that a request holds a
+	// slot.
+	holdWeight = 0.05
+	// Average before the first answer.
+	initialHold = 500 * time.Millisecond
+)
+
+// Fleet is the load of all backend servers as this front knows it. Its methods
+// may be called from any goroutine.
+type Fleet struct {
+	self       string
+	dataCentre string
+
+	m sync.Mutex
+	// By id.
+	servers map[string]*server
+	// By the hash that stands for an id in datagrams.
+	hashes   map[uint64]*server
+	services map[string]*service
+	// By name, without this front.
+	peers map[string]*peer
+}
+
+// server is one backend server.
+type server struct {
+	b    *wire.BackendServer
+	hash uint64
+	// Differs between fronts, so that they break ties differently.
+	order uint64
+	// Requests of this front in flight.
+	online, batch int
+	// Those of the other fronts.
+	othersOnline, othersBatch int
+	// Not used before this time, after a failure.
+	avoided time.Time
+	// Failures since the last answer.
+	failures int
+	// Not in the newest list, and dropped at this time; zero while listed.
+	dropAt time.Time
+}
+
+func (s *server) totalOnline() int { return s.online + s.othersOnline }
+
+func (s *server) total() int { return s.online + s.othersOnline + s.batch + s.othersBatch }
+
+func (s *server) slots() int { return max(int(s.b.GetSlots()), 1) }
+
+func (s *server) usable(now time.Time) bool {
+	return !s.b.GetDraining() && !now.Before(s.avoided)
+}
+
+// service holds the backend servers with the same work.
+type service struct {
+	// In the order of their ids.
+	servers []*server
+	// Average time in which an online request holds a slot.
+	hold time.Duration
+}
+
+// peer is what another front last said.
+type peer struct {
+	load *wire.Load
+	seen time.Time
+}
+
+// New returns an empty fleet for the front self in a data centre.
+func New(self, dataCentre string) *Fleet {
+	return &Fleet{
+		self: self, dataCentre: dataCentre,
+		servers: map[string]*server{}, hashes: map[uint64]*server{},
+		services: map[string]*service{}, peers: map[string]*peer{},
+	}
+}
+
+// SetServers replaces the list of backend servers. One that the list lacks is
+// dropped at keepUntil, which is in the past unless the platform was away: an
+// entry that lapsed meanwhile comes back within seconds.
+func (f *Fleet) SetServers(now time.Time, l []*wire.BackendServer, keepUntil time.Time) {
+	f.m.Lock()
+	defer f.m.Unlock()
+	n := map[string]bool{}
+	for _, b := range l {
+		n[b.GetId()] = true
+		f.set(b)
+	}
+	for i, s := range f.servers {
+		if n[i] {
+			continue
+		}
+		if s.dropAt.IsZero() || keepUntil.Before(s.dropAt) {
+			s.dropAt = keepUntil
+		}
+		if !now.Before(s.dropAt) {
+			delete(f.servers, i)
+			delete(f.hashes, s.hash)
+		}
+	}
+	f.index()
+	f.sumPeers()
+}
+
+func (f *Fleet) set(b *wire.BackendServer) {
+	s := f.servers[b.GetId()]
+	if s == nil {
+		s = &server{hash: xxhash.Sum64String(b.GetId()), order: xxhash.Sum64String(f.self + "/" + b.GetId())}
+		f.servers[b.GetId()] = s
+		f.hashes[s.hash] = s
+	} else if s.b.GetAddress() != b.GetAddress() {
+		s.avoided = time.Time{}
+	}
+	s.b = b
+	s.dropAt = time.Time{}
+}
+
+// index sorts the backend servers by service.
+func (f *Fleet) index() {
+	for _, v := range f.services {
+		v.servers = nil
+	}
+	for _, s := range f.servers {
+		v := f.service(s.b.GetService())
+		v.servers = append(v.servers, s)
+	}
+	for _, v := range f.services {
+		slices.SortFunc(v.servers, func(a, b *server) int { return cmp.Compare(a.b.GetId(), b.b.GetId()) })
+	}
+}
+
+func (f *Fleet) service(name string) *service {
+	v := f.services[name]
+	if v == nil {
+		v = &service{hold: initialHold}
+		f.services[name] = v
+	}
+	return v
+}
+
+// SetPeer takes in what another front says of its load.
+func (f *Fleet) SetPeer(now time.Time, l *wire.Load) {
+	f.m.Lock()
+	defer f.m.Unlock()
+	p := f.peers[l.GetName()]
+	if p != nil && !newer(l, p.load) {
+		return
+	}
+	f.peers[l.GetName()] = &peer{load: l, seen: now}
+	f.sumPeers()
+}
+
+// newer says whether datagram a was sent after b. A datagram that was delayed
+// or doubled must not bring back an old load.
+func newer(a, b *wire.Load) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetSequence() > b.GetSequence()
+}
+
+// Expire forgets the load of fronts that have gone silent. It returns whether
+// there were any.
+func (f *Fleet) Expire(now time.Time) bool {
+	f.m.Lock()
+	defer f.m.Unlock()
+	d := false
+	for n, p := range f.peers {
+		if now.Sub(p.seen) > peerTimeout {
+			delete(f.peers, n)
+			d = true
+		}
+	}
+	if d {
+		f.sumPeers()
+	}
+	return d
+}
+
+func (f *Fleet) sumPeers() {
+	for _, s := range f.servers {
+		s.othersOnline = 0
+		s.othersBatch = 0
+	}
+	for _, p := range f.peers {
+		for _, l := range p.load.GetServers() {
+			s := f.hashes[l.GetServer()]
+			if s != nil {
+				s.othersOnline += int(l.GetOnline())
+				s.othersBatch += int(l.GetBatch())
+			}
+		}
+	}
+}
+
+// Alive says whether a front with this name and incarnation has sent a
+// datagram lately.
+func (f *Fleet) Alive(now time.Time, name string, incarnation uint64) bool {
+	f.m.Lock()
+	defer f.m.Unlock()
+	p := f.peers[name]
+	return p != nil && p.load.GetIncarnation() == incarnation && now.Sub(p.seen) <= peerTimeout
+}
+
+// Heard says whether a front has sent a datagram within a time, or has not
+// been known for longer.
+func (f *Fleet) Heard(now time.Time, name string, within time.Duration) bool {
+	f.m.Lock()
+	defer f.m.Unlock()
+	p := f.peers[name]
+	return p != nil && now.Sub(p.seen) <= within
+}
+
+// Peers returns the names of the fronts that are alive and take work, in
+// order, without this one.
+func (f *Fleet) Peers(now time.Time) []string {
+	f.m.Lock()
+	defer f.m.Unlock()
+	var l []string
+	for n, p := range f.peers {
+		if now.Sub(p.seen) <= peerTimeout && !p.load.GetLeaving() {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Loads returns this front's own requests in flight.
+func (f *Fleet) Loads() []*wire.ServerLoad {
+	f.m.Lock()
+	defer f.m.Unlock()
+	var l []*wire.ServerLoad
+	for _, s := range f.servers {
+		if s.online == 0 && s.batch == 0 {
+			continue
+		}
+		o, b := int32(s.online), int32(s.batch)
+		l = append(l, wire.ServerLoad_builder{Server: &s.hash, Online: &o, Batch: &b}.Build())
+	}
+	return l
+}
+
+// Size returns the number of backend servers of all services.
+func (f *Fleet) Size() int {
+	f.m.Lock()
+	defer f.m.Unlock()
+	return len(f.servers)
+}
--- /dev/null
+++ b/internal/coordination/gossip/task.go
@@ -0,0 +1,191 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	// Changes within this time share a datagram.
+	gather = 8 * time.Millisecond
+	// Longest time between datagrams.
+	heartbeat = 250 * time.Millisecond
+	// Largest datagram in bytes.
+	maxDatagram = 60 << 10
+	// How long a crash is told to the others.
+	crashAge = 30 * time.Second
+	// A front that was not heard for so long gets heartbeats only.
+	quiet = 5 * time.Second
+)
+
+// Task sends and receives the datagrams of one front.
+type Task struct {
+	n      net.PacketConn
+	self   *wire.Front
+	f      *fleet.Fleet
+	p      *poison.Record
+	fronts *inform.Informer
+	l      log.Interface
+	// Called after the load of another front has changed.
+	changed func()
+	wake    chan struct{}
+	leaving atomic.Bool
+	sent    prometheus.Counter
+	// Used by the sending goroutine only.
+	sequence  uint64
+	addresses []target
+}
+
+// target is another front to which datagrams go.
+type target struct {
+	name    string
+	address net.Addr
+}
+
+// New starts a task that ends with c and closes n then. It calls changed after
+// each datagram.
+func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts *inform.Informer, l log.Interface, r prometheus.Registerer, changed func()) *Task {
+	t := &Task{
+		n: n, self: self, f: f, p: p, fronts: fronts, l: l, changed: changed, wake: make(chan struct{}, 1),
+		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
+			Name: "bulrushtrail_load_datagrams_total",
+			Help: "Datagrams with loads sent to other fronts.",
+		}),
+	}
+	context.AfterFunc(c, func() { _ = n.Close() })
+	go t.receive(c)
+	go t.send(c)
+	return t
+}
+
+// Wake sends the loads soon, because they have changed.
+func (t *Task) Wake() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the others that this front takes no new work.
+func (t *Task) Leave() {
+	t.leaving.Store(true)
+	t.Wake()
+}
+
+func (t *Task) send(c context.Context) {
+	h := time.NewTicker(heartbeat)
+	defer h.Stop()
+	for {
+		b := false
+		select {
+		case <-c.Done():
+			return
+		case <-h.C:
+			b = true
+		case <-t.wake:
+			time.Sleep(gather)
+		}
+		t.expire(b)
+		t.broadcast(c, b)
+	}
+}
+
+// expire forgets silent fronts and takes in new ones.
+func (t *Task) expire(heartbeat bool) {
+	if !heartbeat {
+		return
+	}
+	if t.f.Expire(time.Now()) {
+		t.l.Warn("gossip: front went silent")
+		t.changed()
+	}
+	t.addresses = t.targets()
+}
+
+func (t *Task) targets() []target {
+	var l []target
+	for n, o := range t.fronts.All() {
+		if n == t.self.GetName() {
+			continue
+		}
+		var f wire.Front
+		e := o.Decode(&f)
+		if e != nil {
+			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front is not readable")
+			continue
+		}
+		a, e := net.ResolveUDPAddr("udp", f.GetPeerAddress())
+		if e != nil {
+			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front has no address")
+			continue
+		}
+		l = append(l, target{name: n, address: a})
+	}
+	return l
+}
+
+func (t *Task) broadcast(c context.Context, heartbeat bool) {
+	t.sequence++
+	now := time.Now()
+	b, e := proto.Marshal(wire.Load_builder{
+		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
+		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(now.Add(-crashAge)),
+		Leaving: proto.Bool(t.leaving.Load()),
+	}.Build())
+	if e != nil {
+		t.l.WithError(e).Error("gossip: loads not encoded")
+		return
+	}
+	for _, a := range t.addresses {
+		if !heartbeat && !t.f.Heard(now, a.name, quiet) {
+			continue
+		}
+		t.sent.Inc()
+		_, e = t.n.WriteTo(b, a.address)
+		if e != nil && c.Err() == nil {
+			t.l.WithError(e).WithField("front", a.name).Debug("gossip: datagram not sent")
+		}
+	}
+}
+
+func (t *Task) receive(c context.Context) {
+	b := make([]byte, maxDatagram)
+	for {
+		n, a, e := t.n.ReadFrom(b)
+		if c.Err() != nil {
+			return
+		}
+		if e != nil {
+			if errors.Is(e, net.ErrClosed) {
+				t.l.WithError(e).Error("gossip: socket closed")
+				return
+			}
+			continue
+		}
+		var l wire.Load
+		e = proto.Unmarshal(b[:n], &l)
+		if e != nil || l.GetName() == "" || l.GetName() == t.self.GetName() {
+			t.l.WithField("from", a.String()).Warn("gossip: datagram dropped, it is not a load of another front")
+			continue
+		}
+		now := time.Now()
+		t.f.SetPeer(now, &l)
+		if len(l.GetCrashes()) > 0 {
+			t.p.Merge(now, l.GetCrashes())
+		}
+		t.changed()
+	}
+}
--- /dev/null
+++ b/internal/coordination/inform/informer.go
@@ -0,0 +1,205 @@
+package inform
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+const (
+	firstPause = 50 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
+)
+
+// Informer is a copy of one kind. Its methods may be called from any
+// goroutine.
+type Informer struct {
+	store trail.Store
+	kind  string
+	l     log.Interface
+
+	m       sync.Mutex
+	objects map[string]object.Object
+	// Highest version deleted under a name, so that a late answer does not
+	// revive an object.
+	deleted map[string]int64
+	known   bool
+	// When the last trouble with the platform began and ended; the end is
+	// zero while it lasts.
+	failed    time.Time
+	recovered time.Time
+	// Closed and replaced at each change.
+	changed chan struct{}
+}
+
+// New starts an informer that ends with c.
+func New(c context.Context, store trail.Store, kind string, l log.Interface) *Informer {
+	s := &Informer{
+		store: store, kind: kind, l: l.WithField("kind", kind),
+		objects: map[string]object.Object{}, deleted: map[string]int64{}, changed: make(chan struct{}),
+	}
+	go s.run(c)
+	return s
+}
+
+func (s *Informer) run(c context.Context) {
+	p := firstPause
+	for c.Err() == nil {
+		b := time.Now()
+		e := s.follow(c)
+		if c.Err() != nil {
+			return
+		}
+		if time.Since(b) > maxPause {
+			p = firstPause
+		}
+		if !errors.Is(e, trail.ErrTooOld) {
+			s.lost(e)
+		}
+		select {
+		case <-time.After(p/2 + rand.N(p)):
+		case <-c.Done():
+			return
+		}
+		p = min(2*p, maxPause)
+	}
+}
+
+// follow lists the kind and takes in its changes until the watch ends.
+func (s *Informer) follow(c context.Context) error {
+	l, v, e := s.store.List(c, s.kind)
+	if e != nil {
+		return e
+	}
+	s.replace(l, v)
+	w, e := s.store.Watch(c, s.kind, v)
+	if e != nil {
+		return e
+	}
+	for x := range w {
+		s.apply(x)
+	}
+	return errors.New("watch ended")
+}
+
+// lost records the start of trouble with the platform.
+func (s *Informer) lost(cause error) {
+	s.m.Lock()
+	f := s.failed.IsZero() || !s.recovered.IsZero()
+	if f {
+		s.failed = time.Now()
+		s.recovered = time.Time{}
+	}
+	s.m.Unlock()
+	if f {
+		s.l.WithError(cause).Warn("inform: watch of the platform lost")
+	}
+}
+
+// replace takes in a list. Objects that it lacks are deleted.
+func (s *Informer) replace(l []object.Object, version int64) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	n := make(map[string]object.Object, len(l))
+	for _, o := range l {
+		n[o.Name()] = o
+	}
+	for k, o := range s.objects {
+		if o.Version() > version {
+			// Stored by this process after the list was made.
+			n[k] = o
+		} else if p, ok := n[k]; ok && p.Version() < o.Version() {
+			n[k] = o
+		}
+	}
+	s.objects = n
+	s.deleted = map[string]int64{}
+	s.known = true
+	if !s.failed.IsZero() && s.recovered.IsZero() {
+		s.recovered = time.Now()
+		s.l.WithField("away", s.recovered.Sub(s.failed).String()).Info("inform: watch of the platform regained")
+	}
+	s.notify()
+}
+
+func (s *Informer) apply(x trail.Change) {
+	o := x.Object()
+	s.m.Lock()
+	defer s.m.Unlock()
+	if x.Deleted() {
+		s.deleted[o.Name()] = max(s.deleted[o.Name()], o.Version())
+		if h, ok := s.objects[o.Name()]; ok && h.Version() <= o.Version() {
+			delete(s.objects, o.Name())
+			s.notify()
+		}
+		return
+	}
+	s.put(o)
+}
+
+// put keeps an object unless a newer version is known.
+func (s *Informer) put(o object.Object) {
+	if o.Version() <= s.objects[o.Name()].Version() || o.Version() <= s.deleted[o.Name()] {
+		return
+	}
+	s.objects[o.Name()] = o
+	s.notify()
+}
+
+// notify wakes the waiting readers; the caller holds the lock.
+func (s *Informer) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Put takes in an object that this process has just written or read.
+func (s *Informer) Put(o object.Object) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.put(o)
+}
+
+// Get returns an object, false when it is not there.
+func (s *Informer) Get(name string) (object.Object, bool) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	o, ok := s.objects[name]
+	return o, ok
+}
+
+// All returns all objects by name.
+func (s *Informer) All() map[string]object.Object {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return maps.Clone(s.objects)
+}
+
+// Known says whether the kind has been listed once.
+func (s *Informer) Known() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.known
+}
+
+// Trouble returns when the platform was last lost and when it was regained.
+// The second time is zero while it is lost; both are zero before any trouble.
+func (s *Informer) Trouble() (lost, regained time.Time) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.failed, s.recovered
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Informer) Changed() <-chan struct{} {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.changed
+}
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -44,7 +44,7 @@
 		calls:    map[uint64]*call{},
 		bounded:  map[uint64]*call{},
 		running:  map[string]*attempt{},
-		crashes:  poison.New(),
+		crashes:  poison.New(poison.RejectAfter),
 	}
 }
 
--- a/internal/coordination/poison/record.go
+++ b/internal/coordination/poison/record.go
@@ -3,14 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
+// RejectAfter is the default number of crashes at different backend servers
+// after which a request is rejected.
+const RejectAfter = 2
+
 const (
-	// Crashes at different backend servers after which a request is rejected.
-	rejectAfter = 2
 	// A suspect that is not sent again within this time is forgotten.
 	suspectLifetime = 10 * time.Minute
 	// Bound on the memory for suspects. The oldest one is forgotten first.
@@ -18,9 +21,13 @@
 	sweepPeriod = time.Minute
 )
 
-// Record holds the crashes by fingerprint.
+// Record holds the crashes by fingerprint. Its methods may be called from any
+// goroutine.
 type Record struct {
+	m       sync.Mutex
 	crashes map[uint64]*crash
+	// Crashes at different backend servers after which a request is rejected.
+	rejectAfter int
 	// When old suspects were last removed.
 	swept time.Time
 }
@@ -35,12 +42,17 @@
 	own bool
 }
 
-// New returns an empty record.
-func New() *Record { return &Record{crashes: map[uint64]*crash{}} }
+// New returns an empty record that rejects a request after so many crashes at
+// different backend servers.
+func New(rejectAfter int) *Record {
+	return &Record{crashes: map[uint64]*crash{}, rejectAfter: rejectAfter}
+}
 
 // Crashed counts the loss of a host that was running the request, and returns
 // whether the request is rejected from now on.
 func (r *Record) Crashed(now time.Time, fingerprint uint64, host string) bool {
+	r.m.Lock()
+	defer r.m.Unlock()
 	k := r.crashes[fingerprint]
 	if k == nil {
 		r.forget(now)
@@ -52,7 +64,7 @@
 	if !slices.Contains(k.hosts, host) {
 		k.hosts = append(k.hosts, host)
 	}
-	if len(k.hosts) >= rejectAfter {
+	if len(k.hosts) >= r.rejectAfter {
 		k.rejected = true
 	}
 	return k.rejected
@@ -60,6 +72,8 @@
 
 // Completed clears a suspect. A rejected request stays rejected.
 func (r *Record) Completed(fingerprint uint64) {
+	r.m.Lock()
+	defer r.m.Unlock()
 	k := r.crashes[fingerprint]
 	if k == nil || k.rejected {
 		return
@@ -69,6 +83,8 @@
 
 // Rejected returns whether the request must not run again.
 func (r *Record) Rejected(fingerprint uint64) bool {
+	r.m.Lock()
+	defer r.m.Unlock()
 	k := r.crashes[fingerprint]
 	return k != nil && k.rejected
 }
@@ -76,6 +92,8 @@
 // Suspect returns whether the request was running when a host was lost and has
 // not completed since.
 func (r *Record) Suspect(fingerprint uint64) bool {
+	r.m.Lock()
+	defer r.m.Unlock()
 	k := r.crashes[fingerprint]
 	return k != nil && !k.rejected
 }
@@ -83,6 +101,8 @@
 // Hosts returns the names of the hosts that were lost while they ran the
 // request.
 func (r *Record) Hosts(fingerprint uint64) []string {
+	r.m.Lock()
+	defer r.m.Unlock()
 	k := r.crashes[fingerprint]
 	if k == nil {
 		return nil
@@ -93,6 +113,8 @@
 // Merge adds crashes that other processes have seen. A host that both sides
 // name counts once.
 func (r *Record) Merge(now time.Time, l []*wire.Crash) {
+	r.m.Lock()
+	defer r.m.Unlock()
 	for _, w := range l {
 		k := r.crashes[w.GetFingerprint()]
 		if k == nil {
@@ -104,13 +126,15 @@
 				k.hosts = append(k.hosts, h)
 			}
 		}
-		k.rejected = k.rejected || w.GetRejected() || len(k.hosts) >= rejectAfter
+		k.rejected = k.rejected || w.GetRejected() || len(k.hosts) >= r.rejectAfter
 	}
 }
 
 // Crashes returns the records of hosts lost here since a time, in the order of
 // their fingerprints.
 func (r *Record) Crashes(since time.Time) []*wire.Crash {
+	r.m.Lock()
+	defer r.m.Unlock()
 	var l []*wire.Crash
 	for _, k := range r.crashes {
 		if !k.own || k.last.Before(since) {
--- a/internal/coordination/poison/record_test.go
+++ b/internal/coordination/poison/record_test.go
@@ -14,7 +14,7 @@
 // Only crashes at different hosts may reject a request, a completion must
 // clear a suspect but not a rejected request, and memory must stay bounded.
 func TestRecord(t *testing.T) {
-	r := poison.New()
+	r := poison.New(poison.RejectAfter)
 	n := time.UnixMilli(0)
 	check(t, "false false []", state(r, 7))
 	r.Crashed(n, 7, "a")
--- /dev/null
+++ b/internal/state/node/doc.go
@@ -0,0 +1,2 @@
+// Package node reads the settings of one process.
+package node
--- /dev/null
+++ b/internal/state/node/load.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// Load reads and checks the settings file, which is JSON with kebab-case
+// names. Unknown settings are ignored. The error names every fault.
+func Load(path string) (*wire.Node, error) {
+	b, e := os.ReadFile(path)
+	if e != nil {
+		return nil, errors.Wrap(e, "read settings")
+	}
+	n := &wire.Node{}
+	e = protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(b, n)
+	if e != nil {
+		return nil, errors.Wrapf(e, "%s: settings are not valid", path)
+	}
+	return n, check(path, n)
+}
+
+func check(path string, n *wire.Node) error {
+	var l trail.Errors
+	f := func(name, text string) {
+		l = append(l, trail.NewError("setting-invalid", trail.NotRun, "%s %s", name, text).At(path))
+	}
+	if n.GetName() == "" {
+		f("name", "is missing")
+	}
+	if n.GetDataCentre() == "" {
+		f("data-centre", "is missing")
+	}
+	if net.ParseIP(n.GetHostAddress()) == nil {
+		f("host-address", "is not an IP address")
+	}
+	if !isAddress(n.GetStoreAddress()) {
+		f("store-address", "is not an IP address and a port")
+	}
+	for k, v := range map[string]string{"api-address": n.GetApiAddress(), "ready-address": n.GetReadyAddress()} {
+		if v != "" && !isAddress(v) {
+			f(k, "is not an IP address and a port")
+		}
+	}
+	if p := n.GetPeerPort(); p == 0 || p > 65535 {
+		f("peer-port", "is not a port")
+	}
+	if n.GetValueBytes() <= 0 {
+		f("value-bytes", "is not above 0")
+	}
+	if n.GetStopSeconds() <= 0 {
+		f("stop-seconds", "is not above 0")
+	}
+	return l.OrNil()
+}
+
+func isAddress(s string) bool {
+	h, p, e := net.SplitHostPort(s)
+	if e != nil || net.ParseIP(h) == nil {
+		return false
+	}
+	v, e := strconv.ParseUint(p, 10, 16)
+	return e == nil && v > 0
+}
--- /dev/null
+++ b/internal/transport/pool/conn.go
@@ -0,0 +1,71 @@
+package pool
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// connection is one kept connection to a backend server.
+type connection struct {
+	n       net.Conn
+	r       *bufio.Reader
+	address string
+	// When the connection may no longer be used; zero while it is in use.
+	expires time.Time
+}
+
+func newConnection(n net.Conn, address string) *connection {
+	return &connection{n: n, r: bufio.NewReaderSize(n, 2<<10), address: address}
+}
+
+func (n *connection) close() { _ = n.n.Close() }
+
+// abort makes the reads and writes in progress fail.
+func (n *connection) abort() { _ = n.n.SetDeadline(time.Unix(1, 0)) }
+
+// usable says whether an idle connection can take a request: it is young
+// enough, open, and the other side has sent nothing meanwhile.
+func (n *connection) usable() bool {
+	return time.Now().Before(n.expires) && n.r.Buffered() == 0 && silent(n.n)
+}
+
+// silent looks without reading whether the socket holds neither bytes nor an
+// end. Connections of other kinds are taken as they are.
+func silent(n net.Conn) bool {
+	k, ok := n.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	r, e := k.SyscallConn()
+	if e != nil {
+		return false
+	}
+	v := false
+	e = r.Read(func(f uintptr) bool {
+		var b [1]byte
+		_, _, g := syscall.Recvfrom(int(f), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		v = g == syscall.EAGAIN
+		return true
+	})
+	return e == nil && v
+}
+
+// idleTime returns how long the connection may be kept after an answer.
+func idleTime(a *http.Response) time.Duration {
+	for _, p := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
+		k, v, ok := strings.Cut(strings.TrimSpace(p), "=")
+		if !ok || !strings.EqualFold(k, "timeout") {
+			continue
+		}
+		t, e := strconv.Atoi(v)
+		if e == nil {
+			return time.Duration(t)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/transport/pool/exchange.go
@@ -0,0 +1,154 @@
+package pool
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	trail "bulrushtrail.example/trail"
+)
+
+const (
+	// Answers to earlier requests that are skipped before the connection is
+	// given up.
+	maxSkipped = 2
+	// Largest body of a skipped answer in bytes.
+	maxSkippedBytes = 1 << 20
+	// A longer body is written while the answer is awaited, because the
+	// backend server may answer before it has read everything.
+	inlineBody = 32 << 10
+)
+
+var errForeign = errors.New("answer belongs to another request")
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	s *Pool
+	n *connection
+	// Detaches the connection from the request's context.
+	stop func() bool
+	// Receives the result of a body that is written meanwhile; nil otherwise.
+	wrote chan error
+	ended sync.Once
+}
+
+// send writes the request.
+func (x *exchange) send(target string, q *http.Request, body []byte) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, target, q.Host)
+	if len(body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
+		q.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	_ = q.Header.Write(&b)
+	b.WriteString("\r\n")
+	if len(body) > inlineBody {
+		return x.sendLong(b.Bytes(), body)
+	}
+	b.Write(body)
+	w, e := x.n.n.Write(b.Bytes())
+	if e == nil {
+		return nil
+	}
+	v := trail.MayHaveRun
+	if w == 0 {
+		v = trail.NotRun
+	}
+	return trail.WrapError(e, "backend-lost", v, "request was not sent completely").At(x.n.address)
+}
+
+func (x *exchange) sendLong(head, body []byte) error {
+	w, e := x.n.n.Write(head)
+	if e != nil {
+		v := trail.MayHaveRun
+		if w == 0 {
+			v = trail.NotRun
+		}
+		return trail.WrapError(e, "backend-lost", v, "request was not sent completely").At(x.n.address)
+	}
+	x.wrote = make(chan error, 1)
+	go func() {
+		_, e := x.n.n.Write(body)
+		x.wrote <- e
+	}()
+	return nil
+}
+
+// answer reads until the head of an answer that belongs to the request.
+func (x *exchange) answer(q *http.Request, belongs func(*http.Response) bool) (*http.Response, error) {
+	for k := 0; k <= maxSkipped; {
+		a, e := http.ReadResponse(x.n.r, q)
+		if e != nil {
+			return nil, e
+		}
+		if a.StatusCode < http.StatusOK {
+			continue
+		}
+		if belongs(a) {
+			x.n.expires = time.Now().Add(idleTime(a))
+			a.Body = &body{x: x, r: a.Body, last: a.Close}
+			return a, nil
+		}
+		k++
+		w, e := io.Copy(io.Discard, io.LimitReader(a.Body, maxSkippedBytes))
+		if e != nil {
+			return nil, e
+		}
+		if w == maxSkippedBytes || a.Close {
+			return nil, errForeign
+		}
+	}
+	return nil, errForeign
+}
+
+// end gives the connection back, or closes it.
+func (x *exchange) end(reusable bool) {
+	x.ended.Do(func() {
+		// A context that has ended already has closed the connection.
+		d := x.stop()
+		if d && reusable && x.written() && x.n.r.Buffered() == 0 {
+			x.s.keep(x.n)
+			return
+		}
+		x.n.close()
+	})
+}
+
+// written says whether all of the request has been written by now.
+func (x *exchange) written() bool {
+	if x.wrote == nil {
+		return true
+	}
+	select {
+	case e := <-x.wrote:
+		return e == nil
+	default:
+		return false
+	}
+}
+
+// body is the rest of an answer. Its end frees the connection.
+type body struct {
+	x *exchange
+	r io.ReadCloser
+	// The connection ends with this answer.
+	last bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, e := b.r.Read(p)
+	if e != nil {
+		b.x.end(errors.Is(e, io.EOF) && !b.last)
+	}
+	return n, e
+}
+
+func (b *body) Close() error {
+	b.x.end(false)
+	return nil
+}
