coordination/inform, gossip: missed changes of watches are found by lists and digests

Change: three fronts list configuration and registry each 0.9 s, and the digests of all copies travel in the datagrams; a front that differs for 0.4 s lists too. Conclusion: a change that no watch tells is in force after about 1.4 s at the most.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -35,6 +35,12 @@
 	exitTime = 600 * time.Millisecond
 	// Time before the end of the drain in which batch jobs are released.
 	releaseTime = 1300 * time.Millisecond
+	// A change that the watches have missed is known after this time, a
+	// heartbeat and a list. Leaving backend servers and configurations must be
+	// heeded within two seconds.
+	verifyInterval = 900 * time.Millisecond
+	// Fronts that look for missed changes on behalf of all.
+	verifiers = 3
 	// Entries of backend servers that lapsed while the platform was away are
 	// back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -76,6 +82,8 @@
 	m := member.New(l, p.store, s.self, p.l)
 	serve(l, b, api.Ready(s.api.Ready))
 	p.metrics(l, s.api)
+	go s.configs.Verify(l, verifyInterval, s.verifier)
+	go s.hosts.Verify(l, verifyInterval, s.verifier)
 	go s.followConfig(l)
 	go s.followHosts(l)
 	d := make(chan struct{})
@@ -106,7 +114,7 @@
 	// the first request.
 	s.direct = direct.New(s.f, q, u, p.l, p.r, func() { s.gossip.Wake() }, func(id string) { s.jobs.Crowded(id) })
 	s.jobs = batch.New(c, s.self, p.store, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
-	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, p.l, p.r, s.jobs.Wake)
+	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs.Wake)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
 		httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
 	return s
@@ -132,6 +140,17 @@
 	s.jobs.Drain(c)
 }
 
+// verifier says whether this front is among the first live ones by name.
+func (s *frontRole) verifier() bool {
+	n := 0
+	for _, p := range s.f.Peers(time.Now()) {
+		if p < s.self.GetName() {
+			n++
+		}
+	}
+	return n < verifiers
+}
+
 // followConfig puts each new configuration in force until c ends.
 func (s *frontRole) followConfig(c context.Context) {
 	for {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -38,7 +38,9 @@
 	f      *fleet.Fleet
 	p      *poison.Record
 	fronts *inform.Informer
-	l      log.Interface
+	// Copies that are compared with those of the other fronts.
+	configs, hosts *inform.Informer
+	l              log.Interface
 	// Called after the load of another front has changed.
 	changed func()
 	wake    chan struct{}
@@ -56,10 +58,11 @@
 }
 
 // New starts a task that ends with c and closes n then. It calls changed after
-// each datagram.
-func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts *inform.Informer, l log.Interface, r prometheus.Registerer, changed func()) *Task {
+// each datagram. When another front holds other objects than the informers of
+// configs and hosts for a while, they are asked for a new list.
+func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, changed func()) *Task {
 	t := &Task{
-		n: n, self: self, f: f, p: p, fronts: fronts, l: l, changed: changed, wake: make(chan struct{}, 1),
+		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, changed: changed, wake: make(chan struct{}, 1),
 		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -144,6 +147,7 @@
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
 		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(now.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
+		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 	}.Build())
 	if e != nil {
 		t.l.WithError(e).Error("gossip: loads not encoded")
@@ -163,6 +167,7 @@
 
 func (t *Task) receive(c context.Context) {
 	b := make([]byte, maxDatagram)
+	f, h := newComparison(), newComparison()
 	for {
 		n, a, e := t.n.ReadFrom(b)
 		if c.Err() != nil {
@@ -186,6 +191,12 @@
 		if len(l.GetCrashes()) > 0 {
 			t.p.Merge(now, l.GetCrashes())
 		}
+		if f.due(now, l.GetName(), l.GetConfigs(), t.configs.Digest()) {
+			t.configs.Refresh()
+		}
+		if h.due(now, l.GetName(), l.GetHosts(), t.hosts.Digest()) {
+			t.hosts.Refresh()
+		}
 		t.changed()
 	}
 }
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -38,6 +38,8 @@
 	recovered time.Time
 	// Closed and replaced at each change.
 	changed chan struct{}
+	// Holds a value while a new list is wanted.
+	refresh chan struct{}
 }
 
 // New starts an informer that ends with c.
@@ -45,6 +47,7 @@
 	s := &Informer{
 		store: store, kind: kind, l: l.WithField("kind", kind),
 		objects: map[string]object.Object{}, deleted: map[string]int64{}, changed: make(chan struct{}),
+		refresh: make(chan struct{}, 1),
 	}
 	go s.run(c)
 	return s
