--- /dev/null
+++ b/internal/command/daemon/batch_test.go
@@ -0,0 +1,160 @@
+package daemon_test
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// job returns a submission with an item for each id. An id may be followed by
+// the end of its item's path.
+func job(ids ...string) string {
+	l := make([]string, 0, len(ids))
+	for _, i := range ids {
+		id, end, _ := strings.Cut(i, " ")
+		l = append(l, fmt.Sprintf(`{"Id":%q,"Path":"/jobs/run%s","Headers":{"X-Model":"m"},"Body":%q,"Tokens":10}`,
+			id, end, base64.StdEncoding.EncodeToString([]byte("body of "+id))))
+	}
+	return `{"Items":[` + strings.Join(l, ",") + `]}`
+}
+
+type results struct {
+	Total     int
+	NextToken int
+	Results   []struct{ ID, State, Output string }
+}
+
+func (p *process) results(id string, after int) results {
+	p.g.t.Helper()
+	a := p.call("GET", fmt.Sprintf("/lots/%s?After=%d", id, after), "", "")
+	var r results
+	if a.status != 200 || json.Unmarshal([]byte(a.body), &r) != nil {
+		p.g.t.Fatalf("results of %s: %d %s", id, a.status, a.body)
+	}
+	return r
+}
+
+// states returns the results by item id.
+func (r results) states() map[string]string {
+	m := map[string]string{}
+	for _, v := range r.Results {
+		m[v.ID] = v.State + " " + v.Output
+	}
+	return m
+}
+
+// Guards against items that get lost, run into each other's results, or have
+// the wrong outcome, and against fronts that tell different results.
+func TestJob(t *testing.T) {
+	g := newRig(t, time.Millisecond)
+	p, q := g.start("front-1"), g.start("front-2")
+	b := job("a", "b /cut", "c /fail", "d /never", "e")
+	got := []int{p.call("POST", "/jobs/1", "job", b).status, q.call("POST", "/jobs/1", "job", b).status}
+	if d := cmp.Diff([]int{202, 202}, got); d != "" {
+		t.Fatal(d)
+	}
+	a := q.call("GET", "/items/job?Id=a", "", "")
+	if d := cmp.Diff("body of a", a.body); d != "" {
+		t.Error(d)
+	}
+	g.until("all items have a result", func() bool { return len(p.results("job", 0).Results) == 5 })
+	r := p.results("job", 0)
+	want := map[string]string{
+		"a": "done " + output("a"), "b": "done " + output("b"), "e": "done " + output("e"),
+		"c": "dead_letter ", "d": "dead_letter ",
+	}
+	if d := cmp.Diff(want, r.states()); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(r, q.results("job", 0)); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([]int{5, 5, 2}, []int{r.Total, r.NextToken, len(q.results("job", 3).Results)}); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a job that is lost with the front that accepted it.
+func TestJobOutlivesItsFront(t *testing.T) {
+	g := newRig(t, 100*time.Millisecond)
+	p, q := g.start("front-1"), g.start("front-2")
+	l := make([]string, 0, 20)
+	for n := range 20 {
+		l = append(l, fmt.Sprint("item-", n))
+	}
+	if d := cmp.Diff(202, p.call("POST", "/jobs/1", "job", job(l...)).status); d != "" {
+		t.Fatal(d)
+	}
+	g.until("some items have a result", func() bool { return len(q.results("job", 0).Results) > 0 })
+	b := q.results("job", 0)
+	p.signal(syscall.SIGKILL)
+	g.until("all items have a result", func() bool { return len(q.results("job", 0).Results) == 20 })
+	a := q.results("job", 0)
+	if d := cmp.Diff(b.Results, a.Results[:len(b.Results)]); d != "" {
+		t.Error("results changed their position:", d)
+	}
+	want := map[string]string{}
+	for _, i := range l {
+		want[i] = "done " + output(i)
+	}
+	if d := cmp.Diff(want, a.states()); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a job that runs on after its caller has ended it at another
+// front.
+func TestEndedJobStops(t *testing.T) {
+	g := newRig(t, 400*time.Millisecond)
+	p, q := g.start("front-1"), g.start("front-2")
+	l := make([]string, 0, 40)
+	for n := range 40 {
+		l = append(l, fmt.Sprint("item-", n))
+	}
+	p.call("POST", "/jobs/1", "job", job(l...))
+	if d := cmp.Diff(200, q.call("DELETE", "/lots/job", "", "").status); d != "" {
+		t.Error(d)
+	}
+	g.until("no item runs", func() bool { return strings.Contains(p.logs(), `"reason":"ended by its caller"`) })
+	if d := cmp.Diff(200, p.call("DELETE", "/lots/job", "", "").status); d != "" {
+		t.Error(d)
+	}
+	r := q.results("job", 0)
+	if len(r.Results) == 40 {
+		t.Error("all items ran")
+	}
+}
+
+// Guards against a job whose acceptance is doubtful and is reported as not
+// run, and against one that is accepted twice.
+func TestJobWithLostAnswers(t *testing.T) {
+	g := newRig(t, time.Millisecond)
+	p := g.start("front-1")
+	g.p.LoseAnswers(2)
+	if d := cmp.Diff(202, p.call("POST", "/jobs/1", "job", job("a", "b")).status); d != "" {
+		t.Error(d)
+	}
+	g.until("all items have a result", func() bool { return len(p.results("job", 0).Results) == 2 })
+}
+
+// Guards against jobs that cannot be read and are accepted in part.
+func TestUnreadableJob(t *testing.T) {
+	g := newRig(t, time.Millisecond)
+	p := g.start("front-1")
+	l := []string{"", "{", `{"Items":[]}`, job("a", "a"), `{"Items":[{"Id":"a","Path":"/jobs/x","Body":"!"}]}`}
+	for n, b := range l {
+		id := fmt.Sprint("job-", n)
+		if d := cmp.Diff(400, p.call("POST", "/jobs/1", id, b).status); d != "" {
+			t.Errorf("%q: %s", b, d)
+		}
+		if d := cmp.Diff(404, p.call("GET", "/lots/"+id, "", "").status); d != "" {
+			t.Errorf("%q: %s", b, d)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/agenda/agenda_test.go
@@ -0,0 +1,101 @@
+package agenda_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/agenda"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func yes(string) bool { return true }
+
+func next(a *agenda.Agenda, now time.Time) string {
+	j, n, ok := a.Next(now, yes)
+	if !ok {
+		return "none"
+	}
+	return fmt.Sprint(j, n)
+}
+
+// Guards against a small job that waits behind a large one that is due later.
+func TestEarliestDueFirst(t *testing.T) {
+	a := agenda.New()
+	a.Add("large", start.Add(time.Minute), 3, []string{"a", "b", "c"}, nil)
+	a.Add("small", start.Add(time.Second), 3, []string{"d"}, nil)
+	got := []string{next(a, start), next(a, start), next(a, start), next(a, start), next(a, start)}
+	want := []string{"small0", "large0", "large1", "large2", "none"}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against items that lose what they have run: one that gave up its slot
+// goes on before its job's other items begin.
+func TestYieldedGoesOnFirst(t *testing.T) {
+	a := agenda.New()
+	a.Add("j", start, 3, []string{"a", "b", "c"}, nil)
+	got := []string{next(a, start), next(a, start)}
+	a.Yielded("j", 1)
+	got = append(got, next(a, start))
+	if d := cmp.Diff([]string{"j0", "j1", "j1"}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against an item that is run again at once by a backend server that
+// has just refused it.
+func TestBrokenRests(t *testing.T) {
+	a := agenda.New()
+	a.Add("j", start, 3, []string{"a"}, nil)
+	next(a, start)
+	a.Broken(start, "j", 0)
+	got := []string{next(a, start), next(a, start.Add(time.Second))}
+	if d := cmp.Diff([]string{"none", "j0"}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against an item that fails at each run for ever, and against one that
+// is given up too early.
+func TestGivenUpAfterAttempts(t *testing.T) {
+	a := agenda.New()
+	a.Add("j", start, 3, []string{"a"}, nil)
+	var got []bool
+	for k := range 3 {
+		now := start.Add(time.Duration(k) * time.Second)
+		next(a, now)
+		got = append(got, a.Failed(now, "j", 0))
+	}
+	if d := cmp.Diff([]bool{false, false, true}, got); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(0, a.Open("j")); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against items with a result that run again after a takeover.
+func TestListedItemsAreClosed(t *testing.T) {
+	a := agenda.New()
+	a.Add("j", start, 3, []string{"a", "b"}, map[string]bool{"a": true})
+	got := []string{next(a, start), next(a, start)}
+	if d := cmp.Diff([]string{"j1", "none"}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a job without a free slot that holds up the next one.
+func TestJobWithoutSlotIsPassedOver(t *testing.T) {
+	a := agenda.New()
+	a.Add("blocked", start, 3, []string{"a"}, nil)
+	a.Add("free", start.Add(time.Second), 3, []string{"b"}, nil)
+	j, _, _ := a.Next(start, func(id string) bool { return id == "free" })
+	if d := cmp.Diff("free", j); d != "" {
+		t.Error(d)
+	}
+}
--- /dev/null
+++ b/internal/coordination/fleet/fleet_test.go
@@ -0,0 +1,233 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+const (
+	target  = 300 * time.Millisecond
+	service = "assistant"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func server(id, dataCentre string, slots int32) *wire.BackendServer {
+	return wire.BackendServer_builder{
+		Id: proto.String(id), Service: proto.String(service), Address: proto.String("10.0.0.1:80"),
+		DataCentre: proto.String(dataCentre), Slots: proto.Int32(slots),
+	}.Build()
+}
+
+func load(front string, sequence uint64, online, batch map[string]int32) *wire.Load {
+	l := wire.Load_builder{Name: &front, Incarnation: proto.Uint64(1), Sequence: &sequence}
+	for i, n := range online {
+		l.Servers = append(l.Servers, wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String(i)), Online: &n}.Build())
+	}
+	for i, n := range batch {
+		l.Servers = append(l.Servers, wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String(i)), Batch: &n}.Build())
+	}
+	return l.Build()
+}
+
+func newFleet(l ...*wire.BackendServer) *fleet.Fleet {
+	f := fleet.New("front-b", "a")
+	f.SetServers(start, l, start)
+	return f
+}
+
+// take returns the id of the chosen server and the reason.
+func take(f *fleet.Fleet, now time.Time, tried ...string) [2]string {
+	b, r, _ := f.Take(now, service, target, tried, 0)
+	return [2]string{b.GetId(), r}
+}
+
+// Guards against online requests that wait behind batch items while a slot is
+// free, or while a batch item could give up its slot.
+func TestTakeOrder(t *testing.T) {
+	f := newFleet(server("near", "a", 2), server("far", "b", 2))
+	f.SetPeer(start, load("front-a", 1, map[string]int32{"far": 1}, map[string]int32{"near": 2}))
+	got := [][2]string{take(f, start), take(f, start), take(f, start)}
+	want := [][2]string{
+		{"far", fleet.ReasonFree},
+		{"near", fleet.ReasonYield},
+		{"near", fleet.ReasonYield},
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a request that is sent to another data centre without need.
+func TestTakeNear(t *testing.T) {
+	f := newFleet(server("far", "b", 8), server("near", "a", 8))
+	if d := cmp.Diff([2]string{"near", fleet.ReasonFree}, take(f, start)); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against queues that make answers late: with 8 slots held for 500 ms,
+// a request's part of 180 ms for waiting allows three in the queue. The next
+// one is refused at once, with a time to come back.
+func TestTakeRefusesLate(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	var n int
+	for {
+		b, r, w := f.Take(start, service, target, nil, 0.5)
+		if b == nil {
+			if d := cmp.Diff(fleet.ReasonFull, r); d != "" {
+				t.Error(d)
+			}
+			if w <= 0 {
+				t.Error("no time to come back")
+			}
+			break
+		}
+		n++
+	}
+	if d := cmp.Diff(8+3, n); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against callers that come back in step after a refusal.
+func TestRefusedReturnApart(t *testing.T) {
+	f := newFleet()
+	_, _, a := f.Take(start, service, target, nil, 0)
+	_, _, b := f.Take(start, service, target, nil, 0.99)
+	if b-a < time.Second {
+		t.Error("callers return within", b-a)
+	}
+}
+
+// Guards against batch items that take slots beside a full house.
+func TestTakeBatchFreeOnly(t *testing.T) {
+	f := newFleet(server("s", "a", 2))
+	f.SetPeer(start, load("front-a", 1, map[string]int32{"s": 1}, nil))
+	var got []string
+	for range 2 {
+		got = append(got, f.TakeBatch(start, service).GetId())
+	}
+	if d := cmp.Diff([]string{"s", ""}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against two fronts that both give up an item for the same request, or
+// that each wait for the other: the first by name gives up what it can.
+func TestExcessIsShared(t *testing.T) {
+	items := map[string]int32{"s": 2}
+	a := fleet.New("front-a", "a")
+	b := fleet.New("front-b", "a")
+	for _, f := range []*fleet.Fleet{a, b} {
+		f.SetServers(start, []*wire.BackendServer{server("s", "a", 4)}, start)
+		f.TakeBatch(start, service)
+		f.TakeBatch(start, service)
+	}
+	a.SetPeer(start, load("front-b", 1, nil, items))
+	b.SetPeer(start, load("front-a", 1, nil, items))
+	for _, f := range []*fleet.Fleet{a, b} {
+		f.SetPeer(start, load("front-c", 1, map[string]int32{"s": 3}, nil))
+	}
+	got := []int{a.Excess("s"), b.Excess("s")}
+	if d := cmp.Diff([]int{2, 1}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a datagram that was delayed or doubled and brings back an old
+// load, and against one of an earlier process of the same name.
+func TestOldDatagramIsIgnored(t *testing.T) {
+	f := newFleet(server("s", "a", 1), server("t", "b", 1))
+	f.SetPeer(start, load("front-a", 2, map[string]int32{"s": 1}, nil))
+	f.SetPeer(start, load("front-a", 1, nil, nil))
+	if d := cmp.Diff([2]string{"t", fleet.ReasonFree}, take(f, start)); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against slots that stay taken by a front that is gone.
+func TestSilentFrontExpires(t *testing.T) {
+	f := newFleet(server("s", "a", 1))
+	f.SetPeer(start, load("front-a", 1, map[string]int32{"s": 1}, nil))
+	later := start.Add(3 * time.Second)
+	if !f.Expire(later) {
+		t.Error("silent front did not expire")
+	}
+	got := []any{f.Alive(later, "front-a", 1), f.Peers(later), take(f, later)}
+	want := []any{false, []string(nil), [2]string{"s", fleet.ReasonFree}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against new work for a backend server that is leaving or gone.
+func TestLeavingServers(t *testing.T) {
+	d := server("draining", "a", 8)
+	d.SetDraining(true)
+	f := newFleet(d, server("gone", "a", 8))
+	f.SetServers(start, []*wire.BackendServer{d}, start)
+	if d := cmp.Diff([2]string{"", fleet.ReasonNone}, take(f, start)); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against an outage of the platform that takes the backend servers with
+// it: an entry that lapsed meanwhile is used until it must be back.
+func TestLapsedEntryIsKept(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	until := start.Add(2 * time.Second)
+	f.SetServers(start, nil, until)
+	got := []string{take(f, start)[0]}
+	f.SetServers(until, nil, until)
+	got = append(got, take(f, until)[0])
+	if d := cmp.Diff([]string{"s", ""}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a backend server that cannot be reached and takes request
+// after request, and against one that is left alone for a single lost answer.
+func TestFailures(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	got := []time.Duration{
+		f.Failed(start, "s", false),
+		f.Failed(start, "s", true),
+	}
+	f.TakeBatch(start.Add(time.Minute), service)
+	f.DoneBatch("s", true)
+	got = append(got, f.Failed(start, "s", true))
+	if d := cmp.Diff([]time.Duration{0, 600 * time.Millisecond, 300 * time.Millisecond}, got); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([2]string{"", fleet.ReasonNone}, take(f, start.Add(299*time.Millisecond))); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([2]string{"s", fleet.ReasonFree}, take(f, start.Add(300*time.Millisecond))); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against counts that drift: what was taken is given back.
+func TestLoadsReturnToZero(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	take(f, start)
+	f.TakeBatch(start, service)
+	one := int32(1)
+	want := []*wire.ServerLoad{wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String("s")), Online: &one, Batch: &one}.Build()}
+	if d := cmp.Diff(len(want), len(f.Loads())); d != "" || !proto.Equal(want[0], f.Loads()[0]) {
+		t.Error(d, f.Loads())
+	}
+	f.Done("s", time.Second)
+	f.DoneBatch("s", true)
+	if d := cmp.Diff(0, len(f.Loads())); d != "" {
+		t.Error(d)
+	}
+}
--- /dev/null
+++ b/internal/coordination/inform/informer_test.go
@@ -0,0 +1,172 @@
+package inform_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// store is a platform with one kind. It is used while all goroutines wait.
+type store struct {
+	trail.Store
+	objects []object.Object
+	version int64
+	fails   error
+	watches []chan trail.Change
+	lists   int
+}
+
+func (s *store) List(context.Context, string) ([]object.Object, int64, error) {
+	s.lists++
+	return s.objects, s.version, s.fails
+}
+
+func (s *store) Watch(c context.Context, _ string, _ int64) (<-chan trail.Change, error) {
+	w := make(chan trail.Change)
+	s.watches = append(s.watches, w)
+	return w, s.fails
+}
+
+// set replaces the objects without telling a watch.
+func (s *store) set(version int64, names ...string) {
+	s.version = version
+	s.objects = nil
+	for _, n := range names {
+		s.objects = append(s.objects, object.New("hosts", n, version, nil))
+	}
+}
+
+func play(t *testing.T, f func(c context.Context, s *store, i *inform.Informer)) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := context.WithCancel(t.Context())
+		s := &store{}
+		s.set(1, "a")
+		i := inform.New(c, s, "hosts", &log.Logger{Handler: discard.New()})
+		synctest.Wait()
+		f(c, s, i)
+		stop()
+		for _, w := range s.watches {
+			select {
+			case <-w:
+			default:
+				close(w)
+			}
+		}
+		synctest.Wait()
+	})
+}
+
+func names(i *inform.Informer) string {
+	return strings.Join(slices.Sorted(maps.Keys(i.All())), " ")
+}
+
+// Guards against a copy that goes back to an older state when messages
+// overtake each other.
+func TestChangesInAnyOrder(t *testing.T) {
+	play(t, func(_ context.Context, s *store, i *inform.Informer) {
+		o := func(n string, v int64) object.Object { return object.New("hosts", n, v, nil) }
+		w := s.watches[0]
+		w <- trail.NewChange(o("b", 5), false)
+		w <- trail.NewChange(o("b", 4), true)
+		w <- trail.NewChange(o("a", 6), true)
+		w <- trail.NewChange(o("a", 3), false)
+		i.Put(o("c", 7))
+		i.Put(o("c", 2))
+		synctest.Wait()
+		if d := cmp.Diff("b c", names(i)); d != "" {
+			t.Error(d)
+		}
+		c, _ := i.Get("c")
+		if d := cmp.Diff(int64(7), c.Version()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against a list that takes away what this process has written since.
+func TestListKeepsNewerObjects(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		i.Put(object.New("hosts", "own", 9, nil))
+		s.set(8, "b")
+		close(s.watches[0])
+		s.watches = nil
+		time.Sleep(time.Second)
+		if d := cmp.Diff("b own", names(i)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against a watch that ends and is not taken up again, and against an
+// outage that nobody is told of.
+func TestWatchEnds(t *testing.T) {
+	play(t, func(_ context.Context, s *store, i *inform.Informer) {
+		s.fails = trail.ErrUnavailable
+		close(s.watches[0])
+		s.watches = nil
+		time.Sleep(10 * time.Second)
+		l, r := i.Trouble()
+		if l.IsZero() || !r.IsZero() {
+			t.Error("outage is not told:", l, r)
+		}
+		s.fails = nil
+		s.set(2, "b")
+		time.Sleep(2 * time.Second)
+		_, r = i.Trouble()
+		if r.IsZero() {
+			t.Error("end of the outage is not told")
+		}
+		if d := cmp.Diff("b", names(i)); d != "" {
+			t.Error(d)
+		}
+		if s.lists > 40 {
+			t.Error("platform was asked", s.lists, "times in 12 s")
+		}
+	})
+}
+
+// Guards against a watch that stays open and silent while changes are made, by
+// which a front goes on with an old configuration.
+func TestVerifyFindsMissedChanges(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		go i.Verify(c, 900*time.Millisecond, func() bool { return true })
+		d := i.Digest()
+		s.set(2, "b")
+		time.Sleep(time.Second)
+		if d := cmp.Diff("b", names(i)); d != "" {
+			t.Error(d)
+		}
+		if d == i.Digest() {
+			t.Error("digest does not tell the change")
+		}
+	})
+}
+
+// Guards against fronts that all list at the interval, and against one that
+// does not list when it is asked to.
+func TestRefresh(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		go i.Verify(c, 900*time.Millisecond, func() bool { return false })
+		s.set(2, "b")
+		time.Sleep(5 * time.Second)
+		got := []string{names(i)}
+		i.Refresh()
+		time.Sleep(10 * time.Millisecond)
+		got = append(got, names(i))
+		if d := cmp.Diff([]string{"a", "b"}, got); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/event/reader_test.go
@@ -0,0 +1,76 @@
+package event_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/protocol/event"
+)
+
+// read returns the raw events, ids and data, and the error at the end.
+func read(s string) ([]string, error) {
+	r := event.New(strings.NewReader(s))
+	var l []string
+	for {
+		e := r.Next()
+		if e != nil {
+			return l, e
+		}
+		l = append(l, string(r.Raw())+"|"+r.ID()+"|"+string(r.Data()))
+	}
+}
+
+// Guards against events that are changed on their way, and against a part of
+// an event that passes for a whole one.
+func TestNext(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	l := []struct {
+		name, in string
+		want     []string
+		end      error
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n|1|a", "id: 2\ndata: b\n\n|2|b"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"id: 1\r\ndata: a\r\n\r\n|1|a"}, io.EOF},
+		{"several lines of data", "data: a\ndata:b\n\n", []string{"data: a\ndata:b\n\n||a\nb"}, io.EOF},
+		{"unknown field", "x-version: 3\nid: 1\ndata: a\n\n", []string{"x-version: 3\nid: 1\ndata: a\n\n|1|a"}, io.EOF},
+		{"longer than the buffer", "data: " + long + "\n\n", []string{"data: " + long + "\n\n||" + long}, io.EOF},
+		{"ends within an event", "id: 1\ndata: a\n\nid: 2\ndata: b\n", []string{"id: 1\ndata: a\n\n|1|a"}, io.ErrUnexpectedEOF},
+		{"ends within a line", "id: 1\nda", nil, io.ErrUnexpectedEOF},
+		{"empty lines between", "\n\ndata: a\n\n\n", []string{"data: a\n\n||a"}, io.EOF},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			got, e := read(k.in)
+			if d := cmp.Diff(k.want, got); d != "" {
+				t.Error(d)
+			}
+			if !errors.Is(e, k.end) {
+				t.Errorf("ended with %v, want %v", e, k.end)
+			}
+		})
+	}
+}
+
+// Guards against bytes that get lost, or are made up, whatever a backend
+// server sends.
+func FuzzNext(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	f.Add("\r\n\n\ndata\n:\n\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		r := event.New(strings.NewReader(s))
+		n := 0
+		for r.Next() == nil {
+			n += len(r.Raw())
+			if !strings.Contains(s, string(r.Raw())) {
+				t.Fatalf("event %q is not in the stream", r.Raw())
+			}
+		}
+		if n > len(s) {
+			t.Fatalf("events have %d bytes, the stream has %d", n, len(s))
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/rules/table_test.go
@@ -0,0 +1,58 @@
+package rules_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/rules"
+)
+
+func rule(name, host, prefix string) *wire.RouteRule {
+	return wire.RouteRule_builder{Name: &name, Host: &host, Prefix: &prefix}.Build()
+}
+
+// Guards against a request that takes a shorter prefix, or another host's
+// route.
+func TestMatch(t *testing.T) {
+	s := rules.New(wire.RouteTable_builder{Routes: []*wire.RouteRule{
+		rule("short", "a.example", "/x/"),
+		rule("long", "a.example", "/x/y/"),
+		rule("other", "b.example", "/x/y/z/"),
+	}}.Build())
+	l := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.Example:8080", "/x/y/z/1", "long"},
+		{"b.example", "/x/y/1", ""},
+		{"b.example", "/x/y/z/1", "other"},
+		{"c.example", "/x/1", ""},
+	}
+	for _, k := range l {
+		if d := cmp.Diff(k.want, s.Match(k.host, k.path).GetName()); d != "" {
+			t.Errorf("%s%s: %s", k.host, k.path, d)
+		}
+	}
+}
+
+// Guards against weights that send requests to a service without a share.
+func TestPick(t *testing.T) {
+	r := wire.RouteRule_builder{Shares: []*wire.RouteShare{
+		wire.RouteShare_builder{Service: proto.String("none"), Weight: proto.Float64(0)}.Build(),
+		wire.RouteShare_builder{Service: proto.String("most"), Weight: proto.Float64(90)}.Build(),
+		wire.RouteShare_builder{Service: proto.String("few"), Weight: proto.Float64(10)}.Build(),
+	}}.Build()
+	var got []string
+	for _, d := range []float64{0, 0.5, 0.899, 0.9, 0.999} {
+		got = append(got, rules.Pick(r, d))
+	}
+	if d := cmp.Diff([]string{"most", "most", "most", "few", "few"}, got); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff("", rules.Pick(&wire.RouteRule{}, 0.5)); d != "" {
+		t.Error(d)
+	}
+}
--- /dev/null
+++ b/internal/transport/pool/pool_test.go
@@ -0,0 +1,211 @@
+package pool_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/standin/memnet"
+	"bulrushtrail.example/trail/internal/transport/pool"
+)
+
+const address = "10.0.0.1:80"
+
+// server answers each request on a connection with the next of the replies,
+// and closes the connection after the last one.
+type server struct {
+	replies []string
+	// Requests read, by connection.
+	seen [][]string
+}
+
+func (s *server) serve(l net.Listener) {
+	for k := 0; ; k++ {
+		n, e := l.Accept()
+		if e != nil {
+			return
+		}
+		s.seen = append(s.seen, nil)
+		go s.exchange(n, k)
+	}
+}
+
+func (s *server) exchange(n net.Conn, k int) {
+	defer func() { _ = n.Close() }()
+	r := bufio.NewReader(n)
+	for {
+		q, e := http.ReadRequest(r)
+		if e != nil {
+			return
+		}
+		b, _ := io.ReadAll(q.Body)
+		s.seen[k] = append(s.seen[k], q.Method+" "+q.RequestURI+" "+q.Header.Get("Id")+" "+string(b))
+		if len(s.replies) == 0 {
+			return
+		}
+		a := s.replies[0]
+		s.replies = s.replies[1:]
+		_, _ = io.WriteString(n, strings.ReplaceAll(a, "\n", "\r\n"))
+		if strings.Contains(a, "Connection: close") || strings.HasSuffix(a, "(cut)") {
+			return
+		}
+	}
+}
+
+// play sends one request for each id, one after the other, and returns what
+// came of them.
+func play(t *testing.T, s *server, ids ...string) []string {
+	var got []string
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		l := n.Listen(address)
+		go s.serve(l)
+		p := pool.New(n, prometheus.NewRegistry())
+		for _, i := range ids {
+			got = append(got, send(t.Context(), p, i))
+			synctest.Wait()
+		}
+		p.Forget(address)
+		_ = l.Close()
+		synctest.Wait()
+	})
+	return got
+}
+
+func send(c context.Context, p *pool.Pool, id string) string {
+	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
+	a, e := p.Do(c, address, "/p?q=1", q, []byte("body"), func(a *http.Response) bool { return a.Header.Get("Id") == id })
+	if e != nil {
+		return trail.CodeOf(e) + " " + trail.VerdictOf(e).String()
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, e := io.ReadAll(a.Body)
+	if e != nil {
+		return "cut after " + string(b)
+	}
+	return string(b)
+}
+
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\nId: " + id + "\nContent-Length: " + string(rune('0'+len(body))) + "\n\n" + body
+}
+
+// Guards against answers that reach another request, in all the ways in which
+// bytes can come at the wrong place on a kept connection.
+func TestDo(t *testing.T) {
+	l := []struct {
+		name    string
+		replies []string
+		want    []string
+		// Connections opened.
+		connections int
+	}{
+		{"kept connection", []string{reply("1", "a"), reply("2", "b")}, []string{"a", "b"}, 1},
+		{"late answer before the right one", []string{reply("1", "a"), reply("0", "x") + reply("2", "b")}, []string{"a", "b"}, 1},
+		{"second answer to the same request", []string{reply("1", "a") + reply("1", "a"), reply("2", "b")}, []string{"a", "b"}, 2},
+		{"bytes that are no answer", []string{"hello\n\n"}, []string{"backend-lost may-have-run"}, 1},
+		{"answer that is cut", []string{"HTTP/1.1 200 OK\nId: 1\nContent-Length: 9\n\n(cut)"}, []string{"cut after (cut)"}, 1},
+		{"no answer", nil, []string{"backend-lost may-have-run"}, 1},
+		{"asks for the close of the connection", []string{"HTTP/1.1 200 OK\nId: 1\nConnection: close\nContent-Length: 1\n\na", reply("2", "b")}, []string{"a", "b"}, 2},
+		{"interim answer", []string{"HTTP/1.1 100 Continue\n\n" + reply("1", "a")}, []string{"a"}, 1},
+		{"only answers to others", []string{reply("7", "x") + reply("8", "x") + reply("9", "x")}, []string{"backend-lost may-have-run"}, 1},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			s := &server{replies: k.replies}
+			got := play(t, s, []string{"1", "2"}[:len(k.want)]...)
+			if d := cmp.Diff(k.want, got); d != "" {
+				t.Error(d)
+			}
+			if d := cmp.Diff(k.connections, len(s.seen)); d != "" {
+				t.Error("connections:", d)
+			}
+		})
+	}
+}
+
+// Guards against a changed request line, header or body.
+func TestDoSendsAsGiven(t *testing.T) {
+	s := &server{replies: []string{reply("1", "a")}}
+	play(t, s, "1")
+	if d := cmp.Diff([][]string{{"POST /p?q=1 1 body"}}, s.seen); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against "may have run" for a request that found nobody, which could
+// not be tried elsewhere.
+func TestDoUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pool.New(memnet.New(), prometheus.NewRegistry())
+		if d := cmp.Diff("backend-unreachable not-run", send(t.Context(), p, "1")); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against a connection that is used after its idle time, when the
+// backend server may close it while the request is on its way.
+func TestDoIdleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		l := n.Listen(address)
+		s := &server{replies: []string{
+			"HTTP/1.1 200 OK\nId: 1\nKeep-Alive: timeout=3\nContent-Length: 1\n\na",
+			"HTTP/1.1 200 OK\nId: 2\nKeep-Alive: timeout=3\nContent-Length: 1\n\nb",
+			reply("3", "c"),
+		}}
+		go s.serve(l)
+		p := pool.New(n, prometheus.NewRegistry())
+		send(t.Context(), p, "1")
+		time.Sleep(2 * time.Second)
+		send(t.Context(), p, "2")
+		time.Sleep(2500 * time.Millisecond)
+		send(t.Context(), p, "3")
+		p.Forget(address)
+		_ = l.Close()
+		synctest.Wait()
+		if d := cmp.Diff([][]string{{"POST /p?q=1 1 body", "POST /p?q=1 2 body"}, {"POST /p?q=1 3 body"}}, s.seen); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against work that goes on for a caller that has gone.
+func TestDoEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		l := n.Listen(address)
+		done := make(chan time.Duration, 1)
+		b := time.Now()
+		go func() {
+			x, e := l.Accept()
+			if e != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, x)
+			done <- time.Since(b)
+		}()
+		c, f := context.WithTimeout(t.Context(), time.Second)
+		defer f()
+		p := pool.New(n, prometheus.NewRegistry())
+		got := send(c, p, "1")
+		if d := cmp.Diff("backend-lost may-have-run", got); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(time.Second, <-done); d != "" {
+			t.Error(d)
+		}
+		_ = l.Close()
+	})
+}
