coordination/batch: a job of this front that it does not run is run

Ruled out: a lost results object (none was written). Change: the review runs each open job whose owner is this process, whether or not it is the first in rendezvous order; a job with nothing left is marked complete. Test: TestJobWithDoubtfulAcceptanceRuns, failed before.

--- a/internal/command/daemon/batch_test.go
+++ b/internal/command/daemon/batch_test.go
@@ -136,13 +136,31 @@
 func TestJobWithLostAnswers(t *testing.T) {
 	g := newRig(t, time.Millisecond)
 	p := g.start("front-1")
-	g.p.LoseAnswers(2)
+	g.p.LoseAnswers(2, false)
 	if d := cmp.Diff(202, p.call("POST", "/jobs/1", "job", job("a", "b")).status); d != "" {
 		t.Error(d)
 	}
 	g.until("all items have a result", func() bool { return len(p.results("job", 0).Results) == 2 })
 }
 
+// Guards against a job that lies there for good: its front was told nothing of
+// its creation and did not accept it, and the others see that its owner lives.
+func TestJobWithDoubtfulAcceptanceRuns(t *testing.T) {
+	g := newRig(t, time.Millisecond)
+	p, q := g.start("front-1"), g.start("front-2")
+	for n := range 4 {
+		id := fmt.Sprint("job-", n)
+		b := job("a", "b")
+		g.p.LoseAnswers(2, true)
+		if d := cmp.Diff(502, p.call("POST", "/jobs/1", id, b).status); d != "" {
+			t.Fatal(d)
+		}
+		g.p.SetAway(false)
+		g.until("the job is accepted", func() bool { return q.call("POST", "/jobs/1", id, b).status == 202 })
+		g.until("all items have a result", func() bool { return len(q.results(id, 0).Results) == 2 })
+	}
+}
+
 // Guards against jobs that cannot be read and are accepted in part.
 func TestUnreadableJob(t *testing.T) {
 	g := newRig(t, time.Millisecond)
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -54,6 +54,10 @@
 		l = append(l, i.GetId())
 	}
 	s.agenda.Add(id, time.Now().Add(due), n, l, k.listed())
+	if s.agenda.Open(id) == 0 {
+		// An earlier owner had listed everything.
+		go s.complete(o)
+	}
 	s.Wake()
 }
 
@@ -114,7 +118,11 @@
 		s.drop(id, "ended by its caller")
 	case o != nil && !s.mine(j):
 		s.drop(id, "taken over by "+j.GetOwner())
-	case o == nil && !v && !j.GetEnded() && !j.GetComplete() && s.orphaned(j) && s.heir(id):
+	case o != nil || v || j.GetEnded() || j.GetComplete():
+	case s.mine(j):
+		// The creation or the takeover was not known to have succeeded.
+		s.load(c, id)
+	case s.orphaned(j) && s.heir(id):
 		s.adopt(c, id)
 	}
 }
@@ -123,12 +131,9 @@
 	return j.GetOwner() == s.self.GetName() && j.GetIncarnation() == s.self.GetIncarnation()
 }
 
-// orphaned says whether nobody runs the job. A front that has just started
-// does not know yet who lives.
+// orphaned says whether the owner of a job is gone. A front that has just
+// started does not know yet who lives.
 func (s *Jobs) orphaned(j *wire.BatchJob) bool {
-	if s.mine(j) {
-		return true
-	}
 	if time.Since(s.born) < settlePause {
 		return false
 	}
@@ -178,13 +183,13 @@
 		e = s.refresh(c, id, k)
 	}
 	if e != nil {
-		s.l.WithError(e).WithField("job-id", id).Warn("batch: job of a lost front not read yet")
+		s.l.WithError(e).WithField("job-id", id).Warn("batch: job to be run not read yet")
 		return
 	}
 	s.m.Lock()
 	j, i := proto.CloneOf(k.job), k.input
 	s.m.Unlock()
-	s.l.WithField("job-id", id).Info("batch: job of a lost front taken over")
+	s.l.WithField("job-id", id).Info("batch: job run here from now on")
 	s.own(id, j, i)
 }
 
