--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -35,12 +35,12 @@
 	exitTime = 600 * time.Millisecond
 	// Time before the end of the drain in which batch jobs are released.
 	releaseTime = 1300 * time.Millisecond
-	// A change that the watches have missed is known after this time, a
-	// heartbeat and a list. Leaving backend servers and configurations must be
-	// heeded within two seconds.
-	verifyInterval = 900 * time.Millisecond
-	// Fronts that look for missed changes on behalf of all.
-	verifiers = 3
+	// A change that the watches have not told is known after this time and two
+	// lists. Leaving backend servers and configurations must be heeded within
+	// two seconds.
+	verifyInterval = 1400 * time.Millisecond
+	// Fronts that look for such changes on behalf of all.
+	verifiers = 2
 	// Entries of backend servers that lapsed while the platform was away are
 	// back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -140,10 +140,11 @@
 	s.jobs.Drain(c)
 }
 
-// verifier says whether this front is among the first live ones by name.
+// verifier says whether this front is among the first live ones by name that
+// the platform answers.
 func (s *frontRole) verifier() bool {
 	n := 0
-	for _, p := range s.f.Peers(time.Now()) {
+	for _, p := range s.f.Watchful(time.Now()) {
 		if p < s.self.GetName() {
 			n++
 		}
--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -29,7 +29,7 @@
 	}
 	l := split(items, s.valueBytes)
 	for n, i := range l {
-		e := s.create(c, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
+		_, e := s.create(c, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
 		if e != nil && !errors.Is(e, trail.ErrExists) {
 			// Nothing runs before the job object exists.
 			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").At(id).RetryAfter(refusedWait)
@@ -39,7 +39,7 @@
 		Host: &host, Path: &path, Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
 		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
 	}.Build()
-	e := s.create(c, kindJobs, id, j)
+	o, e := s.create(c, kindJobs, id, j)
 	if errors.Is(e, trail.ErrExists) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job was not kept").At(id).RetryAfter(refusedWait)
 	}
 	s.l.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
-	s.own(id, j, items)
+	s.own(o, j, items)
 	return nil
 }
 
@@ -60,30 +60,31 @@
 // create stores a new object. A write that was refused is tried again, and one
 // whose answer was lost is settled by reading back, until c ends. An object
 // that this call has created counts as created, also when an earlier try did.
-func (s *Jobs) create(c context.Context, kind, name string, m proto.Message) error {
+func (s *Jobs) create(c context.Context, kind, name string, m proto.Message) (object.Object, error) {
 	o, e := object.Encode(kind, name, 0, m)
 	if e != nil {
-		return trail.WrapError(e, "internal", trail.NotRun, "value was not encoded").At(name)
+		return o, trail.WrapError(e, "internal", trail.NotRun, "value was not encoded").At(name)
 	}
 	// Whether an earlier try may have taken effect.
 	d := false
 	for {
-		_, e = s.store.Create(c, o)
-		if errors.Is(e, trail.ErrExists) && d {
-			return nil
+		n, f := s.store.Create(c, o)
+		if errors.Is(f, trail.ErrExists) && d {
+			return o, nil
 		}
-		if e == nil || errors.Is(e, trail.ErrExists) {
-			return e
+		if f == nil || errors.Is(f, trail.ErrExists) {
+			return n, f
 		}
+		e = f
 		d = d || trail.VerdictOf(e) != trail.NotRun
 		if !wait(c, writePause) {
 			break
 		}
 	}
 	if d {
-		return trail.WrapError(e, trail.CodeOf(e), trail.MayHaveRun, "object may have been created").At(name)
+		e = trail.WrapError(e, trail.CodeOf(e), trail.MayHaveRun, "object may have been created").At(name)
 	}
-	return e
+	return o, e
 }
 
 // wait returns false when c ends first.
--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -137,12 +137,17 @@
 	if !d {
 		return
 	}
-	for o.c.Err() == nil {
-		e := s.change(o.c, o.id, func(j *wire.BatchJob) bool {
-			f := !j.GetComplete()
-			j.SetComplete(true)
-			return f
-		})
+	s.m.Lock()
+	b := o.k.object
+	s.m.Unlock()
+	f := func(j *wire.BatchJob) bool {
+		d := !j.GetComplete()
+		j.SetComplete(true)
+		return d
+	}
+	e := s.update(o.c, b, f)
+	for e != nil && o.c.Err() == nil {
+		e = s.change(o.c, o.id, f)
 		if e == nil {
 			break
 		}
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -14,6 +14,7 @@
 	"bulrushtrail.example/trail/internal/coordination/agenda"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
 )
 
@@ -26,7 +27,7 @@
 
 const (
 	// Results that are gathered before they are listed.
-	commitPause = 400 * time.Millisecond
+	commitPause = 800 * time.Millisecond
 	// Items are handed to free slots at this interval, besides each time that
 	// the load changes.
 	dispatchPause = 50 * time.Millisecond
@@ -34,6 +35,8 @@
 	// owner. With the time of one read it is below the 3 s in which an ended
 	// job must stop.
 	reviewPause = 1500 * time.Millisecond
+	// Interval at which a front that runs no job does so.
+	idleReviewPause = 4 * time.Second
 	// A new process hears from the other fronts before it takes jobs over.
 	settlePause = 2500 * time.Millisecond
 	// Bytes of the values of input and results objects, as a part of the
@@ -93,8 +96,9 @@
 	inputs int
 	host   string
 	path   string
-	// The newest version read.
-	job *wire.BatchJob
+	// The newest version that was read or written.
+	object object.Object
+	job    *wire.BatchJob
 	// All items, nil before they were read.
 	input []*wire.BatchItem
 	// The results objects in their order, as last read or written.
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
-	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
 // owned is a job that this front runs.
@@ -37,8 +36,9 @@
 }
 
 // own starts to run a job whose items are known.
-func (s *Jobs) own(id string, j *wire.BatchJob, items []*wire.BatchItem) {
-	k := s.remember(id, j)
+func (s *Jobs) own(b object.Object, j *wire.BatchJob, items []*wire.BatchItem) {
+	id := b.Name()
+	k := s.remember(b, j)
 	s.m.Lock()
 	defer s.m.Unlock()
 	if s.owned[id] != nil || s.leaving || j.GetEnded() {
@@ -88,7 +88,7 @@
 
 // review looks for jobs that were ended, or whose owner is gone, until c ends.
 func (s *Jobs) review(c context.Context) {
-	for wait(c, reviewPause) {
+	for wait(c, s.reviewPause()) {
 		l, _, e := s.store.List(c, kindJobs)
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
@@ -101,11 +101,21 @@
 				s.l.WithError(e).WithField("job-id", o.Name()).Warn("batch: job is not readable")
 				continue
 			}
+			s.remember(o, j)
 			s.consider(c, o.Name(), j)
 		}
 	}
 }
 
+func (s *Jobs) reviewPause() time.Duration {
+	s.m.Lock()
+	defer s.m.Unlock()
+	if len(s.owned) == 0 {
+		return idleReviewPause
+	}
+	return reviewPause
+}
+
 // consider compares a job's object with what this front does.
 func (s *Jobs) consider(c context.Context, id string, j *wire.BatchJob) {
 	s.m.Lock()
@@ -114,7 +124,6 @@
 	s.m.Unlock()
 	switch {
 	case o != nil && j.GetEnded():
-		s.remember(id, j)
 		s.drop(id, "ended by its caller")
 	case o != nil && !s.mine(j):
 		s.drop(id, "taken over by "+j.GetOwner())
@@ -187,10 +196,10 @@
 		return
 	}
 	s.m.Lock()
-	j, i := proto.CloneOf(k.job), k.input
+	o, j, i := k.object, k.job, k.input
 	s.m.Unlock()
 	s.l.WithField("job-id", id).Info("batch: job run here from now on")
-	s.own(id, j, i)
+	s.own(o, j, i)
 }
 
 // Drain starts no new runs, waits for those in progress until c ends, lists
--- a/internal/coordination/batch/read.go
+++ b/internal/coordination/batch/read.go
@@ -21,32 +21,34 @@
 )
 
 // Results returns the number of items of a job and the results from a position
-// on, at least one if there is one, and at most 1 MB. While there is none it
-// waits. The errors are "job-missing", and that of a platform that does not
-// answer.
+// on, at least one if there is one, and at most 1 MB. While this process knows
+// of none it waits, and at the end of its patience it reads the platform. The
+// errors are "job-missing", and that of a platform that does not answer.
 func (s *Jobs) Results(c context.Context, id string, after int, patience time.Duration) (int, []*wire.BatchResult, error) {
-	d := time.Now().Add(patience)
+	k, e := s.job(c, id)
+	if e != nil {
+		return 0, nil, e
+	}
+	if after >= k.total {
+		return k.total, nil, nil
+	}
+	t := time.NewTimer(patience)
+	defer t.Stop()
 	for {
-		k, e := s.job(c, id)
-		if e != nil {
-			return 0, nil, e
-		}
-		l, w, e := s.current(c, id, k, after)
-		if e != nil {
-			return 0, nil, e
-		}
-		if len(l) > 0 || !time.Now().Before(d) || after >= k.total {
+		s.m.Lock()
+		l, w := k.results(after), k.changed
+		s.m.Unlock()
+		if len(l) > 0 {
 			return k.total, bound(l), nil
 		}
-		t := time.NewTimer(time.Until(d))
 		select {
 		case <-w:
 		case <-t.C:
+			l, e = s.current(c, id, k, after)
+			return k.total, bound(l), e
 		case <-c.Done():
-			t.Stop()
 			return 0, nil, trail.WrapError(c.Err(), "cancelled", trail.NotRun, "caller has gone")
 		}
-		t.Stop()
 	}
 }
 
@@ -82,42 +84,40 @@
 	if e != nil {
 		return nil, trail.WrapError(e, "object-unreadable", trail.NotRun, "job is not readable").At(id)
 	}
-	return s.remember(id, j), nil
+	return s.remember(o, j), nil
 }
 
-func (s *Jobs) remember(id string, j *wire.BatchJob) *known {
+// remember keeps a job's object unless a newer version is known.
+func (s *Jobs) remember(o object.Object, j *wire.BatchJob) *known {
 	s.m.Lock()
 	defer s.m.Unlock()
-	k := s.known[id]
+	k := s.known[o.Name()]
 	if k == nil {
 		k = newKnown(j)
-		s.known[id] = k
+		s.known[o.Name()] = k
 	}
-	// A read that was overtaken must not revive an ended job.
-	if k.job.GetEnded() && !j.GetEnded() {
-		return k
+	if o.Version() > k.object.Version() {
+		k.object = o
+		k.job = j
 	}
-	k.job = j
 	return k
 }
 
-// current returns the results from a position on and a channel that is closed
-// when this process learns of more. It reads the platform when its copy has
-// none and is not fresh.
-func (s *Jobs) current(c context.Context, id string, k *known, after int) ([]*wire.BatchResult, <-chan struct{}, error) {
+// current returns the results from a position on. It reads the platform unless
+// its copy is fresh.
+func (s *Jobs) current(c context.Context, id string, k *known, after int) ([]*wire.BatchResult, error) {
 	s.m.Lock()
-	l, w, f := k.results(after), k.changed, time.Since(k.read) < freshFor
+	f := time.Since(k.read) < freshFor
 	s.m.Unlock()
-	if len(l) > 0 || f {
-		return l, w, nil
-	}
-	e := s.refresh(c, id, k)
-	if e != nil {
-		return nil, nil, e
+	if !f {
+		e := s.refresh(c, id, k)
+		if e != nil {
+			return nil, e
+		}
 	}
 	s.m.Lock()
 	defer s.m.Unlock()
-	return k.results(after), k.changed, nil
+	return k.results(after), nil
 }
 
 // refresh reads the newest results objects of a job.
@@ -251,22 +251,29 @@
 	if e != nil {
 		return e
 	}
+	return s.update(c, o, f)
+}
+
+// update does so from a version of the object that may be old, in which case
+// it returns trail.ErrConflict.
+func (s *Jobs) update(c context.Context, o object.Object, f func(j *wire.BatchJob) bool) error {
 	j := &wire.BatchJob{}
-	e = o.Decode(j)
+	e := o.Decode(j)
 	if e != nil {
 		return e
 	}
-	s.remember(id, proto.CloneOf(j))
-	if !f(j) {
+	s.remember(o, j)
+	n := proto.CloneOf(j)
+	if !f(n) {
 		return nil
 	}
-	n, e := object.Encode(kindJobs, id, o.Version(), j)
+	b, e := object.Encode(kindJobs, o.Name(), o.Version(), n)
 	if e != nil {
 		return e
 	}
-	_, e = s.store.Update(c, n)
+	b, e = s.store.Update(c, b)
 	if e == nil {
-		s.remember(id, j)
+		s.remember(b, n)
 	}
 	return e
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -240,6 +240,21 @@
 	return l
 }
 
+// Watchful returns the names of the fronts that are alive and that the platform
+// answers, in order, without this one.
+func (f *Fleet) Watchful(now time.Time) []string {
+	f.m.Lock()
+	defer f.m.Unlock()
+	var l []string
+	for n, p := range f.peers {
+		if now.Sub(p.seen) <= peerTimeout && !p.load.GetTroubled() {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // Loads returns this front's own requests in flight.
 func (f *Fleet) Loads() []*wire.ServerLoad {
 	f.m.Lock()
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -148,6 +148,8 @@
 		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(now.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
+		Missed:   proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
+		Troubled: proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
 	}.Build())
 	if e != nil {
 		t.l.WithError(e).Error("gossip: loads not encoded")
@@ -191,10 +193,10 @@
 		if len(l.GetCrashes()) > 0 {
 			t.p.Merge(now, l.GetCrashes())
 		}
-		if f.due(now, l.GetName(), l.GetConfigs(), t.configs.Digest()) {
+		if f.due(now, &l, l.GetConfigs(), t.configs.Digest()) {
 			t.configs.Refresh()
 		}
-		if h.due(now, l.GetName(), l.GetHosts(), t.hosts.Digest()) {
+		if h.due(now, &l, l.GetHosts(), t.hosts.Digest()) {
 			t.hosts.Refresh()
 		}
 		t.changed()
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -40,6 +40,8 @@
 	changed chan struct{}
 	// Holds a value while a new list is wanted.
 	refresh chan struct{}
+	// Lists with changes that the watch had not told.
+	missed uint32
 }
 
 // New starts an informer that ends with c.
@@ -192,6 +194,20 @@
 	return s.known
 }
 
+// Missed returns how many lists have had changes that the watch had not told.
+func (s *Informer) Missed() uint32 {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.missed
+}
+
+// Troubled says whether the platform does not answer now.
+func (s *Informer) Troubled() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return !s.known || !s.failed.IsZero() && s.recovered.IsZero()
+}
+
 // Trouble returns when the platform was last lost and when it was regained.
 // The second time is zero while it is lost; both are zero before any trouble.
 func (s *Informer) Trouble() (lost, regained time.Time) {
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -148,6 +148,9 @@
 		if d := cmp.Diff("b", names(i)); d != "" {
 			t.Error(d)
 		}
+		if d := cmp.Diff(uint32(1), i.Missed()); d != "" {
+			t.Error(d)
+		}
 		if d == i.Digest() {
 			t.Error("digest does not tell the change")
 		}
