coordination/batch: a restarted front takes its jobs up at once

Cause: after a power failure of all hosts a job waited for the time in which a front hears of the others (2.5 s) and for the idle review (4 s). Change: the process that follows under an owner's name is the heir, and the first review comes 0.3 s after the start.

--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -35,6 +35,9 @@
 	// owner. With the time of one read it is below the 3 s in which an ended
 	// job must stop.
 	reviewPause = 1500 * time.Millisecond
+	// Time of the first review, in which a front finds the jobs that it ran
+	// before it was restarted.
+	firstReviewPause = 300 * time.Millisecond
 	// Interval at which a front that runs no job does so.
 	idleReviewPause = 4 * time.Second
 	// A new process hears from the other fronts before it takes jobs over.
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -88,7 +88,7 @@
 
 // review looks for jobs that were ended, or whose owner is gone, until c ends.
 func (s *Jobs) review(c context.Context) {
-	for wait(c, s.reviewPause()) {
+	for p := firstReviewPause; wait(c, p); p = s.reviewPause() {
 		l, _, e := s.store.List(c, kindJobs)
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
@@ -131,7 +131,7 @@
 	case s.mine(j):
 		// The creation or the takeover was not known to have succeeded.
 		s.load(c, id)
-	case s.orphaned(j) && s.heir(id):
+	case s.orphaned(j) && (j.GetOwner() == s.self.GetName() || s.heir(id)):
 		s.adopt(c, id)
 	}
 }
@@ -140,15 +140,21 @@
 	return j.GetOwner() == s.self.GetName() && j.GetIncarnation() == s.self.GetIncarnation()
 }
 
-// orphaned says whether the owner of a job is gone. A front that has just
-// started does not know yet who lives.
+// orphaned says whether the owner of a job is gone for good. The process that
+// follows under its name takes the job over, and if there is none, the heir. A
+// front that has just started does not know yet who lives.
 func (s *Jobs) orphaned(j *wire.BatchJob) bool {
-	if time.Since(s.born) < settlePause {
-		return false
+	if j.GetOwner() == s.self.GetName() {
+		return true
+	}
+	if j.GetOwner() == "" {
+		return s.settled()
 	}
-	return j.GetOwner() == "" || !s.f.Alive(time.Now(), j.GetOwner(), j.GetIncarnation())
+	return s.settled() && !s.f.Present(time.Now(), j.GetOwner())
 }
 
+func (s *Jobs) settled() bool { return time.Since(s.born) >= settlePause }
+
 // heir says whether this front comes first among the live ones for a job.
 func (s *Jobs) heir(id string) bool {
 	m := xxhash.Sum64String(id + "/" + s.self.GetName())
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -207,14 +207,8 @@
 	}
 }
 
-// Alive says whether a front with this name and incarnation has sent a
-// datagram lately.
-func (f *Fleet) Alive(now time.Time, name string, incarnation uint64) bool {
-	f.m.Lock()
-	defer f.m.Unlock()
-	p := f.peers[name]
-	return p != nil && p.load.GetIncarnation() == incarnation && now.Sub(p.seen) <= peerTimeout
-}
+// Present says whether a front with this name has sent a datagram lately.
+func (f *Fleet) Present(now time.Time, name string) bool { return f.Heard(now, name, peerTimeout) }
 
 // Heard says whether a front has sent a datagram within a time, or has not
 // been known for longer.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -183,7 +183,7 @@
 	if !f.Expire(later) {
 		t.Error("silent front did not expire")
 	}
-	got := []any{f.Alive(later, "front-a", 1), f.Peers(later), take(f, later)}
+	got := []any{f.Present(later, "front-a"), f.Peers(later), take(f, later)}
 	want := []any{false, []string(nil), [2]string{"s", fleet.ReasonFree}}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
