coordination/agenda: items that cannot be on time come last

Change: a job keeps when it was accepted; items that can be done in time go before those that cannot, by the average time of an item and the time that it has run.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -5,6 +5,13 @@
 )
 
 const (
+	// Part of the time until a job is due that an item is taken to run, before
+	// any has run to its end.
+	initialShare = 0.25
+	// Weight of the newest item in the average.
+	timeWeight = 0.1
+	// Least time that a begun item is taken to need.
+	leastTime = 200 * time.Millisecond
 	// Rest of an item after a run that was refused or broken.
 	brokenRest = 100 * time.Millisecond
 	// Rest after a run that the backend server answered with a failure.
@@ -16,11 +23,15 @@
 type Agenda struct {
 	// In the order in which they are due.
 	jobs []*job
+	// Average time that an item runs, 0 before the first.
+	itemTime time.Duration
 }
 
 type job struct {
 	id  string
 	due time.Time
+	// Time from acceptance until it is due.
+	allowed time.Duration
 	// Failures after which an item is given up.
 	attempts int
 	items    []item
@@ -45,18 +56,21 @@
 	rest time.Time
 	// Has run in part.
 	begun bool
+	// Time that it has run so far.
+	ran time.Duration
 }
 
 // New returns an empty agenda.
 func New() *Agenda { return &Agenda{} }
 
-// Add takes in a job whose items with an id in listed have a result already.
-// An item is given up after so many failures.
-func (a *Agenda) Add(id string, due time.Time, attempts int, items []string, listed map[string]bool) {
+// Add takes in a job that is due at a time, after it was allowed so long. Its
+// items with an id in listed have a result already. An item is given up after
+// so many failures.
+func (a *Agenda) Add(id string, due time.Time, allowed time.Duration, attempts int, items []string, listed map[string]bool) {
 	if a.find(id) != nil {
 		return
 	}
-	j := &job{id: id, due: due, attempts: max(attempts, 1)}
+	j := &job{id: id, due: due, allowed: allowed, attempts: max(attempts, 1)}
 	for _, i := range items {
 		s := waiting
 		if listed[i] {
@@ -97,27 +111,34 @@
 // Next returns the job and the index of the item that runs next, and marks it as
 // running. It asks allowed for each job in turn that has such an item, and takes
 // the first one that is. It returns false when there is none now.
+//
+// Items that can no longer be done in time come after all that can: when there
+// is more work than slots, running them first would make all late.
 func (a *Agenda) Next(now time.Time, allowed func(job string) bool) (string, int, bool) {
-	for _, j := range a.jobs {
-		if j.open == 0 {
-			continue
-		}
-		n := j.next(now)
-		if n < 0 || !allowed(j.id) {
-			continue
+	for _, t := range []bool{true, false} {
+		for _, j := range a.jobs {
+			if j.open == 0 {
+				continue
+			}
+			n := j.next(now, t, a.itemTime)
+			if n < 0 || !allowed(j.id) {
+				continue
+			}
+			j.items[n].state = running
+			j.items[n].begun = true
+			return j.id, n, true
 		}
-		j.items[n].state = running
-		j.items[n].begun = true
-		return j.id, n, true
 	}
 	return "", 0, false
 }
 
-func (j *job) next(now time.Time) int {
+// next returns the item that runs next among those that can, or cannot, be
+// done in time.
+func (j *job) next(now time.Time, timely bool, itemTime time.Duration) int {
 	b := -1
 	for n := range j.items {
 		i := &j.items[n]
-		if i.state != waiting || now.Before(i.rest) {
+		if i.state != waiting || now.Before(i.rest) || timely != j.timely(now, i, itemTime) {
 			continue
 		}
 		if i.begun {
@@ -130,6 +151,32 @@
 	return b
 }
 
+// timely says whether an item that starts now is done before its job is due.
+func (j *job) timely(now time.Time, i *item, itemTime time.Duration) bool {
+	if itemTime == 0 {
+		itemTime = time.Duration(initialShare * float64(j.allowed))
+	}
+	return !now.Add(max(itemTime-i.ran, leastTime)).After(j.due)
+}
+
+// Ran adds to the time that an item has run. An item that is done counts for
+// the average.
+func (a *Agenda) Ran(id string, n int, d time.Duration, done bool) {
+	j := a.find(id)
+	if j == nil {
+		return
+	}
+	i := &j.items[n]
+	i.ran += d
+	if !done {
+		return
+	}
+	if a.itemTime == 0 {
+		a.itemTime = i.ran
+	}
+	a.itemTime += time.Duration(timeWeight * float64(i.ran-a.itemTime))
+}
+
 // Waiting says whether any item waits for a run.
 func (a *Agenda) Waiting() bool {
 	for _, j := range a.jobs {
--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -38,6 +38,7 @@
 	j := wire.BatchJob_builder{
 		Host: &host, Path: &path, Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
 		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
+		AcceptedUnixMs: proto.Int64(time.Now().UnixMilli()),
 	}.Build()
 	o, e := s.create(c, kindJobs, id, j)
 	if errors.Is(e, trail.ErrExists) {
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -53,7 +53,10 @@
 	for _, i := range items {
 		l = append(l, i.GetId())
 	}
-	s.agenda.Add(id, time.Now().Add(due), n, l, k.listed())
+	a := time.Since(time.UnixMilli(j.GetAcceptedUnixMs()))
+	// Clocks differ between hosts, and may be set.
+	a = min(max(a, 0), due)
+	s.agenda.Add(id, time.Now().Add(due-a), due, n, l, k.listed())
 	if s.agenda.Open(id) == 0 {
 		// An earlier owner had listed everything.
 		go s.complete(o)
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -124,7 +124,7 @@
 	v := errors.Is(context.Cause(c), errYielded)
 	r.end(nil)
 	s.finish(r, a && e == nil)
-	n := s.outcome(r, p, a, v, e)
+	n := s.outcome(r, p, a, v, e, time.Since(b))
 	s.items.WithLabelValues(n).Inc()
 	l := s.l.WithFields(log.Fields{
 		"job-id": r.o.id, "item-id": r.item.GetId(), "server": r.server.GetId(), "outcome": n,
@@ -137,7 +137,7 @@
 }
 
 // outcome takes in how a run ended and returns its name.
-func (s *Jobs) outcome(r *run, p *progress, done, yielded bool, e error) string {
+func (s *Jobs) outcome(r *run, p *progress, done, yielded bool, e error, ran time.Duration) string {
 	s.m.Lock()
 	defer s.m.Unlock()
 	now := time.Now()
@@ -145,6 +145,9 @@
 	if s.owned[r.o.id] != r.o {
 		return "dropped"
 	}
+	if done || yielded {
+		s.agenda.Ran(r.o.id, r.n, ran, done)
+	}
 	switch {
 	case done:
 		s.agenda.Close(r.o.id, r.n)
