coordination/relay: fronts that the platform turns away call it through others

Ruled out: a slow acceptance (the 202 comes 10 ms after the call where the platform answers). Change: a call that the platform has refused, or a read that it did not answer, goes through a front that it answers, by the mesh; the platform is then left alone for a second. A write whose answer was lost is never repeated that way. Tests: internal/coordination/relay, with the outcomes that must keep their meaning.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -15,10 +15,13 @@
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/member"
 	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/coordination/relay"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
+	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/httpd"
+	"bulrushtrail.example/trail/internal/transport/mesh"
 	"bulrushtrail.example/trail/internal/transport/pool"
 	api "bulrushtrail.example/trail/platform/front"
 	"bulrushtrail.example/trail/platform/server"
@@ -56,6 +59,8 @@
 	hosts   *inform.Informer
 	fronts  *inform.Informer
 	gossip  *gossip.Task
+	mesh    *mesh.Mesh
+	relay   *relay.Store
 	direct  *direct.Server
 	jobs    *batch.Jobs
 	api     *httpd.Server
@@ -72,6 +77,10 @@
 		return errors.Wrap(e, "listen for readiness checks")
 	}
 	n, e := net.ListenPacket("udp", p.peerAddress())
+	if e != nil {
+		return errors.Wrap(e, "listen for datagrams of other fronts")
+	}
+	r, e := net.Listen("tcp", p.peerAddress())
 	if e != nil {
 		return errors.Wrap(e, "listen for other fronts")
 	}
@@ -82,6 +91,7 @@
 	m := member.New(l, p.store, s.self, p.l)
 	serve(l, b, api.Ready(s.api.Ready))
 	p.metrics(l, s.api)
+	go s.servePeers(l, r)
 	go s.configs.Verify(l, verifyInterval, s.verifier)
 	go s.hosts.Verify(l, verifyInterval, s.verifier)
 	go s.followConfig(l)
@@ -113,13 +123,43 @@
 	// The parts tell each other of changes through s, which is complete before
 	// the first request.
 	s.direct = direct.New(s.f, q, u, p.l, p.r, func() { s.gossip.Wake() }, func(id string) { s.jobs.Crowded(id) })
-	s.jobs = batch.New(c, s.self, p.store, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
+	s.mesh = mesh.New(c, wire.Hello_builder{
+		MemberId: proto.String(p.n.GetName()), DataCentre: proto.String(p.n.GetDataCentre()),
+		Incarnation: &p.incarnation, Role: &p.role,
+	}.Build(), p.d, p.l)
+	s.relay = relay.New(p.store, s.mesh, s.helpers, p.l)
+	s.jobs = batch.New(c, s.self, s.relay, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
 	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs.Wake)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
 		httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
 	return s
 }
 
+// servePeers answers other fronts until c ends.
+func (s *frontRole) servePeers(c context.Context, n net.Listener) {
+	e := s.mesh.Serve(c, n, func(c context.Context, n *frame.Stream, o *wire.Open, _ *wire.Hello) {
+		if o.HasStore() {
+			s.relay.ServeCall(c, n, o.GetStore())
+		}
+	})
+	if e != nil {
+		s.l.WithError(e).Error("bulrushd: other fronts are not answered any more")
+	}
+}
+
+// helpers returns the peer addresses of the fronts that the platform answers.
+func (s *frontRole) helpers() []string {
+	var l []string
+	for _, n := range s.f.Watchful(time.Now()) {
+		o, _ := s.fronts.Get(n)
+		f := &wire.Front{}
+		if o.Value() != nil && o.Decode(f) == nil {
+			l = append(l, f.GetPeerAddress())
+		}
+	}
+	return l
+}
+
 func (s *frontRole) stopTime() time.Duration {
 	return time.Duration(s.n.GetStopSeconds()*float64(time.Second)) - exitTime
 }
--- /dev/null
+++ b/internal/coordination/relay/store_test.go
@@ -0,0 +1,144 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/relay"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/standin/golden"
+	"bulrushtrail.example/trail/internal/standin/memnet"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/transport/frame"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+// platform answers each call with an error, or with an object of version 7.
+type platform struct {
+	trail.Store
+	fails error
+	calls int
+}
+
+func (p *platform) do(o object.Object) (object.Object, error) {
+	p.calls++
+	return object.New(o.Kind(), o.Name(), 7, []byte(`{}`)), p.fails
+}
+
+func (p *platform) Get(_ context.Context, kind, name string) (object.Object, error) {
+	return p.do(object.New(kind, name, 0, nil))
+}
+
+func (p *platform) Create(_ context.Context, o object.Object) (object.Object, error) { return p.do(o) }
+
+func (p *platform) Update(_ context.Context, o object.Object) (object.Object, error) { return p.do(o) }
+
+func refused() error {
+	return trail.WrapError(trail.ErrUnavailable, "platform-unavailable", trail.NotRun, "refused")
+}
+
+// play runs f with the store of a front that can ask a second front, and with
+// the platform as each of the two sees it.
+func play(t *testing.T, f func(c context.Context, s *relay.Store, near, far *platform)) {
+	golden.Bubble(t, func(_ *testing.T, c context.Context) {
+		n := memnet.New()
+		l := &log.Logger{Handler: discard.New()}
+		near, far := &platform{}, &platform{}
+		m := mesh.New(c, &wire.Hello{}, n, l)
+		a := relay.New(near, m, func() []string { return []string{"far:1"} }, l)
+		b := relay.New(far, m, func() []string { return nil }, l)
+		go func() {
+			_ = m.Serve(c, n.Listen("far:1"), func(c context.Context, s *frame.Stream, o *wire.Open, _ *wire.Hello) {
+				b.ServeCall(c, s, o.GetStore())
+			})
+		}()
+		synctest.Wait()
+		f(c, a, near, far)
+	})
+}
+
+// Guards against a front that refuses work because the platform turns it away,
+// although it serves others.
+func TestCallThroughAnotherFront(t *testing.T) {
+	play(t, func(c context.Context, s *relay.Store, near, far *platform) {
+		near.fails = refused()
+		o, e := s.Get(c, "jobs", "a")
+		if e != nil {
+			t.Fatal(e)
+		}
+		if d := cmp.Diff([]any{"jobs", "a", int64(7), "{}"}, []any{o.Kind(), o.Name(), o.Version(), string(o.Value())}); d != "" {
+			t.Error(d)
+		}
+		// The platform is left alone for a while.
+		_, _ = s.Get(c, "jobs", "a")
+		time.Sleep(2 * time.Second)
+		near.fails = nil
+		_, _ = s.Get(c, "jobs", "a")
+		if d := cmp.Diff([]int{2, 2}, []int{near.calls, far.calls}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against a write that is made twice: one whose answer was lost is not
+// repeated through another front.
+func TestDoubtfulWriteIsNotRepeated(t *testing.T) {
+	play(t, func(c context.Context, s *relay.Store, near, far *platform) {
+		near.fails = trail.WrapError(trail.ErrUnavailable, "platform-answer-lost", trail.MayHaveRun, "lost")
+		_, e := s.Create(c, object.New("jobs", "a", 0, nil))
+		if d := cmp.Diff([]any{trail.MayHaveRun, 0}, []any{trail.VerdictOf(e), far.calls}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against an outcome that changes its meaning on the way between fronts.
+func TestFailuresKeepTheirMeaning(t *testing.T) {
+	for _, x := range []error{trail.ErrConflict, trail.ErrExists, trail.ErrNotFound, trail.ErrUnavailable} {
+		for _, v := range []trail.Verdict{trail.NotRun, trail.MayHaveRun} {
+			play(t, func(c context.Context, s *relay.Store, near, far *platform) {
+				near.fails = refused()
+				far.fails = trail.WrapError(x, "some-code", v, "failed")
+				_, e := s.Update(c, object.New("jobs", "a", 3, nil))
+				if !errors.Is(e, x) {
+					t.Errorf("%v became %v", x, e)
+				}
+				if d := cmp.Diff([]any{v, "some-code"}, []any{trail.VerdictOf(e), trail.CodeOf(e)}); d != "" {
+					t.Error(x, d)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a promise of "not run" for a write that went to a front that
+// was lost.
+func TestLostFront(t *testing.T) {
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
+		l := &log.Logger{Handler: discard.New()}
+		n := memnet.New()
+		m := mesh.New(c, &wire.Hello{}, n, l)
+		near := &platform{fails: refused()}
+		s := relay.New(near, m, func() []string { return []string{"gone:1"} }, l)
+		_, e := s.Create(c, object.New("jobs", "a", 0, nil))
+		if d := cmp.Diff([]any{trail.NotRun, true}, []any{trail.VerdictOf(e), errors.Is(e, trail.ErrUnavailable)}); d != "" {
+			t.Error(d)
+		}
+		go func() {
+			_ = m.Serve(c, n.Listen("gone:1"), func(context.Context, *frame.Stream, *wire.Open, *wire.Hello) {})
+		}()
+		synctest.Wait()
+		_, e = s.Create(c, object.New("jobs", "a", 0, nil))
+		if d := cmp.Diff(trail.MayHaveRun, trail.VerdictOf(e)); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -136,7 +136,7 @@
 
 // end returns the last reply to a call that was rejected.
 func (t *task) end(d decide.Decision) *wire.End {
-	v := verdict(d.Verdict())
+	v := d.Verdict().Message()
 	r := d.Reason()
 	m := messages[r]
 	if m == "" {
@@ -164,16 +164,6 @@
 	"backend-lost":         "the backend server was lost while it ran the request",
 }
 
-func verdict(v trail.Verdict) wire.Verdict {
-	switch v {
-	case trail.NotRun:
-		return wire.Verdict_VERDICT_NOT_RUN
-	case trail.Ran:
-		return wire.Verdict_VERDICT_RAN
-	}
-	return wire.Verdict_VERDICT_MAY_HAVE_RUN
-}
-
 // log writes the line of one decision.
 func (t *task) log(d decide.Decision) {
 	r := d.Call()
--- a/verdict.go
+++ b/verdict.go
@@ -49,3 +49,14 @@
 	}
 	return MayHaveRun
 }
+
+// Message returns the verdict as it stands in messages.
+func (v Verdict) Message() wire.Verdict {
+	switch v {
+	case NotRun:
+		return wire.Verdict_VERDICT_NOT_RUN
+	case Ran:
+		return wire.Verdict_VERDICT_RAN
+	}
+	return wire.Verdict_VERDICT_MAY_HAVE_RUN
+}
