coordination/fleet: entries that lapse together are kept for a while

Ruled out: failures of the engines (none was avoided, the list was empty), a lost watch (it told the deletions). Change: when half or more of a service's entries go missing within 0.4 s without notice, they are used for the 2.2 s in which lapsed entries are back. Tests: TestManyEntriesLapse, failed before (0 servers in place of 5); TestReplacedEntriesAreNotKept holds the opposite case.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -44,9 +44,6 @@
 	verifyInterval = 1400 * time.Millisecond
 	// Fronts that look for such changes on behalf of all.
 	verifiers = 2
-	// Entries of backend servers that lapsed while the platform was away are
-	// back within two seconds.
-	lapseGrace = 2200 * time.Millisecond
 )
 
 // frontRole is a running front.
@@ -258,14 +255,14 @@
 	u := now
 	b, e := s.hosts.Trouble()
 	if !b.IsZero() && e.IsZero() {
-		u = now.Add(lapseGrace)
+		u = now.Add(fleet.LapseGrace)
 	} else if !e.IsZero() {
-		u = e.Add(lapseGrace)
+		u = e.Add(fleet.LapseGrace)
 	}
-	s.f.SetServers(now, l, u)
+	a := s.f.SetServers(now, l, u)
 	s.jobs.Wake()
-	if u.After(now) {
-		return time.After(u.Sub(now) + time.Millisecond)
+	if a.After(now) {
+		return time.After(a.Sub(now) + time.Millisecond)
 	}
 	return nil
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -18,10 +18,17 @@
 	// Weight of the newest answer in the average time that a request holds a
 	// slot.
 	holdWeight = 0.05
+	// Entries that go missing within this time lapse together. Servers that
+	// are replaced one after the other leave further apart.
+	lapseTogether = 400 * time.Millisecond
 	// Average before the first answer.
 	initialHold = 500 * time.Millisecond
 )
 
+// LapseGrace is the time in which entries of backend servers that lapsed in an
+// outage of the platform, two seconds ago at the most, are back.
+const LapseGrace = 2200 * time.Millisecond
+
 // Fleet is the load of all backend servers as this front knows it. Its methods
 // may be called from any goroutine.
 type Fleet struct {
@@ -72,6 +79,9 @@
 	servers []*server
 	// Average time in which an online request holds a slot.
 	hold time.Duration
+	// Servers that went missing without notice since lapseBegan.
+	lapses     int
+	lapseBegan time.Time
 }
 
 // peer is what another front last said.
@@ -91,8 +101,11 @@
 
 // SetServers replaces the list of backend servers. One that the list lacks is
 // dropped at keepUntil, which is in the past unless the platform was away: an
-// entry that lapsed meanwhile comes back within seconds.
-func (f *Fleet) SetServers(now time.Time, l []*wire.BackendServer, keepUntil time.Time) {
+// entry that lapsed meanwhile comes back within seconds. So do the entries of a
+// service when most of them lapse together, whether or not this front has
+// noticed an outage. It returns when servers that are kept must be looked at
+// again, zero for never.
+func (f *Fleet) SetServers(now time.Time, l []*wire.BackendServer, keepUntil time.Time) time.Time {
 	f.m.Lock()
 	defer f.m.Unlock()
 	n := map[string]bool{}
@@ -100,20 +113,65 @@
 		n[b.GetId()] = true
 		f.set(b)
 	}
-	for i, s := range f.servers {
-		if n[i] {
+	var again time.Time
+	for _, v := range f.services {
+		k := keepUntil
+		if v.lapsed(now, n) {
+			k = now.Add(LapseGrace)
+		}
+		again = latest(again, f.drop(now, v, n, k))
+	}
+	f.index()
+	f.sumPeers()
+	return again
+}
+
+// lapsed says whether most servers of a service went missing together, without
+// notice.
+func (v *service) lapsed(now time.Time, listed map[string]bool) bool {
+	m := 0
+	for _, s := range v.servers {
+		if !listed[s.b.GetId()] && !s.b.GetDraining() && s.dropAt.IsZero() {
+			m++
+		}
+	}
+	if m == 0 {
+		return false
+	}
+	if now.Sub(v.lapseBegan) > lapseTogether {
+		v.lapseBegan = now
+		v.lapses = 0
+	}
+	v.lapses += m
+	return v.lapses > 1 && 2*v.lapses >= len(v.servers)
+}
+
+// drop removes the servers of a service that are not listed and whose time is
+// over. It returns when the last of the others ends.
+func (f *Fleet) drop(now time.Time, v *service, listed map[string]bool, keepUntil time.Time) time.Time {
+	var again time.Time
+	for _, s := range v.servers {
+		if listed[s.b.GetId()] {
 			continue
 		}
-		if s.dropAt.IsZero() || keepUntil.Before(s.dropAt) {
+		if s.dropAt.IsZero() {
 			s.dropAt = keepUntil
 		}
-		if !now.Before(s.dropAt) {
-			delete(f.servers, i)
-			delete(f.hashes, s.hash)
+		if now.Before(s.dropAt) {
+			again = latest(again, s.dropAt)
+			continue
 		}
+		delete(f.servers, s.b.GetId())
+		delete(f.hashes, s.hash)
 	}
-	f.index()
-	f.sumPeers()
+	return again
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (f *Fleet) set(b *wire.BackendServer) {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -215,6 +215,45 @@
 	}
 }
 
+// Guards against a service without servers after an outage of the platform that
+// this front has not noticed: all entries lapse at once, and are back within
+// two seconds. A server that leaves alone is not kept.
+func TestManyEntriesLapse(t *testing.T) {
+	var l []*wire.BackendServer
+	for n := range 6 {
+		l = append(l, server(fmt.Sprint("s", n), "a", 8))
+	}
+	f := newFleet(l...)
+	f.SetServers(start, l[1:], start)
+	got := []int{f.Size()}
+	now := start.Add(10 * time.Second)
+	f.SetServers(now, l[4:], now)
+	f.SetServers(now.Add(100*time.Millisecond), nil, now)
+	got = append(got, f.Size())
+	f.SetServers(now.Add(1900*time.Millisecond), l[3:], now)
+	f.SetServers(now.Add(2500*time.Millisecond), l[3:], now)
+	got = append(got, f.Size())
+	if d := cmp.Diff([]int{5, 5, 3}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against requests for servers that leave without notice, one after the
+// other, as in a release: each is dropped at once.
+func TestReplacedEntriesAreNotKept(t *testing.T) {
+	l := []*wire.BackendServer{server("a", "a", 8), server("b", "a", 8), server("c", "a", 8)}
+	f := newFleet(l...)
+	var got []int
+	for n := range l {
+		now := start.Add(time.Duration(n+1) * 800 * time.Millisecond)
+		f.SetServers(now, l[n+1:], now)
+		got = append(got, f.Size())
+	}
+	if d := cmp.Diff([]int{2, 1, 0}, got); d != "" {
+		t.Error(d)
+	}
+}
+
 // Guards against a backend server that cannot be reached and takes request
 // after request, and against one that is left alone for a single lost answer.
 func TestFailures(t *testing.T) {
