coordination/batch: a stopping front leaves its jobs to the others as they fall idle

A job that front-saskatoon-1 accepted at 3.05 s, while it was stopping, was run from 5.86 s on, by its successor; items not begun waited for the end of the others' runs, up to five seconds. Ruled out: late acceptance (202 at once), lost results (none). Change: a stopping front releases each job once its runs there have ended, creates new jobs without an owner, and tells the others by its datagrams, which look for such jobs at once. Test: TestStoppingFrontHandsJobsOver, failed before.

--- a/internal/command/daemon/batch_test.go
+++ b/internal/command/daemon/batch_test.go
@@ -108,6 +108,37 @@
 	}
 }
 
+// Guards against jobs that wait for the end of a front that is stopping: one
+// that it accepts meanwhile, and one with items that it has not begun.
+func TestStoppingFrontHandsJobsOver(t *testing.T) {
+	g := newRig(t, 300*time.Millisecond)
+	p, q := g.start("front-1"), g.start("front-2")
+	// The other front knows who lives.
+	time.Sleep(3 * time.Second)
+	l := make([]string, 0, 12)
+	for n := range 12 {
+		l = append(l, fmt.Sprint("item-", n))
+	}
+	p.call("POST", "/jobs/1", "before", job(l...))
+	g.until("items run", func() bool { return strings.Contains(p.logs(), `"outcome":"done"`) })
+	p.signal(syscall.SIGTERM)
+	g.until("the front is stopping", func() bool { return !p.ready() })
+	if d := cmp.Diff(202, p.call("POST", "/jobs/1", "meanwhile", job("a")).status); d != "" {
+		t.Fatal(d)
+	}
+	g.until("the other front runs both jobs", func() bool {
+		return strings.Contains(q.logs(), `"job-id":"meanwhile"`) && strings.Contains(q.logs(), `"job-id":"before"`)
+	})
+	select {
+	case <-p.ended:
+		t.Error("the jobs waited for the end of the front")
+	default:
+	}
+	g.until("all items have a result", func() bool {
+		return len(q.results("before", 0).Results) == 12 && len(q.results("meanwhile", 0).Results) == 1
+	})
+}
+
 // Guards against a job that runs on after its caller has ended it at another
 // front.
 func TestEndedJobStops(t *testing.T) {
--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -126,7 +126,7 @@
 	}.Build(), p.d, p.l)
 	s.relay = relay.New(p.store, s.mesh, s.helpers, p.l)
 	s.jobs = batch.New(c, s.self, s.relay, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
-	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs.Wake)
+	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
 		httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
 	return s
--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -40,6 +40,10 @@
 		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
 		AcceptedUnixMs: proto.Int64(time.Now().UnixMilli()),
 	}.Build()
+	v := s.stopping()
+	if v {
+		j.SetOwner("")
+	}
 	o, e := s.create(c, kindJobs, id, j)
 	if errors.Is(e, trail.ErrExists) {
 		return nil
@@ -48,10 +52,22 @@
 		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job was not kept").At(id).RetryAfter(refusedWait)
 	}
 	s.l.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
+	if v {
+		s.remember(o, j)
+		s.released.Add(1)
+		s.changed()
+		return nil
+	}
 	s.own(o, j, items)
 	return nil
 }
 
+func (s *Jobs) stopping() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.leaving
+}
+
 func (s *Jobs) accepted(id string) bool {
 	s.m.Lock()
 	defer s.m.Unlock()
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -61,7 +62,11 @@
 	// Largest value of an object in bytes.
 	valueBytes int
 	wake       chan struct{}
-	born       time.Time
+	// Holds a value while a review is wanted.
+	look chan struct{}
+	born time.Time
+	// Jobs left to others.
+	released atomic.Uint32
 
 	m sync.Mutex
 	// By job id, all jobs that this process has seen.
@@ -80,7 +85,7 @@
 func New(c context.Context, self *wire.Front, store trail.Store, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
 	s := &Jobs{
 		self: self, store: store, f: f, up: up, table: table, l: l, changed: changed,
-		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), born: time.Now(),
+		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), look: make(chan struct{}, 1), born: time.Now(),
 		known: map[string]*known{}, owned: map[string]*owned{}, agenda: agenda.New(), runs: map[string][]*run{},
 		items: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_batch_runs_total",
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -20,6 +21,8 @@
 	results []*wire.BatchResult
 	// A goroutine is listing results.
 	committing bool
+	// Is being left to another front.
+	leaving bool
 	// Ends the runs and commits of the job.
 	c    context.Context
 	stop context.CancelCauseFunc
@@ -91,7 +94,7 @@
 
 // review looks for jobs that were ended, or whose owner is gone, until c ends.
 func (s *Jobs) review(c context.Context) {
-	for p := firstReviewPause; wait(c, p); p = s.reviewPause() {
+	for p := firstReviewPause; s.waitReview(c, p); p = s.reviewPause() {
 		l, _, e := s.store.List(c, kindJobs)
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
@@ -110,6 +113,20 @@
 	}
 }
 
+// waitReview returns false when c ends before the pause, or before a review is
+// asked for.
+func (s *Jobs) waitReview(c context.Context, pause time.Duration) bool {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.look:
+	case <-c.Done():
+		return false
+	}
+	return true
+}
+
 func (s *Jobs) reviewPause() time.Duration {
 	s.m.Lock()
 	defer s.m.Unlock()
@@ -211,32 +228,60 @@
 	s.own(o, j, i)
 }
 
-// Drain starts no new runs, waits for those in progress until c ends, lists
-// what they gave, and releases the jobs.
+// Drain starts no new runs and leaves each job to the other fronts once its runs
+// here have ended and their results are listed. At the end of c it does so
+// with the others too.
 func (s *Jobs) Drain(c context.Context) {
 	s.m.Lock()
 	s.leaving = true
 	s.m.Unlock()
-	for s.running() > 0 && wait(c, dispatchPause) {
+	var w sync.WaitGroup
+	for d := false; !d; {
+		d = !wait(c, dispatchPause)
+		for _, o := range s.idle(d) {
+			w.Go(func() { s.handOver(o) })
+		}
+		d = d || s.ownedJobs() == 0
 	}
-	c, f := context.WithTimeout(context.WithoutCancel(c), releaseTimeout)
-	defer f()
+	w.Wait()
+}
+
+// idle takes the jobs without a run, or all, from those that this front runs.
+func (s *Jobs) idle(all bool) []*owned {
 	s.m.Lock()
+	defer s.m.Unlock()
+	n := map[*owned]int{}
+	for _, l := range s.runs {
+		for _, r := range l {
+			n[r.o]++
+		}
+	}
 	var l []*owned
 	for _, o := range s.owned {
-		l = append(l, o)
-	}
-	s.m.Unlock()
-	for _, o := range l {
-		s.commit(c, o)
-		s.release(c, o.id)
+		if (all || n[o] == 0) && !o.leaving {
+			o.leaving = true
+			l = append(l, o)
+		}
 	}
+	return l
 }
 
-// release lets another front run a job.
-func (s *Jobs) release(c context.Context, id string) {
-	s.drop(id, "front is stopping")
-	e := s.change(c, id, func(j *wire.BatchJob) bool {
+func (s *Jobs) ownedJobs() int {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return len(s.owned)
+}
+
+// handOver lists the results at hand and releases a job.
+func (s *Jobs) handOver(o *owned) {
+	c, f := context.WithTimeout(context.Background(), releaseTimeout)
+	defer f()
+	e := s.commit(c, o)
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", o.id).Warn("batch: results of a stopping front are lost, the items run again")
+	}
+	s.drop(o.id, "front is stopping")
+	e = s.change(c, o.id, func(j *wire.BatchJob) bool {
 		if !s.mine(j) || j.GetComplete() {
 			return false
 		}
@@ -244,19 +289,24 @@
 		return true
 	})
 	if e != nil {
-		s.l.WithError(e).WithField("job-id", id).Warn("batch: job not released, another front takes it over later")
+		s.l.WithError(e).WithField("job-id", o.id).Warn("batch: job not released, another front takes it over later")
+		return
 	}
+	s.released.Add(1)
+	s.changed()
 }
 
-// Bound of the time in which a stopping front releases its jobs.
-const releaseTimeout = 1200 * time.Millisecond
+// Released returns how many jobs this front has left to others. When the
+// number of another front has changed, Review finds the job.
+func (s *Jobs) Released() uint32 { return s.released.Load() }
 
-func (s *Jobs) running() int {
-	s.m.Lock()
-	defer s.m.Unlock()
-	n := 0
-	for _, l := range s.runs {
-		n += len(l)
+// Review looks for jobs without an owner soon.
+func (s *Jobs) Review() {
+	select {
+	case s.look <- struct{}{}:
+	default:
 	}
-	return n
 }
+
+// Bound of the time in which a stopping front releases its jobs.
+const releaseTimeout = 1200 * time.Millisecond
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/poison"
@@ -41,11 +42,10 @@
 	// Copies that are compared with those of the other fronts.
 	configs, hosts *inform.Informer
 	l              log.Interface
-	// Called after the load of another front has changed.
-	changed func()
-	wake    chan struct{}
-	leaving atomic.Bool
-	sent    prometheus.Counter
+	jobs           trail.Sharer
+	wake           chan struct{}
+	leaving        atomic.Bool
+	sent           prometheus.Counter
 	// Used by the sending goroutine only.
 	sequence  uint64
 	addresses []target
@@ -57,12 +57,12 @@
 	address net.Addr
 }
 
-// New starts a task that ends with c and closes n then. It calls changed after
-// each datagram. When another front holds other objects than the informers of
+// New starts a task that ends with c and closes n then. It wakes
+// jobs after each datagram. When another front holds other objects than the informers of
 // configs and hosts for a while, they are asked for a new list.
-func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, changed func()) *Task {
+func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
 	t := &Task{
-		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, changed: changed, wake: make(chan struct{}, 1),
+		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1),
 		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -113,7 +113,7 @@
 	}
 	if t.f.Expire(time.Now()) {
 		t.l.Warn("gossip: front went silent")
-		t.changed()
+		t.jobs.Wake()
 	}
 	t.addresses = t.targets()
 }
@@ -148,6 +148,7 @@
 		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(now.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
+		Released: proto.Uint32(t.jobs.Released()),
 		Missed:   proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
 		Troubled: proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
 	}.Build())
@@ -170,6 +171,8 @@
 func (t *Task) receive(c context.Context) {
 	b := make([]byte, maxDatagram)
 	f, h := newComparison(), newComparison()
+	// Jobs released, by front.
+	r := map[string]uint32{}
 	for {
 		n, a, e := t.n.ReadFrom(b)
 		if c.Err() != nil {
@@ -193,12 +196,16 @@
 		if len(l.GetCrashes()) > 0 {
 			t.p.Merge(now, l.GetCrashes())
 		}
+		if l.GetReleased() != r[l.GetName()] {
+			r[l.GetName()] = l.GetReleased()
+			t.jobs.Review()
+		}
 		if f.due(now, &l, l.GetConfigs(), t.configs.Digest()) {
 			t.configs.Refresh()
 		}
 		if h.due(now, &l, l.GetHosts(), t.hosts.Digest()) {
 			t.hosts.Refresh()
 		}
-		t.changed()
+		t.jobs.Wake()
 	}
 }
--- a/upstream.go
+++ b/upstream.go
@@ -67,3 +67,14 @@
 
 // Deadline returns when the caller stops waiting, zero for never.
 func (r *Request) Deadline() time.Time { return r.deadline }
+
+// Sharer is the work that fronts share among each other, as their datagrams
+// tell it.
+type Sharer interface {
+	// Released returns how often this front has left work to the others.
+	Released() uint32
+	// Review is called when another front has left work.
+	Review()
+	// Wake is called when the load of another front has changed.
+	Wake()
+}
