coordination/direct: a call that may have run is never refused

Ruled out: a stream that ended between events (the engine's was cut, unexpected EOF), the end of the response by the HTTP server. Change: a call with an attempt that may have run fails with that attempt's verdict; after a part of the answer its connection is cut. Tests: TestServe, the rows 'lost and then refused everywhere' and 'resumed and refused everywhere' failed before.

--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -66,7 +66,8 @@
 	}
 	x.s.firstAttempt(x.service)
 	for {
-		b, n, w := x.s.f.Take(time.Now(), x.service, time.Duration(x.u.GetTargetMs())*time.Millisecond, x.tried, rand.Float64())
+		t := time.Duration(x.u.GetTargetMs()) * time.Millisecond
+		b, n, w := x.s.f.Take(time.Now(), x.service, t, time.Until(x.r.Deadline()), x.tried, rand.Float64())
 		x.reason = n
 		if b == nil {
 			return x.refuse(n, w)
@@ -88,9 +89,10 @@
 	}
 }
 
-// refuse ends a call for which there is no backend server.
+// refuse ends a call for which there is no backend server. A call that may have
+// run before is not refused but has failed.
 func (x *call) refuse(reason string, wait time.Duration) error {
-	if x.result.cause != nil && x.result.verdict != trail.NotRun {
+	if x.runs > 0 {
 		return x.fail(x.result)
 	}
 	code := "overloaded"
--- /dev/null
+++ b/internal/coordination/direct/server_test.go
@@ -0,0 +1,178 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/direct"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// upstream answers the attempts one after the other with its replies. A reply
+// is a status and a body; a body that ends in (cut) breaks off there, "busy" and
+// "unreachable" are refusals, "lost" is no answer, and "silent" is none until
+// the attempt is ended.
+type upstream struct {
+	replies []string
+	// Server and event after which each attempt resumes.
+	attempts []string
+}
+
+func (u *upstream) Send(c context.Context, b *wire.BackendServer, _ *trail.Request, resume string) (*http.Response, error) {
+	u.attempts = append(u.attempts, strings.TrimSpace(b.GetId()+" "+resume))
+	r := "busy"
+	if len(u.replies) > 0 {
+		r = u.replies[0]
+		u.replies = u.replies[1:]
+	}
+	switch r {
+	case "busy":
+		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
+	case "unreachable":
+		return nil, trail.NewError("backend-unreachable", trail.NotRun, "unreachable")
+	case "lost":
+		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
+	case "silent":
+		<-c.Done()
+		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "silent")
+	}
+	var s int
+	_, e := fmt.Sscanf(r, "%d", &s)
+	if e != nil {
+		return nil, e
+	}
+	_, t, _ := strings.Cut(r, " ")
+	return &http.Response{StatusCode: s, Header: http.Header{"Signature": {b.GetId()}}, Body: body(t)}, nil
+}
+
+func body(text string) io.ReadCloser {
+	t, cut := strings.CutSuffix(text, "(cut)")
+	if !cut {
+		return io.NopCloser(strings.NewReader(t))
+	}
+	return io.NopCloser(io.MultiReader(strings.NewReader(t), broken{}))
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: t%d\n\n", n, n) }
+
+// outcome is what the caller sees.
+func outcome(e error, w *httptest.ResponseRecorder) string {
+	switch {
+	case e == nil:
+		return fmt.Sprintf("%d %s", w.Code, w.Body)
+	case direct.Cut(e):
+		return fmt.Sprintf("%d %s(cut)", w.Code, w.Body)
+	}
+	if w.Body.Len() > 0 {
+		return "error after a part of the answer"
+	}
+	return trail.CodeOf(e) + " " + trail.VerdictOf(e).String()
+}
+
+// play serves one request by three backend servers.
+func play(t *testing.T, u *wire.RouteRule, up *upstream) (got string) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New("front", "a")
+		var l []*wire.BackendServer
+		for n := range 3 {
+			l = append(l, wire.BackendServer_builder{
+				Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
+			}.Build())
+		}
+		f.SetServers(time.Now(), l, time.Now())
+		s := direct.New(f, poison.New(3), up, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {}, func(string) {})
+		w := httptest.NewRecorder()
+		e := s.Serve(t.Context(), u, 1, trail.NewRequest("id", "POST", "/p", "h", nil, nil), w)
+		got = outcome(e, w)
+		if n := len(f.Loads()); n > 0 {
+			t.Error("requests are still counted at", n, "backend servers")
+		}
+	})
+	return got
+}
+
+func route(repeat wire.Repeat, stream, resumable bool, attempts int32) *wire.RouteRule {
+	return wire.RouteRule_builder{
+		Name: proto.String("r"), Repeat: &repeat, Stream: &stream, Resumable: &resumable, Attempts: &attempts,
+		TimeoutMs: proto.Int64(5000), TargetMs: proto.Int64(300),
+		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
+	}.Build()
+}
+
+// Guards against requests that run more often than their route allows, against
+// verdicts that are not true, and against parts that look like the whole.
+func TestServe(t *testing.T) {
+	once := route(wire.Repeat_REPEAT_ONCE, false, false, 1)
+	safe := route(wire.Repeat_REPEAT_SAFE, false, false, 2)
+	cut := route(wire.Repeat_REPEAT_ONCE, true, false, 1)
+	resumed := route(wire.Repeat_REPEAT_SAFE, true, true, 2)
+	l := []struct {
+		name     string
+		u        *wire.RouteRule
+		replies  []string
+		want     string
+		attempts int
+	}{
+		{"answer", once, []string{"200 a"}, "200 a", 1},
+		{"refused attempts go elsewhere", once, []string{"busy", "unreachable", "200 a"}, "200 a", 3},
+		{"refused everywhere", once, []string{"busy", "busy", "busy"}, "no-backend-server not-run", 3},
+		{"lost once", once, []string{"lost", "200 a"}, "backend-lost may-have-run", 1},
+		{"refused and then lost", once, []string{"busy", "lost", "200 a"}, "backend-lost may-have-run", 2},
+		{"answer that is cut", once, []string{"200 a(cut)"}, "backend-lost may-have-run", 1},
+		{"lost and run again", safe, []string{"lost", "200 a"}, "200 a", 2},
+		{"cut and run again", safe, []string{"200 a(cut)", "200 b"}, "200 b", 2},
+		{"failed and run again", safe, []string{"500 a", "200 b"}, "200 b", 2},
+		{"lost at all attempts", safe, []string{"lost", "lost", "200 a"}, "backend-lost may-have-run", 2},
+		{"failed at all attempts", safe, []string{"500 a", "500 b"}, "500 b", 2},
+		{"lost and then refused everywhere", safe, []string{"lost", "busy", "busy"}, "backend-busy may-have-run", 3},
+		{"silent and run again", safe, []string{"silent", "200 a"}, "200 a", 2},
+		{"silent to the end", once, []string{"silent"}, "deadline-exceeded may-have-run", 1},
+		{"stream", cut, []string{"200 " + event(1) + event(2)}, "200 " + event(1) + event(2), 1},
+		{"stream that is cut", cut, []string{"200 " + event(1) + "id: 2\n(cut)"}, "200 " + event(1) + "(cut)", 1},
+		{"stream that is resumed", resumed, []string{"200 " + event(1) + "id: 2\n(cut)", "200 " + event(2)}, "200 " + event(1) + event(2), 2},
+		{"resumed at the wrong event", resumed, []string{"200 " + event(1) + "(cut)", "200 " + event(1)}, "200 " + event(1) + "(cut)", 2},
+		{"resumed and refused everywhere", resumed, []string{"200 " + event(1) + "(cut)", "busy", "busy"}, "200 " + event(1) + "(cut)", 3},
+		{"resumed and failed", resumed, []string{"200 " + event(1) + "(cut)", "500 x"}, "200 " + event(1) + "(cut)", 2},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			up := &upstream{replies: k.replies}
+			if d := cmp.Diff(k.want, play(t, k.u, up)); d != "" {
+				t.Error(d)
+			}
+			if d := cmp.Diff(k.attempts, len(up.attempts)); d != "" {
+				t.Error("attempts:", d)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is resumed elsewhere from its beginning.
+func TestServeResumesAfterLastEvent(t *testing.T) {
+	up := &upstream{replies: []string{"200 " + event(1) + event(2) + "(cut)", "200 " + event(3)}}
+	play(t, route(wire.Repeat_REPEAT_SAFE, true, true, 2), up)
+	got := strings.Fields(up.attempts[1])
+	if d := cmp.Diff("2", got[len(got)-1]); d != "" {
+		t.Error(d)
+	}
+}
