coordination/fleet: shorter queues at engines, later return of refused callers

Cause: at 3 and 5 times the traffic 18% of the requests that waited in an engine's queue were late, and refused callers returned into the same burst (0.25 to 1.45 s against bursts of 3 to 4 s); callers with 1 s left would have returned in step, since they wait a third of it at most. Change: 0.4 of the target; a refused caller returns after 0.55 to 1 of a third of its time, or from 0.2 on while no server is known.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -10,7 +10,7 @@
 const (
 	// Part of a request's target that it may spend in a backend server's
 	// queue; the rest is for the prompt and the first event.
-	queueShare = 0.6
+	queueShare = 0.4
 	// Part of a service's slots that batch items leave free for the online
 	// requests that arrive next.
 	headroom = 0.08
@@ -18,10 +18,15 @@
 	// failure.
 	firstAvoid = 300 * time.Millisecond
 	maxAvoid   = 3 * time.Second
-	// Refused callers come back within this span after the first place is
-	// expected, so that they don't come together.
-	minReturn    = 250 * time.Millisecond
-	returnSpread = 1200 * time.Millisecond
+	// Callers wait for at most this part of the time that they have left, and
+	// come back once.
+	returnShare = 1.0 / 3
+	// Least part of that time that a refused caller waits. Bursts last for two
+	// to three seconds, so the later a caller returns the better, and callers
+	// that are spread over the rest do not come together.
+	earliestReturn = 0.55
+	// The same while no backend server is known, which is soon over.
+	earliestRecovery = 0.2
 )
 
 // Why a backend server was chosen, or none.
@@ -35,11 +40,12 @@
 )
 
 // Take chooses a backend server for an online request and counts it there. The
-// target is the time to its first byte within which an answer is on time. It
-// skips the ids in tried. Without a server it returns nil; the reason tells
-// why, and the time is when the caller may come back. The draw, from 0 up to
-// but not including 1, spreads the callers that come back.
-func (f *Fleet) Take(now time.Time, name string, target time.Duration, tried []string, draw float64) (*wire.BackendServer, string, time.Duration) {
+// target is the time to its first byte within which an answer is on time, and
+// left the time that its caller waits at all. It skips the ids in tried.
+// Without a server it returns nil; the reason tells why, and the time is when
+// the caller may come back. The draw, from 0 up to but not including 1, spreads
+// the callers that come back.
+func (f *Fleet) Take(now time.Time, name string, target, left time.Duration, tried []string, draw float64) (*wire.BackendServer, string, time.Duration) {
 	f.m.Lock()
 	defer f.m.Unlock()
 	v := f.service(name)
@@ -54,17 +60,22 @@
 			b, k = s, p
 		}
 	}
-	w := minReturn + time.Duration(draw*float64(returnSpread))
 	if b == nil {
-		return nil, ReasonNone, w
+		return nil, ReasonNone, wait(left, earliestRecovery, draw)
 	}
 	if k.tier == tierQueue && k.load >= v.depth(b.slots(), target) {
-		return nil, ReasonFull, w
+		return nil, ReasonFull, wait(left, earliestReturn, draw)
 	}
 	b.online++
 	return b.b, reasons[k.tier], 0
 }
 
+// wait returns a time between a part of what a caller waits at most and all of
+// it.
+func wait(left time.Duration, earliest, draw float64) time.Duration {
+	return time.Duration(returnShare * (earliest + (1-earliest)*draw) * float64(max(left, 0)))
+}
+
 // depth returns how many online requests may wait at a backend server.
 func (v *service) depth(slots int, target time.Duration) int {
 	d := float64(slots) * queueShare * float64(target) / float64(max(v.hold, time.Millisecond))
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -15,6 +15,7 @@
 
 const (
 	target  = 300 * time.Millisecond
+	left    = 5 * time.Second
 	service = "assistant"
 )
 
@@ -46,7 +47,7 @@
 
 // take returns the id of the chosen server and the reason.
 func take(f *fleet.Fleet, now time.Time, tried ...string) [2]string {
-	b, r, _ := f.Take(now, service, target, tried, 0)
+	b, r, _ := f.Take(now, service, target, left, tried, 0)
 	return [2]string{b.GetId(), r}
 }
 
@@ -75,13 +76,13 @@
 }
 
 // Guards against queues that make answers late: with 8 slots held for 500 ms,
-// a request's part of 180 ms for waiting allows three in the queue. The next
-// one is refused at once, with a time to come back.
+// a request's part of 120 ms for waiting allows two in the queue. The next one
+// is refused at once, with a time to come back.
 func TestTakeRefusesLate(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
 	var n int
 	for {
-		b, r, w := f.Take(start, service, target, nil, 0.5)
+		b, r, w := f.Take(start, service, target, left, nil, 0.5)
 		if b == nil {
 			if d := cmp.Diff(fleet.ReasonFull, r); d != "" {
 				t.Error(d)
@@ -93,18 +94,25 @@
 		}
 		n++
 	}
-	if d := cmp.Diff(8+3, n); d != "" {
+	if d := cmp.Diff(8+2, n); d != "" {
 		t.Error(d)
 	}
 }
 
-// Guards against callers that come back in step after a refusal.
+// Guards against callers that come back in step after a refusal, or into the
+// same burst: a caller that has 5 s left waits for 1.7 s at the most.
 func TestRefusedReturnApart(t *testing.T) {
-	f := newFleet()
-	_, _, a := f.Take(start, service, target, nil, 0)
-	_, _, b := f.Take(start, service, target, nil, 0.99)
-	if b-a < time.Second {
-		t.Error("callers return within", b-a)
+	f := newFleet(server("s", "a", 1))
+	for take(f, start)[1] != fleet.ReasonFull {
+	}
+	var got []time.Duration
+	for _, d := range []float64{0, 0.5, 0.99} {
+		_, _, w := f.Take(start, service, target, left, nil, d)
+		got = append(got, w.Round(50*time.Millisecond))
+	}
+	want := []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1650 * time.Millisecond}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
 	}
 }
 
