--- a/internal/command/daemon/batch_test.go
+++ b/internal/command/daemon/batch_test.go
@@ -17,9 +17,9 @@
 func job(ids ...string) string {
 	l := make([]string, 0, len(ids))
 	for _, i := range ids {
-		id, end, _ := strings.Cut(i, " ")
+		d, e, _ := strings.Cut(i, " ")
 		l = append(l, fmt.Sprintf(`{"Id":%q,"Path":"/jobs/run%s","Headers":{"X-Model":"m"},"Body":%q,"Tokens":10}`,
-			id, end, base64.StdEncoding.EncodeToString([]byte("body of "+id))))
+			d, e, base64.StdEncoding.EncodeToString([]byte("body of "+d))))
 	}
 	return `{"Items":[` + strings.Join(l, ",") + `]}`
 }
@@ -55,8 +55,8 @@
 	g := newRig(t, time.Millisecond)
 	p, q := g.start("front-1"), g.start("front-2")
 	b := job("a", "b /cut", "c /fail", "d /never", "e")
-	got := []int{p.call("POST", "/jobs/1", "job", b).status, q.call("POST", "/jobs/1", "job", b).status}
-	if d := cmp.Diff([]int{202, 202}, got); d != "" {
+	o := []int{p.call("POST", "/jobs/1", "job", b).status, q.call("POST", "/jobs/1", "job", b).status}
+	if d := cmp.Diff([]int{202, 202}, o); d != "" {
 		t.Fatal(d)
 	}
 	a := q.call("GET", "/items/job?Id=a", "", "")
@@ -65,11 +65,11 @@
 	}
 	g.until("all items have a result", func() bool { return len(p.results("job", 0).Results) == 5 })
 	r := p.results("job", 0)
-	want := map[string]string{
+	w := map[string]string{
 		"a": "done " + output("a"), "b": "done " + output("b"), "e": "done " + output("e"),
 		"c": "dead_letter ", "d": "dead_letter ",
 	}
-	if d := cmp.Diff(want, r.states()); d != "" {
+	if d := cmp.Diff(w, r.states()); d != "" {
 		t.Error(d)
 	}
 	if d := cmp.Diff(r, q.results("job", 0)); d != "" {
@@ -99,11 +99,11 @@
 	if d := cmp.Diff(b.Results, a.Results[:len(b.Results)]); d != "" {
 		t.Error("results changed their position:", d)
 	}
-	want := map[string]string{}
+	w := map[string]string{}
 	for _, i := range l {
-		want[i] = "done " + output(i)
+		w[i] = "done " + output(i)
 	}
-	if d := cmp.Diff(want, a.states()); d != "" {
+	if d := cmp.Diff(w, a.states()); d != "" {
 		t.Error(d)
 	}
 }
@@ -180,15 +180,15 @@
 	g := newRig(t, time.Millisecond)
 	p, q := g.start("front-1"), g.start("front-2")
 	for n := range 2 {
-		id := fmt.Sprint("job-", n)
+		i := fmt.Sprint("job-", n)
 		b := job("a", "b")
 		g.p.LoseAnswers(2, true)
-		if d := cmp.Diff(502, p.call("POST", "/jobs/1", id, b).status); d != "" {
+		if d := cmp.Diff(502, p.call("POST", "/jobs/1", i, b).status); d != "" {
 			t.Fatal(d)
 		}
 		g.p.SetAway(false)
-		g.until("the job is accepted", func() bool { return q.call("POST", "/jobs/1", id, b).status == 202 })
-		g.until("all items have a result", func() bool { return len(q.results(id, 0).Results) == 2 })
+		g.until("the job is accepted", func() bool { return q.call("POST", "/jobs/1", i, b).status == 202 })
+		g.until("all items have a result", func() bool { return len(q.results(i, 0).Results) == 2 })
 	}
 }
 
@@ -198,11 +198,11 @@
 	p := g.start("front-1")
 	l := []string{"", "{", `{"Items":[]}`, job("a", "a"), `{"Items":[{"Id":"a","Path":"/jobs/x","Body":"!"}]}`}
 	for n, b := range l {
-		id := fmt.Sprint("job-", n)
-		if d := cmp.Diff(400, p.call("POST", "/jobs/1", id, b).status); d != "" {
+		i := fmt.Sprint("job-", n)
+		if d := cmp.Diff(400, p.call("POST", "/jobs/1", i, b).status); d != "" {
 			t.Errorf("%q: %s", b, d)
 		}
-		if d := cmp.Diff(404, p.call("GET", "/lots/"+id, "", "").status); d != "" {
+		if d := cmp.Diff(404, p.call("GET", "/lots/"+i, "", "").status); d != "" {
 			t.Errorf("%q: %s", b, d)
 		}
 	}
--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -61,6 +62,8 @@
 	direct  *direct.Server
 	jobs    *batch.Jobs
 	api     *httpd.Server
+	// Backend servers as last reported, by id.
+	known map[string]*wire.BackendServer
 }
 
 // front serves callers until c ends.
@@ -193,8 +196,8 @@
 func (s *frontRole) followConfig(c context.Context) {
 	for {
 		w := s.configs.Changed()
-		o, ok := s.configs.Get("current")
-		if ok {
+		o, k := s.configs.Get("current")
+		if k {
 			s.apply(o)
 		}
 		select {
@@ -242,6 +245,7 @@
 		return nil
 	}
 	var l []*wire.BackendServer
+	k := map[string]*wire.BackendServer{}
 	for n, o := range s.hosts.All() {
 		b := &wire.BackendServer{}
 		e := o.Decode(b)
@@ -250,19 +254,39 @@
 			continue
 		}
 		l = append(l, b)
+		k[n] = b
 	}
-	now := time.Now()
-	u := now
+	s.reportServers(k)
+	w := time.Now()
+	u := w
 	b, e := s.hosts.Trouble()
 	if !b.IsZero() && e.IsZero() {
-		u = now.Add(fleet.LapseGrace)
+		u = w.Add(fleet.LapseGrace)
 	} else if !e.IsZero() {
 		u = e.Add(fleet.LapseGrace)
 	}
-	a := s.f.SetServers(now, l, u)
+	a := s.f.SetServers(w, l, u)
 	s.jobs.Wake()
-	if a.After(now) {
-		return time.After(a.Sub(now) + time.Millisecond)
+	if a.After(w) {
+		return time.After(a.Sub(w) + time.Millisecond)
 	}
 	return nil
 }
+
+// reportServers logs how the registry has changed since the last call.
+func (s *frontRole) reportServers(known map[string]*wire.BackendServer) {
+	for n, b := range known {
+		o := s.known[n]
+		if o == nil || o.GetDraining() != b.GetDraining() || o.GetAddress() != b.GetAddress() {
+			s.l.WithFields(log.Fields{
+				"server": n, "service": b.GetService(), "address": b.GetAddress(), "draining": b.GetDraining(),
+			}).Info("bulrushd: backend server listed")
+		}
+	}
+	for n := range s.known {
+		if known[n] == nil {
+			s.l.WithField("server", n).Info("bulrushd: backend server no longer listed")
+		}
+	}
+	s.known = known
+}
--- a/internal/command/daemon/online_test.go
+++ b/internal/command/daemon/online_test.go
@@ -67,13 +67,13 @@
 func TestStopFinishesAnswers(t *testing.T) {
 	g := newRig(t, 300*time.Millisecond)
 	p := g.start("front-1")
-	got := make(chan answer, 1)
-	go func() { got <- p.call("POST", "/ask/1", "id", "q") }()
+	o := make(chan answer, 1)
+	go func() { o <- p.call("POST", "/ask/1", "id", "q") }()
 	// Half of the stream.
 	time.Sleep(events / 2 * 300 * time.Millisecond)
 	p.signal(syscall.SIGTERM)
 	g.until("the front is not ready", func() bool { return !p.ready() })
-	a := <-got
+	a := <-o
 	if d := cmp.Diff(stream("id"), a.body); d != "" || a.cut {
 		t.Error(d, a.cut)
 	}
--- a/internal/coordination/agenda/agenda_test.go
+++ b/internal/coordination/agenda/agenda_test.go
@@ -15,8 +15,8 @@
 func yes(string) bool { return true }
 
 func next(a *agenda.Agenda, now time.Time) string {
-	j, n, ok := a.Next(now, yes)
-	if !ok {
+	j, n, o := a.Next(now, yes)
+	if !o {
 		return "none"
 	}
 	return fmt.Sprint(j, n)
@@ -27,9 +27,9 @@
 	a := agenda.New()
 	a.Add("large", start.Add(time.Minute), time.Minute, 3, []string{"a", "b", "c"}, nil)
 	a.Add("small", start.Add(20*time.Second), time.Minute, 3, []string{"d"}, nil)
-	got := []string{next(a, start), next(a, start), next(a, start), next(a, start), next(a, start)}
-	want := []string{"small0", "large0", "large1", "large2", "none"}
-	if d := cmp.Diff(want, got); d != "" {
+	g := []string{next(a, start), next(a, start), next(a, start), next(a, start), next(a, start)}
+	w := []string{"small0", "large0", "large1", "large2", "none"}
+	if d := cmp.Diff(w, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -39,10 +39,10 @@
 func TestYieldedGoesOnFirst(t *testing.T) {
 	a := agenda.New()
 	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a", "b", "c"}, nil)
-	got := []string{next(a, start), next(a, start)}
+	g := []string{next(a, start), next(a, start)}
 	a.Yielded("j", 1)
-	got = append(got, next(a, start))
-	if d := cmp.Diff([]string{"j0", "j1", "j1"}, got); d != "" {
+	g = append(g, next(a, start))
+	if d := cmp.Diff([]string{"j0", "j1", "j1"}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -54,8 +54,8 @@
 	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
 	next(a, start)
 	a.Broken(start, "j", 0)
-	got := []string{next(a, start), next(a, start.Add(time.Second))}
-	if d := cmp.Diff([]string{"none", "j0"}, got); d != "" {
+	g := []string{next(a, start), next(a, start.Add(time.Second))}
+	if d := cmp.Diff([]string{"none", "j0"}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -65,13 +65,13 @@
 func TestGivenUpAfterAttempts(t *testing.T) {
 	a := agenda.New()
 	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
-	var got []bool
+	var g []bool
 	for k := range 3 {
-		now := start.Add(time.Duration(k) * time.Second)
-		next(a, now)
-		got = append(got, a.Failed(now, "j", 0))
+		n := start.Add(time.Duration(k) * time.Second)
+		next(a, n)
+		g = append(g, a.Failed(n, "j", 0))
 	}
-	if d := cmp.Diff([]bool{false, false, true}, got); d != "" {
+	if d := cmp.Diff([]bool{false, false, true}, g); d != "" {
 		t.Error(d)
 	}
 	if d := cmp.Diff(0, a.Open("j")); d != "" {
@@ -83,8 +83,8 @@
 func TestListedItemsAreClosed(t *testing.T) {
 	a := agenda.New()
 	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a", "b"}, map[string]bool{"a": true})
-	got := []string{next(a, start), next(a, start)}
-	if d := cmp.Diff([]string{"j1", "none"}, got); d != "" {
+	g := []string{next(a, start), next(a, start)}
+	if d := cmp.Diff([]string{"j1", "none"}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -107,12 +107,12 @@
 	a.Add("late", start.Add(3*time.Second), 18*time.Second, 3, []string{"a", "b"}, nil)
 	a.Add("timely", start.Add(9*time.Second), 18*time.Second, 3, []string{"c"}, nil)
 	a.Add("done", start.Add(time.Hour), time.Hour, 3, []string{"d"}, nil)
-	got := []string{next(a, start)}
+	g := []string{next(a, start)}
 	// An item of the late job that has nearly run to its end is in time.
 	a.Ran("late", 0, 4*time.Second, false)
-	got = append(got, next(a, start), next(a, start), next(a, start))
-	want := []string{"timely0", "late0", "done0", "late1"}
-	if d := cmp.Diff(want, got); d != "" {
+	g = append(g, next(a, start), next(a, start), next(a, start))
+	w := []string{"timely0", "late0", "done0", "late1"}
+	if d := cmp.Diff(w, g); d != "" {
 		t.Error(d)
 	}
 }
--- /dev/null
+++ b/internal/coordination/batch/fakes_test.go
@@ -0,0 +1,160 @@
+package batch_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/state/rules"
+)
+
+// store is a platform in memory.
+type store struct {
+	trail.Store
+	m       sync.Mutex
+	version int64
+	objects map[string]object.Object
+	// Fails the next write after it was carried out.
+	lose bool
+}
+
+func newStore() *store { return &store{objects: map[string]object.Object{}} }
+
+func failed(cause error, v trail.Verdict) error {
+	return trail.WrapError(cause, "failed", v, "failed")
+}
+
+func key(o object.Object) string { return o.Kind() + "/" + o.Name() }
+
+func (s *store) Get(_ context.Context, kind, name string) (object.Object, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	o, k := s.objects[kind+"/"+name]
+	if !k {
+		return o, failed(trail.ErrNotFound, trail.NotRun)
+	}
+	return o, nil
+}
+
+func (s *store) List(_ context.Context, kind string) ([]object.Object, int64, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	var l []object.Object
+	for _, o := range s.objects {
+		if o.Kind() == kind {
+			l = append(l, o)
+		}
+	}
+	return l, s.version, nil
+}
+
+func (s *store) Create(_ context.Context, o object.Object) (object.Object, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	if _, k := s.objects[key(o)]; k {
+		return o, failed(trail.ErrExists, trail.NotRun)
+	}
+	return s.keep(o)
+}
+
+func (s *store) Update(_ context.Context, o object.Object) (object.Object, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	if s.objects[key(o)].Version() != o.Version() || o.Version() == 0 {
+		return o, failed(trail.ErrConflict, trail.NotRun)
+	}
+	return s.keep(o)
+}
+
+func (s *store) keep(o object.Object) (object.Object, error) {
+	s.version++
+	o = object.New(o.Kind(), o.Name(), s.version, o.Value())
+	s.objects[key(o)] = o
+	if s.lose {
+		s.lose = false
+		return o, failed(trail.ErrUnavailable, trail.MayHaveRun)
+	}
+	return o, nil
+}
+
+func (s *store) Delete(_ context.Context, o object.Object) error {
+	s.m.Lock()
+	defer s.m.Unlock()
+	delete(s.objects, key(o))
+	return nil
+}
+
+// keys returns the kinds and names of all objects, in order.
+func (s *store) keys() []string {
+	s.m.Lock()
+	defer s.m.Unlock()
+	var l []string
+	for k := range s.objects {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// engine answers each item with two events after a second.
+type engine struct {
+	m sync.Mutex
+	// Runs by item id.
+	runs map[string]int
+}
+
+func (g *engine) Send(c context.Context, _ *wire.BackendServer, r *trail.Request, resume string) (*http.Response, error) {
+	g.m.Lock()
+	g.runs[r.ID()]++
+	g.m.Unlock()
+	select {
+	case <-time.After(time.Second):
+	case <-c.Done():
+		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
+	}
+	b := fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", r.ID(), strings.Repeat("x", 100))
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewBufferString(b))}, nil
+}
+
+func output(id string) string { return id + "\n" + strings.Repeat("x", 100) }
+
+// newJobs starts a front's jobs, with one backend server of 8 slots.
+func newJobs(t *testing.T, c context.Context, name string, s trail.Store, g *engine, valueBytes int64) *batch.Jobs {
+	t.Helper()
+	f := fleet.New(name, "a")
+	f.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{
+		Id: proto.String("s"), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
+	}.Build()}, time.Now())
+	r := rules.New(wire.RouteTable_builder{Routes: []*wire.RouteRule{wire.RouteRule_builder{
+		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
+		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
+	}.Build()}}.Build())
+	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
+	return batch.New(c, n, s, f, g, func() *rules.Table { return r }, valueBytes,
+		&log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {})
+}
+
+func items(n int) []*wire.BatchItem {
+	var l []*wire.BatchItem
+	for i := range n {
+		l = append(l, wire.BatchItem_builder{Id: proto.String(fmt.Sprint("i", i)), Path: proto.String("/b/x"), Body: []byte("body")}.Build())
+	}
+	return l
+}
--- /dev/null
+++ b/internal/coordination/batch/jobs_test.go
@@ -0,0 +1,143 @@
+package batch_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/batch"
+)
+
+const valueBytes = 1 << 20
+
+// play runs f under a paused clock with a platform and an engine.
+func play(t *testing.T, f func(t *testing.T, c context.Context, s *store, g *engine)) {
+	synctest.Test(t, func(t *testing.T) {
+		c, o := context.WithCancel(t.Context())
+		f(t, c, newStore(), &engine{runs: map[string]int{}})
+		o()
+		synctest.Wait()
+	})
+}
+
+func accept(t *testing.T, c context.Context, j *batch.Jobs, id string, n int) {
+	t.Helper()
+	e := j.Accept(c, id, "h", "/b/1", items(n))
+	if e != nil {
+		t.Fatal(e)
+	}
+}
+
+// list returns the results as id and output.
+func list(t *testing.T, c context.Context, j *batch.Jobs, id string) []string {
+	t.Helper()
+	_, l, e := j.Results(c, id, 0, 0)
+	if e != nil {
+		t.Fatal(e)
+	}
+	var r []string
+	for _, x := range l {
+		r = append(r, x.GetId()+" "+x.GetOutput())
+	}
+	return r
+}
+
+// Guards against results that are lost, listed twice or moved when a job's list
+// continues in further objects, and when two fronts run the same job.
+func TestResultsInSeveralObjects(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		// Room for a few results in each object.
+		p := newJobs(t, c, "front-1", s, g, 1000)
+		accept(t, c, p, "job", 20)
+		time.Sleep(2500 * time.Millisecond)
+		b := list(t, c, p, "job")
+		// The other front hears of nobody and takes the job over.
+		q := newJobs(t, c, "front-2", s, g, 1000)
+		time.Sleep(20 * time.Second)
+		l := list(t, c, q, "job")
+		if d := cmp.Diff(b, l[:len(b)]); d != "" {
+			t.Error("results have moved:", d)
+		}
+		m := map[string]int{}
+		for _, r := range l {
+			m[r]++
+		}
+		w := map[string]int{}
+		for _, i := range items(20) {
+			w[i.GetId()+" "+output(i.GetId())] = 1
+		}
+		if d := cmp.Diff(w, m); d != "" {
+			t.Error(d)
+		}
+		if n := len(s.keys()); n < 6 {
+			t.Error("list is in too few objects for this test:", s.keys())
+		}
+	})
+}
+
+// Guards against a list that stops when the answer to its update was lost.
+func TestResultsAfterLostAnswer(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		accept(t, c, p, "job", 3)
+		time.Sleep(900 * time.Millisecond)
+		s.m.Lock()
+		s.lose = true
+		s.m.Unlock()
+		time.Sleep(10 * time.Second)
+		if d := cmp.Diff(3, len(list(t, c, p, "job"))); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(map[string]int{"i0": 1, "i1": 1, "i2": 1}, g.runs); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against jobs that fill the platform for ever, and against one that is
+// deleted while it can be asked for.
+func TestOldJobIsDeleted(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		p := newJobs(t, c, "front-1", s, g, 1000)
+		accept(t, c, p, "job", 10)
+		time.Sleep(10 * time.Minute)
+		if d := cmp.Diff(10, len(list(t, c, p, "job"))); d != "" {
+			t.Error(d)
+		}
+		time.Sleep(10 * time.Minute)
+		if d := cmp.Diff("", strings.Join(s.keys(), " ")); d != "" {
+			t.Error(d)
+		}
+		_, _, e := p.Results(c, "job", 0, 0)
+		if e == nil {
+			t.Error("deleted job is still known")
+		}
+	})
+}
+
+// Guards against items of a job that its caller has ended at another front and
+// that go on running for more than three seconds.
+func TestEndedElsewhere(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		accept(t, c, p, "job", 200)
+		q := newJobs(t, c, "front-2", s, g, valueBytes)
+		time.Sleep(time.Second)
+		e := q.End(c, "job")
+		if e != nil {
+			t.Fatal(e)
+		}
+		time.Sleep(3 * time.Second)
+		g.m.Lock()
+		n := len(g.runs)
+		g.m.Unlock()
+		time.Sleep(10 * time.Second)
+		if d := cmp.Diff(n, len(g.runs)); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -40,27 +40,27 @@
 
 // own starts to run a job whose items are known.
 func (s *Jobs) own(b object.Object, j *wire.BatchJob, items []*wire.BatchItem) {
-	id := b.Name()
+	d := b.Name()
 	k := s.remember(b, j)
 	s.m.Lock()
 	defer s.m.Unlock()
-	if s.owned[id] != nil || s.leaving || j.GetEnded() {
+	if s.owned[d] != nil || s.leaving || j.GetEnded() {
 		return
 	}
 	k.input = items
-	o := &owned{id: id, k: k, progress: map[int]*progress{}}
+	o := &owned{id: d, k: k, progress: map[int]*progress{}}
 	o.c, o.stop = context.WithCancelCause(context.Background())
-	s.owned[id] = o
-	due, n := s.plan(k)
+	s.owned[d] = o
+	u, n := s.plan(k)
 	l := make([]string, 0, len(items))
 	for _, i := range items {
 		l = append(l, i.GetId())
 	}
 	a := time.Since(time.UnixMilli(j.GetAcceptedUnixMs()))
 	// Clocks differ between hosts, and may be set.
-	a = min(max(a, 0), due)
-	s.agenda.Add(id, time.Now().Add(due-a), due, n, l, k.listed())
-	if s.agenda.Open(id) == 0 {
+	a = min(max(a, 0), u)
+	s.agenda.Add(d, time.Now().Add(u-a), u, n, l, k.listed())
+	if s.agenda.Open(d) == 0 {
 		// An earlier owner had listed everything.
 		go s.complete(o)
 	}
@@ -143,6 +143,8 @@
 	v := s.leaving
 	s.m.Unlock()
 	switch {
+	case o == nil && (j.GetEnded() || j.GetComplete()) && s.expired(j) && s.heir(id):
+		s.remove(c, id)
 	case o != nil && j.GetEnded():
 		s.drop(id, "ended by its caller")
 	case o != nil && !s.mine(j):
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -79,18 +79,18 @@
 		return false
 	}
 	var b *wire.BackendServer
-	now := time.Now()
-	id, n, ok := s.agenda.Next(now, func(id string) bool {
+	o := time.Now()
+	i, n, a := s.agenda.Next(o, func(id string) bool {
 		v := service(t, s.owned[id].k)
 		if v != "" {
-			b = s.f.TakeBatch(now, v)
+			b = s.f.TakeBatch(o, v)
 		}
 		return b != nil
 	})
-	if ok {
-		s.start(s.owned[id], n, b)
+	if a {
+		s.start(s.owned[i], n, b)
 	}
-	return ok
+	return a
 }
 
 // service returns the service that runs the items of a job now, empty when the
@@ -140,7 +140,7 @@
 func (s *Jobs) outcome(r *run, p *progress, done, yielded bool, e error, ran time.Duration) string {
 	s.m.Lock()
 	defer s.m.Unlock()
-	now := time.Now()
+	w := time.Now()
 	defer s.Wake()
 	if s.owned[r.o.id] != r.o {
 		return "dropped"
@@ -161,7 +161,7 @@
 		s.result(r, true, "")
 		return "impossible"
 	case errors.Is(e, errFailed):
-		if s.agenda.Failed(now, r.o.id, r.n) {
+		if s.agenda.Failed(w, r.o.id, r.n) {
 			s.result(r, true, "")
 			return "given-up"
 		}
@@ -170,16 +170,16 @@
 	if errors.Is(e, errOrder) {
 		*p = progress{}
 	}
-	s.agenda.Broken(now, r.o.id, r.n)
-	s.f.Failed(now, r.server.GetId(), trail.CodeOf(e) == "backend-unreachable")
+	s.agenda.Broken(w, r.o.id, r.n)
+	s.f.Failed(w, r.server.GetId(), trail.CodeOf(e) == "backend-unreachable")
 	return "broken"
 }
 
 // result keeps a result until it is listed; the caller holds the lock.
 func (s *Jobs) result(r *run, failed bool, text string) {
 	delete(r.o.progress, r.n)
-	id := r.item.GetId()
-	r.o.results = append(r.o.results, wire.BatchResult_builder{Id: &id, Failed: &failed, Output: &text}.Build())
+	i := r.item.GetId()
+	r.o.results = append(r.o.results, wire.BatchResult_builder{Id: &i, Failed: &failed, Output: &text}.Build())
 	if r.o.committing {
 		return
 	}
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -20,9 +20,8 @@
 const maxWhole = 1 << 20
 
 var (
-	errCallerGone = errors.New("caller has gone")
-	errSilent     = errors.New("backend server is silent")
-	errSequence   = errors.New("stream lacks an event or repeats one")
+	errSilent   = errors.New("backend server is silent")
+	errSequence = errors.New("stream lacks an event or repeats one")
 )
 
 // attempt sends the request to one backend server and passes the answer on.
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -95,11 +95,11 @@
 	if x.runs > 0 {
 		return x.fail(x.result)
 	}
-	code := "overloaded"
+	c := "overloaded"
 	if reason == fleet.ReasonNone {
-		code = "no-backend-server"
+		c = "no-backend-server"
 	}
-	return trail.NewError(code, trail.NotRun, "no backend server of service %s can take the request: %s", x.service, reason).RetryAfter(wait)
+	return trail.NewError(c, trail.NotRun, "no backend server of service %s can take the request: %s", x.service, reason).RetryAfter(wait)
 }
 
 // account tells the fleet how an attempt has ended.
@@ -109,7 +109,7 @@
 	if r.done || r.gone {
 		return
 	}
-	x.s.f.Failed(time.Now(), b.GetId(), r.unreachable)
+	x.s.failed(b, r)
 	if r.lost && x.s.p.Crashed(time.Now(), x.fingerprint, b.GetId()) {
 		x.s.l.WithField("request-id", x.r.ID()).Warn("direct: request is rejected from now on, it has crashed several backend servers")
 	}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -116,6 +116,16 @@
 	return h.Sum64()
 }
 
+// failed tells the fleet of an attempt without an answer.
+func (s *Server) failed(b *wire.BackendServer, r result) {
+	d := s.f.Failed(time.Now(), b.GetId(), r.unreachable)
+	if d > 0 {
+		s.l.WithFields(log.Fields{
+			"server": b.GetId(), "address": b.GetAddress(), "ms": d.Milliseconds(), "cause": r.cause.Error(),
+		}).Warn("direct: backend server left alone for a while")
+	}
+}
+
 // retry takes a retry from the budget of a service.
 func (s *Server) retry(service string) bool {
 	s.m.Lock()
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -62,8 +62,8 @@
 }
 
 func body(text string) io.ReadCloser {
-	t, cut := strings.CutSuffix(text, "(cut)")
-	if !cut {
+	t, c := strings.CutSuffix(text, "(cut)")
+	if !c {
 		return io.NopCloser(strings.NewReader(t))
 	}
 	return io.NopCloser(io.MultiReader(strings.NewReader(t), broken{}))
@@ -122,10 +122,10 @@
 // Guards against requests that run more often than their route allows, against
 // verdicts that are not true, and against parts that look like the whole.
 func TestServe(t *testing.T) {
-	once := route(wire.Repeat_REPEAT_ONCE, false, false, 1)
-	safe := route(wire.Repeat_REPEAT_SAFE, false, false, 2)
-	cut := route(wire.Repeat_REPEAT_ONCE, true, false, 1)
-	resumed := route(wire.Repeat_REPEAT_SAFE, true, true, 2)
+	o := route(wire.Repeat_REPEAT_ONCE, false, false, 1)
+	s := route(wire.Repeat_REPEAT_SAFE, false, false, 2)
+	c := route(wire.Repeat_REPEAT_ONCE, true, false, 1)
+	r := route(wire.Repeat_REPEAT_SAFE, true, true, 2)
 	l := []struct {
 		name     string
 		u        *wire.RouteRule
@@ -133,34 +133,34 @@
 		want     string
 		attempts int
 	}{
-		{"answer", once, []string{"200 a"}, "200 a", 1},
-		{"refused attempts go elsewhere", once, []string{"busy", "unreachable", "200 a"}, "200 a", 3},
-		{"refused everywhere", once, []string{"busy", "busy", "busy"}, "no-backend-server not-run", 3},
-		{"lost once", once, []string{"lost", "200 a"}, "backend-lost may-have-run", 1},
-		{"refused and then lost", once, []string{"busy", "lost", "200 a"}, "backend-lost may-have-run", 2},
-		{"answer that is cut", once, []string{"200 a(cut)"}, "backend-lost may-have-run", 1},
-		{"lost and run again", safe, []string{"lost", "200 a"}, "200 a", 2},
-		{"cut and run again", safe, []string{"200 a(cut)", "200 b"}, "200 b", 2},
-		{"failed and run again", safe, []string{"500 a", "200 b"}, "200 b", 2},
-		{"lost at all attempts", safe, []string{"lost", "lost", "200 a"}, "backend-lost may-have-run", 2},
-		{"failed at all attempts", safe, []string{"500 a", "500 b"}, "500 b", 2},
-		{"lost and then refused everywhere", safe, []string{"lost", "busy", "busy"}, "backend-busy may-have-run", 3},
-		{"silent and run again", safe, []string{"silent", "200 a"}, "200 a", 2},
-		{"silent to the end", once, []string{"silent"}, "deadline-exceeded may-have-run", 1},
-		{"stream", cut, []string{"200 " + event(1) + event(2)}, "200 " + event(1) + event(2), 1},
-		{"stream that is cut", cut, []string{"200 " + event(1) + "id: 2\n(cut)"}, "200 " + event(1) + "(cut)", 1},
-		{"stream that is resumed", resumed, []string{"200 " + event(1) + "id: 2\n(cut)", "200 " + event(2)}, "200 " + event(1) + event(2), 2},
-		{"resumed at the wrong event", resumed, []string{"200 " + event(1) + "(cut)", "200 " + event(1)}, "200 " + event(1) + "(cut)", 2},
-		{"resumed and refused everywhere", resumed, []string{"200 " + event(1) + "(cut)", "busy", "busy"}, "200 " + event(1) + "(cut)", 3},
-		{"resumed and failed", resumed, []string{"200 " + event(1) + "(cut)", "500 x"}, "200 " + event(1) + "(cut)", 2},
+		{"answer", o, []string{"200 a"}, "200 a", 1},
+		{"refused attempts go elsewhere", o, []string{"busy", "unreachable", "200 a"}, "200 a", 3},
+		{"refused everywhere", o, []string{"busy", "busy", "busy"}, "no-backend-server not-run", 3},
+		{"lost once", o, []string{"lost", "200 a"}, "backend-lost may-have-run", 1},
+		{"refused and then lost", o, []string{"busy", "lost", "200 a"}, "backend-lost may-have-run", 2},
+		{"answer that is cut", o, []string{"200 a(cut)"}, "backend-lost may-have-run", 1},
+		{"lost and run again", s, []string{"lost", "200 a"}, "200 a", 2},
+		{"cut and run again", s, []string{"200 a(cut)", "200 b"}, "200 b", 2},
+		{"failed and run again", s, []string{"500 a", "200 b"}, "200 b", 2},
+		{"lost at all attempts", s, []string{"lost", "lost", "200 a"}, "backend-lost may-have-run", 2},
+		{"failed at all attempts", s, []string{"500 a", "500 b"}, "500 b", 2},
+		{"lost and then refused everywhere", s, []string{"lost", "busy", "busy"}, "backend-busy may-have-run", 3},
+		{"silent and run again", s, []string{"silent", "200 a"}, "200 a", 2},
+		{"silent to the end", o, []string{"silent"}, "deadline-exceeded may-have-run", 1},
+		{"stream", c, []string{"200 " + event(1) + event(2)}, "200 " + event(1) + event(2), 1},
+		{"stream that is cut", c, []string{"200 " + event(1) + "id: 2\n(cut)"}, "200 " + event(1) + "(cut)", 1},
+		{"stream that is resumed", r, []string{"200 " + event(1) + "id: 2\n(cut)", "200 " + event(2)}, "200 " + event(1) + event(2), 2},
+		{"resumed at the wrong event", r, []string{"200 " + event(1) + "(cut)", "200 " + event(1)}, "200 " + event(1) + "(cut)", 2},
+		{"resumed and refused everywhere", r, []string{"200 " + event(1) + "(cut)", "busy", "busy"}, "200 " + event(1) + "(cut)", 3},
+		{"resumed and failed", r, []string{"200 " + event(1) + "(cut)", "500 x"}, "200 " + event(1) + "(cut)", 2},
 	}
 	for _, k := range l {
 		t.Run(k.name, func(t *testing.T) {
-			up := &upstream{replies: k.replies}
-			if d := cmp.Diff(k.want, play(t, k.u, up)); d != "" {
+			p := &upstream{replies: k.replies}
+			if d := cmp.Diff(k.want, play(t, k.u, p)); d != "" {
 				t.Error(d)
 			}
-			if d := cmp.Diff(k.attempts, len(up.attempts)); d != "" {
+			if d := cmp.Diff(k.attempts, len(p.attempts)); d != "" {
 				t.Error("attempts:", d)
 			}
 		})
@@ -169,10 +169,10 @@
 
 // Guards against a stream that is resumed elsewhere from its beginning.
 func TestServeResumesAfterLastEvent(t *testing.T) {
-	up := &upstream{replies: []string{"200 " + event(1) + event(2) + "(cut)", "200 " + event(3)}}
-	play(t, route(wire.Repeat_REPEAT_SAFE, true, true, 2), up)
-	got := strings.Fields(up.attempts[1])
-	if d := cmp.Diff("2", got[len(got)-1]); d != "" {
+	u := &upstream{replies: []string{"200 " + event(1) + event(2) + "(cut)", "200 " + event(3)}}
+	play(t, route(wire.Repeat_REPEAT_SAFE, true, true, 2), u)
+	g := strings.Fields(u.attempts[1])
+	if d := cmp.Diff("2", g[len(g)-1]); d != "" {
 		t.Error(d)
 	}
 }
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -138,22 +138,22 @@
 	defer f.m.Unlock()
 	var b *server
 	var k place
-	free, slots := 0, 0
+	r, l := 0, 0
 	for _, s := range f.service(name).servers {
 		if !s.usable(now) {
 			continue
 		}
-		slots += s.slots()
+		l += s.slots()
 		if s.total() >= s.slots() {
 			continue
 		}
-		free += s.slots() - s.total()
+		r += s.slots() - s.total()
 		p := f.place(s)
 		if b == nil || p.before(k) {
 			b, k = s, p
 		}
 	}
-	if b == nil || float64(free) <= headroom*float64(slots) {
+	if b == nil || float64(r) <= headroom*float64(l) {
 		return nil
 	}
 	b.batch++
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -113,17 +113,17 @@
 		n[b.GetId()] = true
 		f.set(b)
 	}
-	var again time.Time
+	var a time.Time
 	for _, v := range f.services {
 		k := keepUntil
 		if v.lapsed(now, n) {
 			k = now.Add(LapseGrace)
 		}
-		again = latest(again, f.drop(now, v, n, k))
+		a = latest(a, f.drop(now, v, n, k))
 	}
 	f.index()
 	f.sumPeers()
-	return again
+	return a
 }
 
 // lapsed says whether most servers of a service went missing together, without
@@ -149,7 +149,7 @@
 // drop removes the servers of a service that are not listed and whose time is
 // over. It returns when the last of the others ends.
 func (f *Fleet) drop(now time.Time, v *service, listed map[string]bool, keepUntil time.Time) time.Time {
-	var again time.Time
+	var a time.Time
 	for _, s := range v.servers {
 		if listed[s.b.GetId()] {
 			continue
@@ -158,13 +158,13 @@
 			s.dropAt = keepUntil
 		}
 		if now.Before(s.dropAt) {
-			again = latest(again, s.dropAt)
+			a = latest(a, s.dropAt)
 			continue
 		}
 		delete(f.servers, s.b.GetId())
 		delete(f.hashes, s.hash)
 	}
-	return again
+	return a
 }
 
 func latest(a, b time.Time) time.Time {
@@ -210,16 +210,18 @@
 	return v
 }
 
-// SetPeer takes in what another front says of its load.
-func (f *Fleet) SetPeer(now time.Time, l *wire.Load) {
+// SetPeer takes in what another front says of its load. It returns whether the
+// front, or this process of it, was not known before.
+func (f *Fleet) SetPeer(now time.Time, l *wire.Load) bool {
 	f.m.Lock()
 	defer f.m.Unlock()
 	p := f.peers[l.GetName()]
 	if p != nil && !newer(l, p.load) {
-		return
+		return false
 	}
 	f.peers[l.GetName()] = &peer{load: l, seen: now}
 	f.sumPeers()
+	return p == nil || p.load.GetIncarnation() != l.GetIncarnation()
 }
 
 // newer says whether datagram a was sent after b. A datagram that was delayed
@@ -231,22 +233,22 @@
 	return a.GetSequence() > b.GetSequence()
 }
 
-// Expire forgets the load of fronts that have gone silent. It returns whether
-// there were any.
-func (f *Fleet) Expire(now time.Time) bool {
+// Expire forgets the load of fronts that have gone silent, and returns their
+// names.
+func (f *Fleet) Expire(now time.Time) []string {
 	f.m.Lock()
 	defer f.m.Unlock()
-	d := false
+	var l []string
 	for n, p := range f.peers {
 		if now.Sub(p.seen) > peerTimeout {
 			delete(f.peers, n)
-			d = true
+			l = append(l, n)
 		}
 	}
-	if d {
+	if len(l) > 0 {
 		f.sumPeers()
 	}
-	return d
+	return l
 }
 
 func (f *Fleet) sumPeers() {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -56,13 +56,13 @@
 func TestTakeOrder(t *testing.T) {
 	f := newFleet(server("near", "a", 2), server("far", "b", 2))
 	f.SetPeer(start, load("front-a", 1, map[string]int32{"far": 1}, map[string]int32{"near": 2}))
-	got := [][2]string{take(f, start), take(f, start), take(f, start)}
-	want := [][2]string{
+	g := [][2]string{take(f, start), take(f, start), take(f, start)}
+	w := [][2]string{
 		{"far", fleet.ReasonFree},
 		{"near", fleet.ReasonYield},
 		{"near", fleet.ReasonYield},
 	}
-	if d := cmp.Diff(want, got); d != "" {
+	if d := cmp.Diff(w, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -105,13 +105,13 @@
 	f := newFleet(server("s", "a", 1))
 	for take(f, start)[1] != fleet.ReasonFull {
 	}
-	var got []time.Duration
+	var g []time.Duration
 	for _, d := range []float64{0, 0.5, 0.99} {
 		_, _, w := f.Take(start, service, target, left, nil, d)
-		got = append(got, w.Round(50*time.Millisecond))
+		g = append(g, w.Round(50*time.Millisecond))
 	}
-	want := []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1650 * time.Millisecond}
-	if d := cmp.Diff(want, got); d != "" {
+	a := []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 1650 * time.Millisecond}
+	if d := cmp.Diff(a, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -120,11 +120,11 @@
 func TestTakeBatchFreeOnly(t *testing.T) {
 	f := newFleet(server("s", "a", 2))
 	f.SetPeer(start, load("front-a", 1, map[string]int32{"s": 1}, nil))
-	var got []string
+	var g []string
 	for range 2 {
-		got = append(got, f.TakeBatch(start, service).GetId())
+		g = append(g, f.TakeBatch(start, service).GetId())
 	}
-	if d := cmp.Diff([]string{"s", ""}, got); d != "" {
+	if d := cmp.Diff([]string{"s", ""}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -153,7 +153,7 @@
 // Guards against two fronts that both give up an item for the same request, or
 // that each wait for the other: the first by name gives up what it can.
 func TestExcessIsShared(t *testing.T) {
-	items := map[string]int32{"s": 2}
+	i := map[string]int32{"s": 2}
 	a := fleet.New("front-a", "a")
 	b := fleet.New("front-b", "a")
 	for _, f := range []*fleet.Fleet{a, b} {
@@ -161,13 +161,13 @@
 		f.TakeBatch(start, service)
 		f.TakeBatch(start, service)
 	}
-	a.SetPeer(start, load("front-b", 1, nil, items))
-	b.SetPeer(start, load("front-a", 1, nil, items))
+	a.SetPeer(start, load("front-b", 1, nil, i))
+	b.SetPeer(start, load("front-a", 1, nil, i))
 	for _, f := range []*fleet.Fleet{a, b} {
 		f.SetPeer(start, load("front-c", 1, map[string]int32{"s": 3}, nil))
 	}
-	got := []int{a.Excess("s"), b.Excess("s")}
-	if d := cmp.Diff([]int{2, 1}, got); d != "" {
+	g := []int{a.Excess("s"), b.Excess("s")}
+	if d := cmp.Diff([]int{2, 1}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -187,13 +187,10 @@
 func TestSilentFrontExpires(t *testing.T) {
 	f := newFleet(server("s", "a", 1))
 	f.SetPeer(start, load("front-a", 1, map[string]int32{"s": 1}, nil))
-	later := start.Add(3 * time.Second)
-	if !f.Expire(later) {
-		t.Error("silent front did not expire")
-	}
-	got := []any{f.Present(later, "front-a"), f.Peers(later), take(f, later)}
-	want := []any{false, []string(nil), [2]string{"s", fleet.ReasonFree}}
-	if d := cmp.Diff(want, got); d != "" {
+	l := start.Add(3 * time.Second)
+	g := []any{f.Expire(l), f.Present(l, "front-a"), f.Peers(l), take(f, l)}
+	w := []any{[]string{"front-a"}, false, []string(nil), [2]string{"s", fleet.ReasonFree}}
+	if d := cmp.Diff(w, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -213,12 +210,12 @@
 // it: an entry that lapsed meanwhile is used until it must be back.
 func TestLapsedEntryIsKept(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
-	until := start.Add(2 * time.Second)
-	f.SetServers(start, nil, until)
-	got := []string{take(f, start)[0]}
-	f.SetServers(until, nil, until)
-	got = append(got, take(f, until)[0])
-	if d := cmp.Diff([]string{"s", ""}, got); d != "" {
+	u := start.Add(2 * time.Second)
+	f.SetServers(start, nil, u)
+	g := []string{take(f, start)[0]}
+	f.SetServers(u, nil, u)
+	g = append(g, take(f, u)[0])
+	if d := cmp.Diff([]string{"s", ""}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -233,15 +230,15 @@
 	}
 	f := newFleet(l...)
 	f.SetServers(start, l[1:], start)
-	got := []int{f.Size()}
-	now := start.Add(10 * time.Second)
-	f.SetServers(now, l[4:], now)
-	f.SetServers(now.Add(100*time.Millisecond), nil, now)
-	got = append(got, f.Size())
-	f.SetServers(now.Add(1900*time.Millisecond), l[3:], now)
-	f.SetServers(now.Add(2500*time.Millisecond), l[3:], now)
-	got = append(got, f.Size())
-	if d := cmp.Diff([]int{5, 5, 3}, got); d != "" {
+	g := []int{f.Size()}
+	o := start.Add(10 * time.Second)
+	f.SetServers(o, l[4:], o)
+	f.SetServers(o.Add(100*time.Millisecond), nil, o)
+	g = append(g, f.Size())
+	f.SetServers(o.Add(1900*time.Millisecond), l[3:], o)
+	f.SetServers(o.Add(2500*time.Millisecond), l[3:], o)
+	g = append(g, f.Size())
+	if d := cmp.Diff([]int{5, 5, 3}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -251,13 +248,13 @@
 func TestReplacedEntriesAreNotKept(t *testing.T) {
 	l := []*wire.BackendServer{server("a", "a", 8), server("b", "a", 8), server("c", "a", 8)}
 	f := newFleet(l...)
-	var got []int
+	var g []int
 	for n := range l {
-		now := start.Add(time.Duration(n+1) * 800 * time.Millisecond)
-		f.SetServers(now, l[n+1:], now)
-		got = append(got, f.Size())
+		o := start.Add(time.Duration(n+1) * 800 * time.Millisecond)
+		f.SetServers(o, l[n+1:], o)
+		g = append(g, f.Size())
 	}
-	if d := cmp.Diff([]int{2, 1, 0}, got); d != "" {
+	if d := cmp.Diff([]int{2, 1, 0}, g); d != "" {
 		t.Error(d)
 	}
 }
@@ -266,14 +263,14 @@
 // after request, and against one that is left alone for a single lost answer.
 func TestFailures(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
-	got := []time.Duration{
+	g := []time.Duration{
 		f.Failed(start, "s", false),
 		f.Failed(start, "s", true),
 	}
 	f.TakeBatch(start.Add(time.Minute), service)
 	f.DoneBatch("s", true)
-	got = append(got, f.Failed(start, "s", true))
-	if d := cmp.Diff([]time.Duration{0, 600 * time.Millisecond, 300 * time.Millisecond}, got); d != "" {
+	g = append(g, f.Failed(start, "s", true))
+	if d := cmp.Diff([]time.Duration{0, 600 * time.Millisecond, 300 * time.Millisecond}, g); d != "" {
 		t.Error(d)
 	}
 	if d := cmp.Diff([2]string{"", fleet.ReasonNone}, take(f, start.Add(299*time.Millisecond))); d != "" {
@@ -289,9 +286,9 @@
 	f := newFleet(server("s", "a", 8))
 	take(f, start)
 	f.TakeBatch(start, service)
-	one := int32(1)
-	want := []*wire.ServerLoad{wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String("s")), Online: &one, Batch: &one}.Build()}
-	if d := cmp.Diff(len(want), len(f.Loads())); d != "" || !proto.Equal(want[0], f.Loads()[0]) {
+	o := int32(1)
+	w := []*wire.ServerLoad{wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String("s")), Online: &o, Batch: &o}.Build()}
+	if d := cmp.Diff(len(w), len(f.Loads())); d != "" || !proto.Equal(w[0], f.Loads()[0]) {
 		t.Error(d, f.Loads())
 	}
 	f.Done("s", time.Second)
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -111,8 +111,11 @@
 	if !heartbeat {
 		return
 	}
-	if t.f.Expire(time.Now()) {
-		t.l.Warn("gossip: front went silent")
+	l := t.f.Expire(time.Now())
+	for _, n := range l {
+		t.l.WithField("front", n).Warn("gossip: front went silent")
+	}
+	if len(l) > 0 {
 		t.jobs.Wake()
 	}
 	t.addresses = t.targets()
@@ -142,10 +145,10 @@
 
 func (t *Task) broadcast(c context.Context, heartbeat bool) {
 	t.sequence++
-	now := time.Now()
+	o := time.Now()
 	b, e := proto.Marshal(wire.Load_builder{
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
-		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(now.Add(-crashAge)),
+		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(o.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		Released: proto.Uint32(t.jobs.Released()),
@@ -157,7 +160,7 @@
 		return
 	}
 	for _, a := range t.addresses {
-		if !heartbeat && !t.f.Heard(now, a.name, quiet) {
+		if !heartbeat && !t.f.Heard(o, a.name, quiet) {
 			continue
 		}
 		t.sent.Inc()
@@ -191,19 +194,21 @@
 			t.l.WithField("from", a.String()).Warn("gossip: datagram dropped, it is not a load of another front")
 			continue
 		}
-		now := time.Now()
-		t.f.SetPeer(now, &l)
+		o := time.Now()
+		if t.f.SetPeer(o, &l) {
+			t.l.WithFields(log.Fields{"front": l.GetName(), "incarnation": l.GetIncarnation()}).Info("gossip: front heard")
+		}
 		if len(l.GetCrashes()) > 0 {
-			t.p.Merge(now, l.GetCrashes())
+			t.p.Merge(o, l.GetCrashes())
 		}
 		if l.GetReleased() != r[l.GetName()] {
 			r[l.GetName()] = l.GetReleased()
 			t.jobs.Review()
 		}
-		if f.due(now, &l, l.GetConfigs(), t.configs.Digest()) {
+		if f.due(o, &l, l.GetConfigs(), t.configs.Digest()) {
 			t.configs.Refresh()
 		}
-		if h.due(now, &l, l.GetHosts(), t.hosts.Digest()) {
+		if h.due(o, &l, l.GetHosts(), t.hosts.Digest()) {
 			t.hosts.Refresh()
 		}
 		t.jobs.Wake()
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -121,7 +121,7 @@
 		if o.Version() > version {
 			// Stored by this process after the list was made.
 			n[k] = o
-		} else if p, ok := n[k]; ok && p.Version() < o.Version() {
+		} else if p, a := n[k]; a && p.Version() < o.Version() {
 			n[k] = o
 		}
 	}
@@ -141,7 +141,7 @@
 	defer s.m.Unlock()
 	if x.Deleted() {
 		s.deleted[o.Name()] = max(s.deleted[o.Name()], o.Version())
-		if h, ok := s.objects[o.Name()]; ok && h.Version() <= o.Version() {
+		if h, k := s.objects[o.Name()]; k && h.Version() <= o.Version() {
 			delete(s.objects, o.Name())
 			s.notify()
 		}
@@ -176,8 +176,8 @@
 func (s *Informer) Get(name string) (object.Object, bool) {
 	s.m.Lock()
 	defer s.m.Unlock()
-	o, ok := s.objects[name]
-	return o, ok
+	o, k := s.objects[name]
+	return o, k
 }
 
 // All returns all objects by name.
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,10 @@
 	"bulrushtrail.example/trail/internal/state/object"
 )
 
-// store is a platform with one kind. It is used while all goroutines wait.
+// store is a platform with one kind.
 type store struct {
 	trail.Store
+	m sync.Mutex
 	objects []object.Object
 	version int64
 	fails   error
@@ -29,11 +31,15 @@
 }
 
 func (s *store) List(context.Context, string) ([]object.Object, int64, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
 	s.lists++
 	return s.objects, s.version, s.fails
 }
 
 func (s *store) Watch(c context.Context, _ string, _ int64) (<-chan trail.Change, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
 	w := make(chan trail.Change)
 	s.watches = append(s.watches, w)
 	return w, s.fails
@@ -41,6 +47,8 @@
 
 // set replaces the objects without telling a watch.
 func (s *store) set(version int64, names ...string) {
+	s.m.Lock()
+	defer s.m.Unlock()
 	s.version = version
 	s.objects = nil
 	for _, n := range names {
@@ -48,15 +56,32 @@
 	}
 }
 
+// fail makes all calls fail, or succeed again.
+func (s *store) fail(e error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.fails = e
+}
+
+// end ends the watch.
+func (s *store) end() {
+	s.m.Lock()
+	defer s.m.Unlock()
+	close(s.watches[0])
+	s.watches = nil
+}
+
 func play(t *testing.T, f func(c context.Context, s *store, i *inform.Informer)) {
 	synctest.Test(t, func(t *testing.T) {
-		c, stop := context.WithCancel(t.Context())
+		c, o := context.WithCancel(t.Context())
 		s := &store{}
 		s.set(1, "a")
 		i := inform.New(c, s, "hosts", &log.Logger{Handler: discard.New()})
 		synctest.Wait()
 		f(c, s, i)
-		stop()
+		o()
+		s.m.Lock()
+		defer s.m.Unlock()
 		for _, w := range s.watches {
 			select {
 			case <-w:
@@ -100,8 +125,7 @@
 	play(t, func(c context.Context, s *store, i *inform.Informer) {
 		i.Put(object.New("hosts", "own", 9, nil))
 		s.set(8, "b")
-		close(s.watches[0])
-		s.watches = nil
+		s.end()
 		time.Sleep(time.Second)
 		if d := cmp.Diff("b own", names(i)); d != "" {
 			t.Error(d)
@@ -113,15 +137,14 @@
 // outage that nobody is told of.
 func TestWatchEnds(t *testing.T) {
 	play(t, func(_ context.Context, s *store, i *inform.Informer) {
-		s.fails = trail.ErrUnavailable
-		close(s.watches[0])
-		s.watches = nil
+		s.fail(trail.ErrUnavailable)
+		s.end()
 		time.Sleep(10 * time.Second)
 		l, r := i.Trouble()
 		if l.IsZero() || !r.IsZero() {
 			t.Error("outage is not told:", l, r)
 		}
-		s.fails = nil
+		s.fail(nil)
 		s.set(2, "b")
 		time.Sleep(2 * time.Second)
 		_, r = i.Trouble()
@@ -131,6 +154,8 @@
 		if d := cmp.Diff("b", names(i)); d != "" {
 			t.Error(d)
 		}
+		s.m.Lock()
+		defer s.m.Unlock()
 		if s.lists > 40 {
 			t.Error("platform was asked", s.lists, "times in 12 s")
 		}
@@ -164,11 +189,11 @@
 		go i.Verify(c, 900*time.Millisecond, func() bool { return false })
 		s.set(2, "b")
 		time.Sleep(5 * time.Second)
-		got := []string{names(i)}
+		g := []string{names(i)}
 		i.Refresh()
 		time.Sleep(10 * time.Millisecond)
-		got = append(got, names(i))
-		if d := cmp.Diff([]string{"a", "b"}, got); d != "" {
+		g = append(g, names(i))
+		if d := cmp.Diff([]string{"a", "b"}, g); d != "" {
 			t.Error(d)
 		}
 	})
--- a/internal/coordination/relay/store.go
+++ b/internal/coordination/relay/store.go
@@ -182,8 +182,8 @@
 }
 
 func sentinel(f wire.StoreFailure) error {
-	e, ok := failures[f]
-	if !ok {
+	e, o := failures[f]
+	if !o {
 		return trail.ErrUnavailable
 	}
 	return e
--- a/internal/coordination/relay/store_test.go
+++ b/internal/coordination/relay/store_test.go
@@ -51,17 +51,17 @@
 	golden.Bubble(t, func(_ *testing.T, c context.Context) {
 		n := memnet.New()
 		l := &log.Logger{Handler: discard.New()}
-		near, far := &platform{}, &platform{}
+		e, r := &platform{}, &platform{}
 		m := mesh.New(c, &wire.Hello{}, n, l)
-		a := relay.New(near, m, func() []string { return []string{"far:1"} }, l)
-		b := relay.New(far, m, func() []string { return nil }, l)
+		a := relay.New(e, m, func() []string { return []string{"far:1"} }, l)
+		b := relay.New(r, m, func() []string { return nil }, l)
 		go func() {
 			_ = m.Serve(c, n.Listen("far:1"), func(c context.Context, s *frame.Stream, o *wire.Open, _ *wire.Hello) {
 				b.ServeCall(c, s, o.GetStore())
 			})
 		}()
 		synctest.Wait()
-		f(c, a, near, far)
+		f(c, a, e, r)
 	})
 }
 
@@ -126,8 +126,8 @@
 		l := &log.Logger{Handler: discard.New()}
 		n := memnet.New()
 		m := mesh.New(c, &wire.Hello{}, n, l)
-		near := &platform{fails: refused()}
-		s := relay.New(near, m, func() []string { return []string{"gone:1"} }, l)
+		a := &platform{fails: refused()}
+		s := relay.New(a, m, func() []string { return []string{"gone:1"} }, l)
 		_, e := s.Create(c, object.New("jobs", "a", 0, nil))
 		if d := cmp.Diff([]any{trail.NotRun, true}, []any{trail.VerdictOf(e), errors.Is(e, trail.ErrUnavailable)}); d != "" {
 			t.Error(d)
--- a/internal/protocol/event/reader_test.go
+++ b/internal/protocol/event/reader_test.go
@@ -27,7 +27,7 @@
 // Guards against events that are changed on their way, and against a part of
 // an event that passes for a whole one.
 func TestNext(t *testing.T) {
-	long := strings.Repeat("x", 5000)
+	o := strings.Repeat("x", 5000)
 	l := []struct {
 		name, in string
 		want     []string
@@ -37,15 +37,15 @@
 		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"id: 1\r\ndata: a\r\n\r\n|1|a"}, io.EOF},
 		{"several lines of data", "data: a\ndata:b\n\n", []string{"data: a\ndata:b\n\n||a\nb"}, io.EOF},
 		{"unknown field", "x-version: 3\nid: 1\ndata: a\n\n", []string{"x-version: 3\nid: 1\ndata: a\n\n|1|a"}, io.EOF},
-		{"longer than the buffer", "data: " + long + "\n\n", []string{"data: " + long + "\n\n||" + long}, io.EOF},
+		{"longer than the buffer", "data: " + o + "\n\n", []string{"data: " + o + "\n\n||" + o}, io.EOF},
 		{"ends within an event", "id: 1\ndata: a\n\nid: 2\ndata: b\n", []string{"id: 1\ndata: a\n\n|1|a"}, io.ErrUnexpectedEOF},
 		{"ends within a line", "id: 1\nda", nil, io.ErrUnexpectedEOF},
 		{"empty lines between", "\n\ndata: a\n\n\n", []string{"data: a\n\n||a"}, io.EOF},
 	}
 	for _, k := range l {
 		t.Run(k.name, func(t *testing.T) {
-			got, e := read(k.in)
-			if d := cmp.Diff(k.want, got); d != "" {
+			g, e := read(k.in)
+			if d := cmp.Diff(k.want, g); d != "" {
 				t.Error(d)
 			}
 			if !errors.Is(e, k.end) {
--- a/internal/state/rules/table_test.go
+++ b/internal/state/rules/table_test.go
@@ -45,11 +45,11 @@
 		wire.RouteShare_builder{Service: proto.String("most"), Weight: proto.Float64(90)}.Build(),
 		wire.RouteShare_builder{Service: proto.String("few"), Weight: proto.Float64(10)}.Build(),
 	}}.Build()
-	var got []string
+	var g []string
 	for _, d := range []float64{0, 0.5, 0.899, 0.9, 0.999} {
-		got = append(got, rules.Pick(r, d))
+		g = append(g, rules.Pick(r, d))
 	}
-	if d := cmp.Diff([]string{"most", "most", "most", "few", "few"}, got); d != "" {
+	if d := cmp.Diff([]string{"most", "most", "most", "few", "few"}, g); d != "" {
 		t.Error(d)
 	}
 	if d := cmp.Diff("", rules.Pick(&wire.RouteRule{}, 0.5)); d != "" {
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -37,8 +37,8 @@
 // silent looks without reading whether the socket holds neither bytes nor an
 // end. Connections of other kinds are taken as they are.
 func silent(n net.Conn) bool {
-	k, ok := n.(syscall.Conn)
-	if !ok {
+	k, o := n.(syscall.Conn)
+	if !o {
 		return true
 	}
 	r, e := k.SyscallConn()
@@ -58,8 +58,8 @@
 // idleTime returns how long the connection may be kept after an answer.
 func idleTime(a *http.Response) time.Duration {
 	for _, p := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
-		k, v, ok := strings.Cut(strings.TrimSpace(p), "=")
-		if !ok || !strings.EqualFold(k, "timeout") {
+		k, v, o := strings.Cut(strings.TrimSpace(p), "=")
+		if !o || !strings.EqualFold(k, "timeout") {
 			continue
 		}
 		t, e := strconv.Atoi(v)
--- a/internal/transport/pool/pool_test.go
+++ b/internal/transport/pool/pool_test.go
@@ -65,21 +65,21 @@
 // play sends one request for each id, one after the other, and returns what
 // came of them.
 func play(t *testing.T, s *server, ids ...string) []string {
-	var got []string
+	var g []string
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New()
 		l := n.Listen(address)
 		go s.serve(l)
 		p := pool.New(n, prometheus.NewRegistry())
 		for _, i := range ids {
-			got = append(got, send(t.Context(), p, i))
+			g = append(g, send(t.Context(), p, i))
 			synctest.Wait()
 		}
 		p.Forget(address)
 		_ = l.Close()
 		synctest.Wait()
 	})
-	return got
+	return g
 }
 
 func send(c context.Context, p *pool.Pool, id string) string {
@@ -123,8 +123,8 @@
 	for _, k := range l {
 		t.Run(k.name, func(t *testing.T) {
 			s := &server{replies: k.replies}
-			got := play(t, s, []string{"1", "2"}[:len(k.want)]...)
-			if d := cmp.Diff(k.want, got); d != "" {
+			g := play(t, s, []string{"1", "2"}[:len(k.want)]...)
+			if d := cmp.Diff(k.want, g); d != "" {
 				t.Error(d)
 			}
 			if d := cmp.Diff(k.connections, len(s.seen)); d != "" {
@@ -186,7 +186,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New()
 		l := n.Listen(address)
-		done := make(chan time.Duration, 1)
+		o := make(chan time.Duration, 1)
 		b := time.Now()
 		go func() {
 			x, e := l.Accept()
@@ -194,16 +194,16 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, x)
-			done <- time.Since(b)
+			o <- time.Since(b)
 		}()
 		c, f := context.WithTimeout(t.Context(), time.Second)
 		defer f()
 		p := pool.New(n, prometheus.NewRegistry())
-		got := send(c, p, "1")
-		if d := cmp.Diff("backend-lost may-have-run", got); d != "" {
+		g := send(c, p, "1")
+		if d := cmp.Diff("backend-lost may-have-run", g); d != "" {
 			t.Error(d)
 		}
-		if d := cmp.Diff(time.Second, <-done); d != "" {
+		if d := cmp.Diff(time.Second, <-o); d != "" {
 			t.Error(d)
 		}
 		_ = l.Close()
