--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -22,7 +22,7 @@
 // store is a platform with one kind.
 type store struct {
 	trail.Store
-	m sync.Mutex
+	m       sync.Mutex
 	objects []object.Object
 	version int64
 	fails   error
