--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -122,6 +122,10 @@
 	b := time.Now()
 	a, e := s.send(c, r, p)
 	v := errors.Is(context.Cause(c), errYielded)
+	if e != nil && context.Cause(c) != nil {
+		// Why the run was ended tells more than the closed connection.
+		e = context.Cause(c)
+	}
 	r.end(nil)
 	s.finish(r, a && e == nil)
 	n := s.outcome(r, p, a, v, e, time.Since(b))
