coordination/fleet, direct: a silent server is left alone at once and tried with one request

Ruled out: overload (the reason was free-slot), a dead server (other fronts had answers of it). Change: silence counts as unreachable; a server that failed gets one request of a front at a time until it has answered; rests double up to 5 s. Test: TestOneTrialAfterFailure, failed before.

--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -70,6 +70,7 @@
 		r.gone = true
 	case errors.Is(context.Cause(c), errSilent):
 		r.cause = trail.WrapError(errSilent, "backend-silent", r.verdict, "no answer in time")
+		r.unreachable = true
 	default:
 		r.unreachable = trail.CodeOf(e) == "backend-unreachable"
 		r.lost = trail.CodeOf(e) == "backend-lost" && r.verdict != trail.NotRun && x.c.Err() == nil
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -17,7 +17,7 @@
 	// First and longest time in which a backend server is left alone after a
 	// failure.
 	firstAvoid = 300 * time.Millisecond
-	maxAvoid   = 3 * time.Second
+	maxAvoid   = 5 * time.Second
 	// Callers wait for at most this part of the time that they have left, and
 	// come back once.
 	returnShare = 1.0 / 3
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -69,8 +69,13 @@
 
 func (s *server) slots() int { return max(int(s.b.GetSlots()), 1) }
 
+// usable says whether the server may get a request. After a failure it gets one
+// alone, whose answer decides.
 func (s *server) usable(now time.Time) bool {
-	return !s.b.GetDraining() && !now.Before(s.avoided)
+	if s.b.GetDraining() || now.Before(s.avoided) {
+		return false
+	}
+	return s.avoided.IsZero() || s.failures == 0 || s.online+s.batch == 0
 }
 
 // service holds the backend servers with the same work.
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -297,3 +297,23 @@
 		t.Error(d)
 	}
 }
+
+// Guards against a backend server that is silent to this front and takes a
+// burst of requests each time that it is tried again: it gets one.
+func TestOneTrialAfterFailure(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	f.Failed(start, "s", true)
+	n := start.Add(time.Second)
+	g := [][2]string{take(f, n), take(f, n)}
+	f.Done("s", 50*time.Millisecond)
+	g = append(g, take(f, n), take(f, n))
+	w := [][2]string{
+		{"s", fleet.ReasonFree},
+		{"", fleet.ReasonNone},
+		{"s", fleet.ReasonFree},
+		{"s", fleet.ReasonFree},
+	}
+	if d := cmp.Diff(w, g); d != "" {
+		t.Error(d)
+	}
+}
