coordination/gossip, fleet: loads within a data centre in large fleets

Change: with more than 12 other fronts, changes go at once to those of the same data centre, gathered for longer the more they are, and to the others by the heartbeat; servers of other data centres then come after those of the own. Sums of loads are kept up instead of made anew at each datagram. Test: TestLargeFleetStaysNear.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -63,7 +63,7 @@
 	if b == nil {
 		return nil, ReasonNone, wait(left, earliestRecovery, draw)
 	}
-	if k.tier == tierQueue && k.load >= v.depth(b.slots(), target) {
+	if k.tier == tierQueue && b.totalOnline()-b.slots() >= v.depth(b.slots(), target) {
 		return nil, ReasonFull, wait(left, earliestReturn, draw)
 	}
 	b.online++
@@ -126,6 +126,10 @@
 		p.tier = tierQueue
 		p.load = s.totalOnline() - s.slots()
 	}
+	if p.far && len(f.peers) > SmallFleet {
+		// What is known of it is old.
+		p.load += s.slots()
+	}
 	return p
 }
 
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -29,6 +29,11 @@
 // outage of the platform, two seconds ago at the most, are back.
 const LapseGrace = 2200 * time.Millisecond
 
+// SmallFleet is the number of other fronts up to which all hear of each change
+// at once. In larger fleets the loads of other data centres are as old as a
+// heartbeat, and backend servers there come after those of the own one.
+const SmallFleet = 12
+
 // Fleet is the load of all backend servers as this front knows it. Its methods
 // may be called from any goroutine.
 type Fleet struct {
@@ -224,8 +229,11 @@
 	if p != nil && !newer(l, p.load) {
 		return false
 	}
+	if p != nil {
+		f.add(p.load, -1)
+	}
+	f.add(l, 1)
 	f.peers[l.GetName()] = &peer{load: l, seen: now}
-	f.sumPeers()
 	return p == nil || p.load.GetIncarnation() != l.GetIncarnation()
 }
 
@@ -256,18 +264,25 @@
 	return l
 }
 
+// sumPeers counts the requests of all other fronts anew.
 func (f *Fleet) sumPeers() {
 	for _, s := range f.servers {
 		s.othersOnline = 0
 		s.othersBatch = 0
 	}
 	for _, p := range f.peers {
-		for _, l := range p.load.GetServers() {
-			s := f.hashes[l.GetServer()]
-			if s != nil {
-				s.othersOnline += int(l.GetOnline())
-				s.othersBatch += int(l.GetBatch())
-			}
+		f.add(p.load, 1)
+	}
+}
+
+// add counts the requests of another front, or with the sign -1 takes them
+// away.
+func (f *Fleet) add(l *wire.Load, sign int) {
+	for _, x := range l.GetServers() {
+		s := f.hashes[x.GetServer()]
+		if s != nil {
+			s.othersOnline += sign * int(x.GetOnline())
+			s.othersBatch += sign * int(x.GetBatch())
 		}
 	}
 }
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -317,3 +317,18 @@
 		t.Error(d)
 	}
 }
+
+// Guards against requests of a large fleet that all go to a server of another
+// data centre whose load they hear late.
+func TestLargeFleetStaysNear(t *testing.T) {
+	f := newFleet(server("near", "a", 8), server("far", "b", 8))
+	for n := range fleet.SmallFleet + 1 {
+		f.SetPeer(start, load(fmt.Sprint("front-", n), 1, nil, nil))
+	}
+	f.SetPeer(start, load("busy", 1, map[string]int32{"near": 6}, nil))
+	g := [][2]string{take(f, start), take(f, start), take(f, start)}
+	w := [][2]string{{"near", fleet.ReasonFree}, {"near", fleet.ReasonFree}, {"far", fleet.ReasonFree}}
+	if d := cmp.Diff(w, g); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -30,6 +30,9 @@
 	crashAge = 30 * time.Second
 	// A front that was not heard for so long gets heartbeats only.
 	quiet = 5 * time.Second
+	// Time added to gather for each front beyond fleet.SmallFleet that hears of
+	// changes at once.
+	gatherPerFront = time.Millisecond
 )
 
 // Task sends and receives the datagrams of one front.
@@ -55,6 +58,8 @@
 type target struct {
 	name    string
 	address net.Addr
+	// In the same data centre.
+	near bool
 }
 
 // New starts a task that ends with c and closes n then. It wakes
@@ -99,7 +104,7 @@
 		case <-h.C:
 			b = true
 		case <-t.wake:
-			time.Sleep(gather)
+			time.Sleep(t.gatherTime())
 		}
 		t.expire(b)
 		t.broadcast(c, b)
@@ -121,6 +126,24 @@
 	t.addresses = t.targets()
 }
 
+// direct says whether a front hears of changes at once. In a large fleet those
+// of other data centres hear of them by the heartbeat, since what all tell all
+// grows with the square of their number.
+func (t *Task) direct(a target) bool { return a.near || len(t.addresses) <= fleet.SmallFleet }
+
+// gatherTime is the time in which changes share a datagram. It grows with the
+// number of fronts that hear of them at once, so that the rate of datagrams
+// does not.
+func (t *Task) gatherTime() time.Duration {
+	n := 0
+	for _, a := range t.addresses {
+		if t.direct(a) {
+			n++
+		}
+	}
+	return gather + gatherPerFront*time.Duration(max(n-fleet.SmallFleet, 0))
+}
+
 func (t *Task) targets() []target {
 	var l []target
 	for n, o := range t.fronts.All() {
@@ -138,7 +161,7 @@
 			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front has no address")
 			continue
 		}
-		l = append(l, target{name: n, address: a})
+		l = append(l, target{name: n, address: a, near: f.GetDataCentre() == t.self.GetDataCentre()})
 	}
 	return l
 }
@@ -160,7 +183,7 @@
 		return
 	}
 	for _, a := range t.addresses {
-		if !heartbeat && !t.f.Heard(o, a.name, quiet) {
+		if !heartbeat && (!t.direct(a) || !t.f.Heard(o, a.name, quiet)) {
 			continue
 		}
 		t.sent.Inc()
