--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -49,6 +49,8 @@
 		return nil
 	}
 	if e != nil {
+		// If it was kept after all, nobody but this front knows.
+		s.reviewLater()
 		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job was not kept").At(id).RetryAfter(refusedWait)
 	}
 	s.l.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -39,8 +39,9 @@
 	// Time of the first review, in which a front finds the jobs that it ran
 	// before it was restarted.
 	firstReviewPause = 300 * time.Millisecond
-	// Interval at which a front that runs no job does so.
-	idleReviewPause = 4 * time.Second
+	// Interval at which a front that runs no job does so, besides each time that
+	// another front goes silent or leaves a job.
+	idleReviewPause = 15 * time.Second
 	// A new process hears from the other fronts before it takes jobs over.
 	settlePause = 2500 * time.Millisecond
 	// Bytes of the values of input and results objects, as a part of the
@@ -94,6 +95,8 @@
 	}
 	go s.dispatch(c)
 	go s.review(c)
+	// By then jobs of fronts that have not come back can be taken over.
+	time.AfterFunc(settlePause+firstReviewPause, s.Review)
 	return s
 }
 
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -98,6 +98,7 @@
 		l, _, e := s.store.List(c, kindJobs)
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
+			s.reviewLater()
 			continue
 		}
 		for _, o := range l {
@@ -202,6 +203,7 @@
 	})
 	if e != nil {
 		s.l.WithError(e).WithField("job-id", id).Warn("batch: job of a lost front not taken over yet")
+		s.reviewLater()
 		return
 	}
 	if !d {
@@ -221,6 +223,7 @@
 	}
 	if e != nil {
 		s.l.WithError(e).WithField("job-id", id).Warn("batch: job to be run not read yet")
+		s.reviewLater()
 		return
 	}
 	s.m.Lock()
@@ -302,6 +305,9 @@
 // number of another front has changed, Review finds the job.
 func (s *Jobs) Released() uint32 { return s.released.Load() }
 
+// reviewLater asks for another review after one that could not do all.
+func (s *Jobs) reviewLater() { time.AfterFunc(reviewPause, s.Review) }
+
 // Review looks for jobs without an owner soon.
 func (s *Jobs) Review() {
 	select {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -122,6 +122,7 @@
 	}
 	if len(l) > 0 {
 		t.jobs.Wake()
+		t.jobs.Review()
 	}
 	t.addresses = t.targets()
 }
