command/usage, protocol/event: logic that stood twice

Change: the exit status of a command line and its fault type, which bulrushtrail and bulrushd had each, and the order of event ids, which online streams and batch items had each, are in one place. No behaviour changes; TestFollows is new.

--- a/internal/command/daemon/run.go
+++ b/internal/command/daemon/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"runtime/debug"
 	"time"
@@ -15,15 +14,13 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"bulrushtrail.example/trail/internal/command/lines"
+	"bulrushtrail.example/trail/internal/command/usage"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/node"
 )
 
 const (
 	envPrefix = "BULRUSHTRAIL"
-	// Exit statuses.
-	statusFailed = 1
-	statusUsage  = 2
 	// Part of the host's memory above which the runtime collects garbage more
 	// eagerly.
 	memoryShare = 0.7
@@ -31,9 +28,6 @@
 	metricsPort = "9464"
 )
 
-// usage is an error in the command line or the settings.
-type usage struct{ error }
-
 // role is what a process does until c ends.
 type role func(c context.Context, p *process) error
 
@@ -42,18 +36,7 @@
 // the settings. Ending c asks the process to shut down gracefully. A value on
 // reload says that the settings may have changed.
 func Run(c context.Context, arguments []string, reload <-chan struct{}, out, diagnostics io.Writer) int {
-	r := root(reload, out, diagnostics)
-	e := r.ParseAndRun(c, arguments)
-	var u usage
-	switch {
-	case e == nil, errors.Is(e, flag.ErrHelp):
-		return 0
-	case errors.As(e, &u):
-		_, _ = fmt.Fprintf(diagnostics, "bulrushd: %v\n", u)
-		return statusUsage
-	}
-	_, _ = fmt.Fprintf(diagnostics, "bulrushd: %v\n", e)
-	return statusFailed
+	return usage.Exit("bulrushd", root(reload, out, diagnostics).ParseAndRun(c, arguments), diagnostics)
 }
 
 func root(reload <-chan struct{}, out, diagnostics io.Writer) *ffcli.Command {
@@ -71,7 +54,7 @@
 			command("disk", "answer requests to evacuate a host with a disk", disk, reload, out, diagnostics),
 		},
 		Exec: func(context.Context, []string) error {
-			return usage{errors.New("no such role; bulrushd -help lists them")}
+			return usage.New(errors.New("no such role; bulrushd -help lists them"))
 		},
 	}
 }
@@ -89,15 +72,15 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(c context.Context, arguments []string) error {
 			if len(arguments) > 0 {
-				return usage{errors.Newf("unexpected argument %q", arguments[0])}
+				return usage.New(errors.Newf("unexpected argument %q", arguments[0]))
 			}
 			n, e := node.Load(*b)
 			if e != nil {
-				return usage{e}
+				return usage.New(e)
 			}
 			g, e := log.ParseLevel(*v)
 			if e != nil {
-				return usage{errors.Newf("log-level %q is not a level", *v)}
+				return usage.New(errors.Newf("log-level %q is not a level", *v))
 			}
 			return start(c, name, *b, n, g, run, reload, out)
 		},
--- a/internal/command/tool/operate.go
+++ b/internal/command/tool/operate.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"bulrushtrail.example/trail/internal/command/usage"
 	"bulrushtrail.example/trail/internal/protocol/oapi"
 )
 
@@ -77,11 +78,11 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(c context.Context, a []string) error {
 			if len(a) != n {
-				return usage{errors.Newf("%s takes %d arguments, not %d", name, n, len(a))}
+				return usage.New(errors.Newf("%s takes %d arguments, not %d", name, n, len(a)))
 			}
 			k, e := o.client()
 			if e != nil {
-				return usage{e}
+				return usage.New(e)
 			}
 			return explain(run(c, k, a))
 		},
@@ -104,7 +105,7 @@
 	k := o.command("apply", "", "put a services text in force", 0, func(c context.Context, k *oapi.Client, _ []string) error {
 		b, e := os.ReadFile(p)
 		if e != nil {
-			return usage{e}
+			return usage.New(e)
 		}
 		if v < 0 {
 			g, e := k.GetConfig(c)
@@ -139,7 +140,7 @@
 	k := o.command("check", "", "check a services text without applying it", 0, func(c context.Context, k *oapi.Client, _ []string) error {
 		b, e := os.ReadFile(p)
 		if e != nil {
-			return usage{e}
+			return usage.New(e)
 		}
 		r, e := k.CheckConfig(c, oapi.Document(b))
 		if e != nil {
--- a/internal/command/tool/run.go
+++ b/internal/command/tool/run.go
@@ -3,50 +3,30 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"bulrushtrail.example/trail/internal/command/usage"
 	"bulrushtrail.example/trail/internal/state/conf"
 )
 
 const (
 	envPrefix = "BULRUSHTRAIL"
-	// Exit statuses.
-	statusFailed = 1
-	statusUsage  = 2
 )
 
-// usage is an error in the command line.
-type usage struct{ error }
-
 // Run runs one command line without the program name and returns the exit
 // status: 0 for success, 1 for a failure, 2 for a usage error. Cancelling c
 // asks a role to shut down gracefully.
 func Run(c context.Context, arguments []string, out, diagnostics io.Writer) int {
 	r := root(out, diagnostics)
 	e := r.Parse(arguments)
-	if errors.Is(e, flag.ErrHelp) {
-		return 0
-	}
 	if e != nil {
-		_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", e)
-		return statusUsage
-	}
-	e = r.Run(c)
-	var u usage
-	switch {
-	case e == nil, errors.Is(e, flag.ErrHelp):
-		return 0
-	case errors.As(e, &u):
-		_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", u)
-		return statusUsage
+		return usage.Exit("bulrushtrail", usage.New(e), diagnostics)
 	}
-	_, _ = fmt.Fprintf(diagnostics, "bulrushtrail: %v\n", e)
-	return statusFailed
+	return usage.Exit("bulrushtrail", r.Run(c), diagnostics)
 }
 
 func root(out, diagnostics io.Writer) *ffcli.Command {
@@ -69,7 +49,7 @@
 		FlagSet:     f,
 		Subcommands: s,
 		Exec: func(context.Context, []string) error {
-			return usage{errors.New("no such command; bulrushtrail -help lists them")}
+			return usage.New(errors.New("no such command; bulrushtrail -help lists them"))
 		},
 	}
 }
@@ -91,11 +71,11 @@
 		},
 		Exec: func(c context.Context, arguments []string) error {
 			if len(arguments) > 0 {
-				return usage{errors.Newf("unexpected argument %q", arguments[0])}
+				return usage.New(errors.Newf("unexpected argument %q", arguments[0]))
 			}
 			e := s.Check()
 			if e != nil {
-				return usage{errors.Newf("settings have faults:\n%v", e)}
+				return usage.New(errors.Newf("settings have faults:\n%v", e))
 			}
 			return serve(c, s, diagnostics)
 		},
--- /dev/null
+++ b/internal/command/usage/error.go
@@ -0,0 +1,43 @@
+package usage
+
+import (
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Exit statuses.
+const (
+	statusFailed = 1
+	statusUsage  = 2
+)
+
+// Error is a fault in the command line or the settings.
+type Error struct{ cause error }
+
+// New returns a fault in the command line or the settings.
+func New(cause error) Error { return Error{cause: cause} }
+
+// Error returns the text of the cause.
+func (e Error) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e Error) Unwrap() error { return e.cause }
+
+// Exit reports the error that ended a program and returns the exit status: 0
+// for success and for a request for help, 1 for a failure, 2 for a fault in the
+// command line or the settings.
+func Exit(program string, e error, diagnostics io.Writer) int {
+	if e == nil || errors.Is(e, flag.ErrHelp) {
+		return 0
+	}
+	var u Error
+	if errors.As(e, &u) {
+		_, _ = fmt.Fprintf(diagnostics, "%s: %v\n", program, u)
+		return statusUsage
+	}
+	_, _ = fmt.Fprintf(diagnostics, "%s: %v\n", program, e)
+	return statusFailed
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -248,12 +247,8 @@
 // add takes in the next event. It returns false when it does not follow the
 // last one.
 func (p *progress) add(r *event.Reader) bool {
-	if p.last != "" && r.ID() != "" {
-		l, e := strconv.ParseInt(p.last, 10, 64)
-		n, f := strconv.ParseInt(r.ID(), 10, 64)
-		if e == nil && f == nil && n != l+1 {
-			return false
-		}
+	if !event.Follows(p.last, r.ID()) {
+		return false
 	}
 	if r.HasData() {
 		if p.begun {
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -168,7 +168,7 @@
 			return x.broken(c, e)
 		}
 		t.Stop()
-		if !follows(x.lastEvent, r.ID()) {
+		if !event.Follows(x.lastEvent, r.ID()) {
 			return x.broken(c, errSequence)
 		}
 		x.head(a)
@@ -187,14 +187,3 @@
 	x.head(a)
 	return result{done: true, verdict: trail.Ran}
 }
-
-// follows says whether an event may come after the last one. Ids that are not
-// numbers are not compared.
-func follows(last, id string) bool {
-	if last == "" || id == "" {
-		return true
-	}
-	l, e := strconv.ParseInt(last, 10, 64)
-	n, f := strconv.ParseInt(id, 10, 64)
-	return e != nil || f != nil || n == l+1
-}
--- a/internal/protocol/event/reader.go
+++ b/internal/protocol/event/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -110,3 +111,14 @@
 
 // HasData says whether the event has data, which may be empty.
 func (s *Reader) HasData() bool { return s.hasData }
+
+// Follows says whether an event may come after the last one: ids that are
+// numbers grow by one. Ids that are missing or no numbers are not compared.
+func Follows(last, id string) bool {
+	if last == "" || id == "" {
+		return true
+	}
+	l, e := strconv.ParseInt(last, 10, 64)
+	n, f := strconv.ParseInt(id, 10, 64)
+	return e != nil || f != nil || n == l+1
+}
--- a/internal/protocol/event/reader_test.go
+++ b/internal/protocol/event/reader_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against a stream that is joined at the wrong event.
+func TestFollows(t *testing.T) {
+	l := []struct {
+		last, id string
+		want     bool
+	}{
+		{"", "7", true},
+		{"7", "8", true},
+		{"7", "7", false},
+		{"7", "9", false},
+		{"7", "", true},
+		{"a", "b", true},
+	}
+	for _, k := range l {
+		if d := cmp.Diff(k.want, event.Follows(k.last, k.id)); d != "" {
+			t.Errorf("%q after %q: %s", k.id, k.last, d)
+		}
+	}
+}
+
 // Guards against bytes that get lost, or are made up, whatever a backend
 // server sends.
 func FuzzNext(f *testing.F) {
