coordination/agenda: an item whose runs are lost rests longer

Cause: an item that brings down each engine that runs it came back each 0.1 s (listed as open in docs/proofs.md). Change: after runs in a row that were lost without an event it rests 0.1, 0.4, 1.6 and then 4 s. Ruled out: giving it up, which the platform's pages do not allow before a failure that a server has answered (docs/questions.md). Test: TestLostItemRestsLonger.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -14,6 +14,11 @@
 	leastTime = 200 * time.Millisecond
 	// Rest of an item after a run that was refused or broken.
 	brokenRest = 100 * time.Millisecond
+	// An item whose runs are lost without an event, one after the other, may
+	// be what brings the backend servers down: its rest grows by this factor
+	// with each, up to the longest, after which it may not lie any longer.
+	lostFactor  = 4
+	longestRest = 4 * time.Second
 	// Rest after a run that the backend server answered with a failure.
 	failedRest = 300 * time.Millisecond
 )
@@ -58,6 +63,8 @@
 	begun bool
 	// Time that it has run so far.
 	ran time.Duration
+	// Runs in a row that were lost without an event.
+	lost int
 }
 
 // New returns an empty agenda.
@@ -192,8 +199,25 @@
 // Yielded returns an item that gave up its slot.
 func (a *Agenda) Yielded(id string, n int) { a.requeue(id, n, time.Time{}) }
 
-// Broken returns an item whose run was refused or broke off.
-func (a *Agenda) Broken(now time.Time, id string, n int) { a.requeue(id, n, now.Add(brokenRest)) }
+// Broken returns an item whose run was refused or broke off. Lost says that the
+// run may have begun and gave no event.
+func (a *Agenda) Broken(now time.Time, id string, n int, lost bool) {
+	j := a.find(id)
+	if j == nil {
+		return
+	}
+	d := brokenRest
+	i := &j.items[n]
+	if !lost {
+		i.lost = 0
+	} else {
+		for range i.lost {
+			d = min(d*lostFactor, longestRest)
+		}
+		i.lost++
+	}
+	a.requeue(id, n, now.Add(d))
+}
 
 // Failed returns an item whose run the backend server answered with a failure.
 // It reports whether the item is given up, which closes it.
--- a/internal/coordination/agenda/agenda_test.go
+++ b/internal/coordination/agenda/agenda_test.go
@@ -53,7 +53,7 @@
 	a := agenda.New()
 	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
 	next(a, start)
-	a.Broken(start, "j", 0)
+	a.Broken(start, "j", 0, false)
 	g := []string{next(a, start), next(a, start.Add(time.Second))}
 	if d := cmp.Diff([]string{"none", "j0"}, g); d != "" {
 		t.Error(d)
@@ -116,3 +116,22 @@
 		t.Error(d)
 	}
 }
+
+// Guards against an item that brings down one backend server after the other:
+// after its third run it gets one in four seconds.
+func TestLostItemRestsLonger(t *testing.T) {
+	a := agenda.New()
+	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
+	var g []time.Duration
+	for d := time.Duration(0); d < 15*time.Second; d += 100 * time.Millisecond {
+		_, _, k := a.Next(start.Add(d), yes)
+		if k {
+			g = append(g, d)
+			a.Broken(start.Add(d), "j", 0, true)
+		}
+	}
+	w := []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 2100 * time.Millisecond, 6100 * time.Millisecond, 10100 * time.Millisecond, 14100 * time.Millisecond}
+	if d := cmp.Diff(w, g); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -39,6 +39,8 @@
 	item   *wire.BatchItem
 	server *wire.BackendServer
 	end    context.CancelCauseFunc
+	// Last event before the run.
+	after string
 	// Not counted at the backend server any more.
 	uncounted bool
 }
@@ -112,6 +114,7 @@
 		p = &progress{}
 		o.progress[n] = p
 	}
+	r.after = p.last
 	s.changed()
 	go s.run(c, r, p)
 }
@@ -173,7 +176,7 @@
 	if errors.Is(e, errOrder) {
 		*p = progress{}
 	}
-	s.agenda.Broken(w, r.o.id, r.n)
+	s.agenda.Broken(w, r.o.id, r.n, p.last == r.after && trail.VerdictOf(e) != trail.NotRun)
 	s.f.Failed(w, r.server.GetId(), trail.CodeOf(e) == "backend-unreachable")
 	return "broken"
 }
