daemon: an evacuation that was not answered is answered again

Cause: a disk process answered an evacuation only when its copy of the requests changed; one that it saw while the platform was away waited for the next change. Change: it tries again each half second.

--- a/internal/command/daemon/disk.go
+++ b/internal/command/daemon/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -22,34 +23,42 @@
 	i := inform.New(c, p.store, "evacuations", p.l)
 	for {
 		w := i.Changed()
+		var r <-chan time.Time
 		for n, o := range i.All() {
-			p.evacuate(c, n, o, i)
+			if !p.evacuate(c, n, o, i) {
+				r = time.After(evacuationPause)
+			}
 		}
 		select {
 		case <-w:
+		case <-r:
 		case <-c.Done():
 			return nil
 		}
 	}
 }
 
+// Pause before an evacuation is answered again.
+const evacuationPause = 500 * time.Millisecond
+
 // evacuate reports that a host can be taken away. Every process with the role
-// does so, since the host's own may be gone; one of them succeeds.
-func (p *process) evacuate(c context.Context, name string, o object.Object, i *inform.Informer) {
+// does so, since the host's own may be gone; one of them succeeds. It returns
+// false when that must be tried again.
+func (p *process) evacuate(c context.Context, name string, o object.Object, i *inform.Informer) bool {
 	v := &wire.Evacuation{}
 	e := o.Decode(v)
 	if e != nil {
 		p.l.WithError(e).WithField("evacuation", name).Warn("disk: evacuation is not readable")
-		return
+		return true
 	}
 	if v.GetDone() {
-		return
+		return true
 	}
 	v.SetDone(true)
 	n, e := object.Encode("evacuations", name, o.Version(), v)
 	if e != nil {
 		p.l.WithError(e).Error("disk: evacuation not encoded")
-		return
+		return true
 	}
 	n, e = p.store.Update(c, n)
 	l := p.l.WithFields(log.Fields{"evacuation": name})
@@ -61,5 +70,7 @@
 		l.Debug("disk: evacuation was answered by another process")
 	default:
 		l.WithError(e).Warn("disk: evacuation not answered yet")
+		return false
 	}
+	return true
 }
--- a/internal/command/daemon/rig_test.go
+++ b/internal/command/daemon/rig_test.go
@@ -120,6 +120,14 @@
 
 // start runs a front and waits until it is ready.
 func (g *rig) start(name string) *process {
+	g.t.Helper()
+	p := g.run("front", name)
+	g.until(name+" is ready", p.ready)
+	return p
+}
+
+// run starts a role.
+func (g *rig) run(role, name string) *process {
 	g.t.Helper()
 	a, b := fmt.Sprintf("127.0.0.1:%d", port(g.t)), fmt.Sprintf("127.0.0.1:%d", port(g.t))
 	v, e := json.Marshal(map[string]any{
@@ -134,7 +142,7 @@
 	if e != nil {
 		g.t.Fatal(e)
 	}
-	p := &process{g: g, api: a, check: b, c: exec.Command(program, "front", "-boot", f), ended: make(chan struct{})}
+	p := &process{g: g, api: a, check: b, c: exec.Command(program, role, "-boot", f), ended: make(chan struct{})}
 	p.c.Stdout = p
 	p.c.Stderr = p
 	e = p.c.Start()
@@ -155,7 +163,6 @@
 			g.t.Errorf("%s has a data race", name)
 		}
 	})
-	g.until(name+" is ready", p.ready)
 	return p
 }
 
