coordination/batch: a front that was idle reviews its next job in time

Ruled out: a lost list (there was none), a slow platform. Change: the review looks each 1.5 s whether the front runs jobs; only the list is left out while it does not.

--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -95,6 +95,7 @@
 	}
 	go s.dispatch(c)
 	go s.review(c)
+	time.AfterFunc(firstReviewPause, s.Review)
 	// By then jobs of fronts that have not come back can be taken over.
 	time.AfterFunc(settlePause+firstReviewPause, s.Review)
 	return s
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -141,3 +141,27 @@
 		}
 	})
 }
+
+// Guards against a front that has run no job for a while and reviews its next
+// one too late to see that its caller has ended it.
+func TestEndedElsewhereAfterIdleTime(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		q := newJobs(t, c, "front-2", s, g, valueBytes)
+		time.Sleep(20 * time.Second)
+		accept(t, c, p, "job", 200)
+		time.Sleep(time.Second)
+		e := q.End(c, "job")
+		if e != nil {
+			t.Fatal(e)
+		}
+		time.Sleep(3 * time.Second)
+		g.m.Lock()
+		n := len(g.runs)
+		g.m.Unlock()
+		time.Sleep(20 * time.Second)
+		if d := cmp.Diff(n, len(g.runs)); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -94,7 +94,7 @@
 
 // review looks for jobs that were ended, or whose owner is gone, until c ends.
 func (s *Jobs) review(c context.Context) {
-	for p := firstReviewPause; s.waitReview(c, p); p = s.reviewPause() {
+	for s.waitReview(c) {
 		l, _, e := s.store.List(c, kindJobs)
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
@@ -114,27 +114,25 @@
 	}
 }
 
-// waitReview returns false when c ends before the pause, or before a review is
-// asked for.
-func (s *Jobs) waitReview(c context.Context, pause time.Duration) bool {
-	t := time.NewTimer(pause)
+// waitReview returns when a review is due: while this front runs jobs each
+// reviewPause, else each idleReviewPause, and when one is asked for. It returns
+// false when c ends.
+func (s *Jobs) waitReview(c context.Context) bool {
+	b := time.Now()
+	t := time.NewTicker(reviewPause)
 	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-s.look:
-	case <-c.Done():
-		return false
-	}
-	return true
-}
-
-func (s *Jobs) reviewPause() time.Duration {
-	s.m.Lock()
-	defer s.m.Unlock()
-	if len(s.owned) == 0 {
-		return idleReviewPause
+	for {
+		select {
+		case <-t.C:
+			if s.ownedJobs() > 0 || time.Since(b) >= idleReviewPause {
+				return true
+			}
+		case <-s.look:
+			return true
+		case <-c.Done():
+			return false
+		}
 	}
-	return reviewPause
 }
 
 // consider compares a job's object with what this front does.
