--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -52,7 +52,6 @@
 	*process
 	self    *wire.Front
 	f       *fleet.Fleet
-	pool    *pool.Pool
 	configs *inform.Informer
 	hosts   *inform.Informer
 	fronts  *inform.Informer
@@ -114,8 +113,7 @@
 		DataCentre: proto.String(p.n.GetDataCentre()), PeerAddress: proto.String(p.peerAddress()),
 	}.Build()
 	s.f = fleet.New(p.n.GetName(), p.n.GetDataCentre())
-	s.pool = pool.New(p.d, p.r)
-	u := server.New(s.pool)
+	u := server.New(pool.New(p.d, p.r))
 	s.configs = inform.New(c, p.store, "configs", p.l)
 	s.hosts = inform.New(c, p.store, "hosts", p.l)
 	s.fronts = inform.New(c, p.store, member.Kind, p.l)
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -126,22 +126,29 @@
 		p := newJobs(t, c, "front-1", s, g, valueBytes)
 		accept(t, c, p, "job", 200)
 		q := newJobs(t, c, "front-2", s, g, valueBytes)
-		time.Sleep(time.Second)
-		e := q.End(c, "job")
-		if e != nil {
-			t.Fatal(e)
-		}
-		time.Sleep(3 * time.Second)
-		g.m.Lock()
-		n := len(g.runs)
-		g.m.Unlock()
-		time.Sleep(10 * time.Second)
-		if d := cmp.Diff(n, len(g.runs)); d != "" {
-			t.Error(d)
-		}
+		endedStops(t, c, q, g)
 	})
 }
 
+// endedStops ends the job at q and checks that no item begins later than three
+// seconds afterwards.
+func endedStops(t *testing.T, c context.Context, q *batch.Jobs, g *engine) {
+	t.Helper()
+	time.Sleep(time.Second)
+	e := q.End(c, "job")
+	if e != nil {
+		t.Fatal(e)
+	}
+	time.Sleep(3 * time.Second)
+	g.m.Lock()
+	n := len(g.runs)
+	g.m.Unlock()
+	time.Sleep(20 * time.Second)
+	if d := cmp.Diff(n, len(g.runs)); d != "" {
+		t.Error(d)
+	}
+}
+
 // Guards against a front that has run no job for a while and reviews its next
 // one too late to see that its caller has ended it.
 func TestEndedElsewhereAfterIdleTime(t *testing.T) {
@@ -150,18 +157,6 @@
 		q := newJobs(t, c, "front-2", s, g, valueBytes)
 		time.Sleep(20 * time.Second)
 		accept(t, c, p, "job", 200)
-		time.Sleep(time.Second)
-		e := q.End(c, "job")
-		if e != nil {
-			t.Fatal(e)
-		}
-		time.Sleep(3 * time.Second)
-		g.m.Lock()
-		n := len(g.runs)
-		g.m.Unlock()
-		time.Sleep(20 * time.Second)
-		if d := cmp.Diff(n, len(g.runs)); d != "" {
-			t.Error(d)
-		}
+		endedStops(t, c, q, g)
 	})
 }
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -5,10 +5,11 @@
 	"sync"
 	"time"
 
-	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/object"
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 // owned is a job that this front runs.
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -83,8 +83,7 @@
 
 // broken is an attempt whose answer ended early.
 func (x *call) broken(c context.Context, e error) result {
-	r := x.unanswered(c, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "answer broke off"))
-	return r
+	return x.unanswered(c, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "answer broke off"))
 }
 
 // whole passes on an answer that is not a stream of events.
@@ -94,11 +93,9 @@
 		return x.broken(c, e)
 	}
 	t.Stop()
-	if x.retriable(a) {
-		return result{verdict: trail.MayHaveRun, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", a.StatusCode)}
-	}
-	if x.status != 0 {
-		// A resumed stream that another status answers has no use for it.
+	if x.retriable(a) || x.status != 0 {
+		// Another attempt may do better, and a stream that was to be resumed
+		// has no use for another status.
 		return result{verdict: trail.MayHaveRun, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", a.StatusCode)}
 	}
 	if len(b) <= maxWhole {
@@ -117,7 +114,7 @@
 
 // relayFailed is an answer that broke off while it was passed on.
 func (x *call) relayFailed(c context.Context, e error) result {
-	if x.gone() || x.c.Err() != nil {
+	if x.c.Err() != nil {
 		return result{cause: trail.WrapError(e, "cancelled", trail.MayHaveRun, "caller has gone"), verdict: trail.MayHaveRun, gone: true}
 	}
 	return x.broken(c, e)
@@ -162,7 +159,8 @@
 	for {
 		e := r.Next()
 		if errors.Is(e, io.EOF) {
-			return x.streamEnded(a)
+			x.head(a)
+			return result{done: true, verdict: trail.Ran}
 		}
 		if e != nil {
 			return x.broken(c, e)
@@ -181,9 +179,3 @@
 		}
 	}
 }
-
-// streamEnded is a stream that ended between events.
-func (x *call) streamEnded(a *http.Response) result {
-	x.head(a)
-	return result{done: true, verdict: trail.Ran}
-}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -62,9 +62,9 @@
 	near bool
 }
 
-// New starts a task that ends with c and closes n then. It wakes
-// jobs after each datagram. When another front holds other objects than the informers of
-// configs and hosts for a while, they are asked for a new list.
+// New starts a task that ends with c and closes n then. It wakes jobs after each
+// datagram. When another front holds other objects than the informers of configs
+// and hosts for a while, they are asked for a new list.
 func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
 	t := &Task{
 		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1),
