httpd, platform/front, daemon: follow the caller's limits of the configuration

Idle connections to a backend server that was gone stayed open until its address was used again. Ruled out: a new http.Server for each version (open connections would keep the old limits); timers beside the server's own (they race with a head that is arriving).

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -61,6 +61,8 @@
 	direct  *direct.Server
 	jobs    *batch.Jobs
 	api     *httpd.Server
+	// Connections to backend servers.
+	pool *pool.Pool
 	// Backend servers as last reported, by id.
 	known map[string]*wire.BackendServer
 }
@@ -113,7 +115,8 @@
 		DataCentre: proto.String(p.n.GetDataCentre()), PeerAddress: proto.String(p.peerAddress()),
 	}.Build()
 	s.f = fleet.New(p.n.GetName(), p.n.GetDataCentre())
-	u := server.New(pool.New(p.d, p.r))
+	s.pool = pool.New(p.d, p.r)
+	u := server.New(s.pool)
 	s.configs = inform.New(c, p.store, "configs", p.l)
 	s.hosts = inform.New(c, p.store, "hosts", p.l)
 	s.fronts = inform.New(c, p.store, member.Kind, p.l)
@@ -129,10 +132,21 @@
 	s.jobs = batch.New(c, s.self, s.relay, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
 	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
-		httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
+		httpd.WithTimes(s.callerTimes), httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
 	return s
 }
 
+// callerTimes returns the times of the configuration in force, zero while
+// there is none.
+func (s *frontRole) callerTimes() (header, idle time.Duration) {
+	t := s.direct.Table()
+	if t == nil {
+		return 0, 0
+	}
+	l := t.Limits()
+	return time.Duration(l.GetHeaderMs()) * time.Millisecond, time.Duration(l.GetIdleMs()) * time.Millisecond
+}
+
 // servePeers answers other fronts until c ends.
 func (s *frontRole) servePeers(c context.Context, n net.Listener) {
 	e := s.mesh.Serve(c, n, func(c context.Context, n *frame.Stream, o *wire.Open, _ *wire.Hello) {
@@ -271,7 +285,8 @@
 	return nil
 }
 
-// reportServers logs how the registry has changed since the last call.
+// reportServers logs how the registry has changed since the last call, and
+// closes the idle connections to backend servers that are gone.
 func (s *frontRole) reportServers(known map[string]*wire.BackendServer) {
 	for n, b := range known {
 		o := s.known[n]
@@ -281,7 +296,10 @@
 			}).Info("bulrushd: backend server listed")
 		}
 	}
-	for n := range s.known {
+	for n, o := range s.known {
+		if b := known[n]; b == nil || b.GetAddress() != o.GetAddress() {
+			s.pool.Forget(o.GetAddress())
+		}
 		if known[n] == nil {
 			s.l.WithField("server", n).Info("bulrushd: backend server no longer listed")
 		}
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -14,9 +15,9 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
+	defaultHeader = 5 * time.Second
+	defaultIdle   = 60 * time.Second
 	headerBytes   = 64 << 10
-	idleTimeout   = 60 * time.Second
 	// A caller that neither sends nor takes a byte for so long is cut off.
 	progressTimeout = 30 * time.Second
 
@@ -39,6 +40,8 @@
 	drainBound time.Duration
 	// Time after the context of Serve ends in which requests are still taken.
 	drainDelay time.Duration
+	// Time of a caller for a head, and between two requests.
+	times func() (header, idle time.Duration)
 	// What must hold besides a running Serve.
 	condition func() bool
 	// Whether Serve runs and was not told to stop.
@@ -85,6 +88,18 @@
 	return func(s *Server) { s.condition = condition }
 }
 
+// WithTimes bounds the time of a caller for the head of a request, and between
+// two requests on a connection, by what times returns at that moment. It must
+// not block; zero stands for the defaults of 5 s and 60 s.
+func WithTimes(times func() (header, idle time.Duration)) func(*Server) {
+	return func(s *Server) {
+		s.times = func() (time.Duration, time.Duration) {
+			h, i := times()
+			return cmp.Or(h, defaultHeader), cmp.Or(i, defaultIdle)
+		}
+	}
+}
+
 // New returns a server for h. It opens nothing before Serve.
 func New(h http.Handler, l log.Interface, r prometheus.Registerer, options ...option) *Server {
 	s := &Server{
@@ -93,6 +108,7 @@
 		bodyBytes:   defaultBodyBytes,
 		connections: defaultConnections,
 		drainBound:  defaultDrainBound,
+		times:       func() (time.Duration, time.Duration) { return defaultHeader, defaultIdle },
 		condition:   func() bool { return true },
 	}
 	for _, o := range options {
@@ -116,14 +132,14 @@
 	// survive its end.
 	h := &http.Server{
 		Handler:           s.h,
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: headerMark,
 		MaxHeaderBytes:    headerBytes,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       idleMark,
 	}
 	d := make(chan error, 1)
 	f := context.AfterFunc(c, func() { d <- s.shutDown(c, h) })
 	s.serving.Store(true)
-	e := h.Serve(netutil.LimitListener(n, s.connections))
+	e := h.Serve(listener{netutil.LimitListener(n, s.connections), s.times})
 	s.serving.Store(false)
 	if f() {
 		_ = h.Close()
--- /dev/null
+++ b/internal/transport/httpd/timed_test.go
@@ -0,0 +1,59 @@
+package httpd_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bulrushtrail.example/trail/internal/transport/httpd"
+)
+
+// closed returns how long the server keeps the connection.
+func closed(n net.Conn) time.Duration {
+	b := time.Now()
+	_, _ = io.Copy(io.Discard, n)
+	return time.Since(b)
+}
+
+// Guards against times that stay as they were when the configuration changes,
+// and against a connection that is closed before its caller's time is over.
+func TestTimesInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var h, i time.Duration
+		x := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }, prometheus.NewRegistry(),
+			httpd.WithTimes(func() (time.Duration, time.Duration) { return h, i }))
+		var g []time.Duration
+		for _, k := range []struct{ header, idle time.Duration }{{0, 0}, {2 * time.Second, 90 * time.Second}} {
+			h, i = k.header, k.idle
+			n, e := x.n.DialContext(t.Context(), "tcp", "server:80")
+			if e != nil {
+				t.Fatal(e)
+			}
+			_, _ = io.WriteString(n, "GET / HTTP/1.1\r\nHo")
+			g = append(g, closed(n))
+			n, e = x.n.DialContext(t.Context(), "tcp", "server:80")
+			if e != nil {
+				t.Fatal(e)
+			}
+			_, _ = io.WriteString(n, "GET / HTTP/1.1\r\nHost: server\r\n\r\n")
+			r, e := http.ReadResponse(bufio.NewReader(n), nil)
+			if e != nil {
+				t.Fatal(e)
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			g = append(g, closed(n))
+		}
+		w := []time.Duration{5 * time.Second, time.Minute, 2 * time.Second, 90 * time.Second}
+		if d := cmp.Diff(w, g); d != "" {
+			t.Error(d)
+		}
+		x.finish(t)
+	})
+}
