batch, platform/store: read what does not change from old copies

The platform answers reads from old copies at a tenth of the price, outside its rate. Ruled out: asking the owner of a job for its results (that there are none has to be read from the platform all the same, unless a lease is kept). Change: trail.StaleStore. Objects that never change, results that are there, and the reviews of idle fronts are read from old copies; that a result is not there is read from the platform itself. Reviews compare with the newest version that is known.

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -27,15 +28,29 @@
 
 // store is a platform in memory.
 type store struct {
-	trail.Store
+	trail.StaleStore
 	m       sync.Mutex
 	version int64
 	objects map[string]object.Object
+	// Versions of the objects in the order of their writes.
+	past []written
+	// How old stale reads are.
+	lag time.Duration
+	// Reads of the present by kind.
+	reads map[string]int
 	// Fails the next write after it was carried out.
 	lose bool
 }
 
-func newStore() *store { return &store{objects: map[string]object.Object{}} }
+// written is a version of an object.
+type written struct {
+	at time.Time
+	o  object.Object
+}
+
+func newStore() *store {
+	return &store{objects: map[string]object.Object{}, reads: map[string]int{}}
+}
 
 func failed(cause error, v trail.Verdict) error {
 	return trail.WrapError(cause, "failed", v, "failed")
@@ -43,9 +58,33 @@
 
 func key(o object.Object) string { return o.Kind() + "/" + o.Name() }
 
+func (s *store) GetStale(_ context.Context, kind, name string) (object.Object, error) {
+	l, _, _ := s.ListStale(context.Background(), kind)
+	for _, o := range l {
+		if o.Name() == name {
+			return o, nil
+		}
+	}
+	return object.Object{}, failed(trail.ErrNotFound, trail.NotRun)
+}
+
+func (s *store) ListStale(_ context.Context, kind string) ([]object.Object, int64, error) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	m := map[string]object.Object{}
+	for _, w := range s.past {
+		if w.o.Kind() == kind && time.Since(w.at) >= s.lag {
+			m[w.o.Name()] = w.o
+		}
+	}
+	maps.DeleteFunc(m, func(_ string, o object.Object) bool { return o.Value() == nil })
+	return slices.Collect(maps.Values(m)), s.version, nil
+}
+
 func (s *store) Get(_ context.Context, kind, name string) (object.Object, error) {
 	s.m.Lock()
 	defer s.m.Unlock()
+	s.reads[kind]++
 	o, k := s.objects[kind+"/"+name]
 	if !k {
 		return o, failed(trail.ErrNotFound, trail.NotRun)
@@ -87,6 +126,7 @@
 	s.version++
 	o = object.New(o.Kind(), o.Name(), s.version, o.Value())
 	s.objects[key(o)] = o
+	s.past = append(s.past, written{time.Now(), o})
 	if s.lose {
 		s.lose = false
 		return o, failed(trail.ErrUnavailable, trail.MayHaveRun)
@@ -98,6 +138,7 @@
 	s.m.Lock()
 	defer s.m.Unlock()
 	delete(s.objects, key(o))
+	s.past = append(s.past, written{time.Now(), object.New(o.Kind(), o.Name(), 0, nil)})
 	return nil
 }
 
@@ -136,7 +177,7 @@
 func output(id string) string { return id + "\n" + strings.Repeat("x", 100) }
 
 // newJobs starts a front's jobs, with one backend server of 8 slots.
-func newJobs(t *testing.T, c context.Context, name string, s trail.Store, g *engine, valueBytes int64) *batch.Jobs {
+func newJobs(t *testing.T, c context.Context, name string, s trail.StaleStore, g *engine, valueBytes int64) *batch.Jobs {
 	t.Helper()
 	f := fleet.New(name, "a")
 	f.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -53,7 +53,7 @@
 // from any goroutine.
 type Jobs struct {
 	self  *wire.Front
-	store trail.Store
+	store trail.StaleStore
 	f     *fleet.Fleet
 	up    trail.Upstream
 	table func() *rules.Table
@@ -64,8 +64,8 @@
 	valueBytes int
 	wake       chan struct{}
 	// Holds a value while a review is wanted.
-	look chan struct{}
-	born time.Time
+	asked chan struct{}
+	born  time.Time
 	// Jobs left to others.
 	released atomic.Uint32
 
@@ -83,10 +83,10 @@
 }
 
 // New starts to run the jobs that this front owns, until c ends.
-func New(c context.Context, self *wire.Front, store trail.Store, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
+func New(c context.Context, self *wire.Front, store trail.StaleStore, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
 	s := &Jobs{
 		self: self, store: store, f: f, up: up, table: table, l: l, changed: changed,
-		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), look: make(chan struct{}, 1), born: time.Now(),
+		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), asked: make(chan struct{}, 1), born: time.Now(),
 		known: map[string]*known{}, owned: map[string]*owned{}, agenda: agenda.New(), runs: map[string][]*run{},
 		items: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_batch_runs_total",
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -98,6 +98,36 @@
 	})
 }
 
+// Guards against results that were read and are gone at another front whose
+// reads are old, against a new job that such a front does not find, and against
+// reads of the present where old ones do.
+func TestReadsFromOldCopies(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		s.lag = 3 * time.Second
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		q := newJobs(t, c, "front-2", s, g, valueBytes)
+		accept(t, c, p, "job", 40)
+		for b := 0; b < 40; {
+			time.Sleep(time.Second)
+			_, a, e := q.Results(c, "job", max(b-1, 0), 0)
+			if b > 0 && len(a) == 0 || e != nil {
+				t.Fatal("result that was read a second ago is gone:", b, e)
+			}
+			_, a, e = p.Results(c, "job", b, 0)
+			if e != nil {
+				t.Fatal(e)
+			}
+			b += len(a)
+		}
+		time.Sleep(10 * time.Second)
+		n := s.reads["batch-results"]
+		r := newJobs(t, c, "front-3", s, g, valueBytes)
+		if d := cmp.Diff([]int{40, n}, []int{len(list(t, c, r, "job")), s.reads["batch-results"]}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against jobs that fill the platform for ever, and against one that is
 // deleted while it can be asked for.
 func TestOldJobIsDeleted(t *testing.T) {
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -95,43 +95,76 @@
 
 // review looks for jobs that were ended, or whose owner is gone, until c ends.
 func (s *Jobs) review(c context.Context) {
-	for s.waitReview(c) {
-		l, _, e := s.store.List(c, kindJobs)
+	for {
+		w := s.waitReview(c)
+		var l []object.Object
+		var e error
+		switch w {
+		case noReview:
+			return
+		case idleReview:
+			l, _, e = s.store.ListStale(c, kindJobs)
+		default:
+			l, _, e = s.store.List(c, kindJobs)
+		}
 		if e != nil {
 			s.l.WithError(e).Warn("batch: jobs not reviewed, the platform does not answer")
 			s.reviewLater()
 			continue
 		}
 		for _, o := range l {
-			j := &wire.BatchJob{}
-			e = o.Decode(j)
-			if e != nil {
-				s.l.WithError(e).WithField("job-id", o.Name()).Warn("batch: job is not readable")
-				continue
-			}
-			s.remember(o, j)
-			s.consider(c, o.Name(), j)
+			s.look(c, o)
 		}
 	}
 }
 
+// look compares a job's object, which may be old, with what this front does.
+func (s *Jobs) look(c context.Context, o object.Object) {
+	j := &wire.BatchJob{}
+	e := o.Decode(j)
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", o.Name()).Warn("batch: job is not readable")
+		return
+	}
+	k := s.remember(o, j)
+	s.m.Lock()
+	j = k.job
+	s.m.Unlock()
+	s.consider(c, o.Name(), j)
+}
+
+// occasion is why a review is due.
+type occasion int
+
+const (
+	// The front is stopping.
+	noReview occasion = iota
+	// Nothing is known to have changed; a job that is found lost some seconds
+	// later does no harm.
+	idleReview
+	// This front runs jobs, which may have been ended, or a review was asked for.
+	wantedReview
+)
+
 // waitReview returns when a review is due: while this front runs jobs each
-// reviewPause, else each idleReviewPause, and when one is asked for. It returns
-// false when c ends.
-func (s *Jobs) waitReview(c context.Context) bool {
+// reviewPause, else each idleReviewPause, and when one is asked for.
+func (s *Jobs) waitReview(c context.Context) occasion {
 	b := time.Now()
 	t := time.NewTicker(reviewPause)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
-			if s.ownedJobs() > 0 || time.Since(b) >= idleReviewPause {
-				return true
+			if s.ownedJobs() > 0 {
+				return wantedReview
+			}
+			if time.Since(b) >= idleReviewPause {
+				return idleReview
 			}
-		case <-s.look:
-			return true
+		case <-s.asked:
+			return wantedReview
 		case <-c.Done():
-			return false
+			return noReview
 		}
 	}
 }
@@ -310,7 +343,7 @@
 // Review looks for jobs without an owner soon.
 func (s *Jobs) Review() {
 	select {
-	case s.look <- struct{}{}:
+	case s.asked <- struct{}{}:
 	default:
 	}
 }
--- a/internal/coordination/batch/read.go
+++ b/internal/coordination/batch/read.go
@@ -72,7 +72,8 @@
 	if k != nil {
 		return k, nil
 	}
-	o, e := s.store.Get(c, kindJobs, id)
+	// What is needed of it is the same in all versions.
+	o, e := s.unchanging(c, kindJobs, id)
 	if errors.Is(e, trail.ErrNotFound) {
 		return nil, trail.WrapError(e, "job-missing", trail.NotRun, "no such job").At(id)
 	}
@@ -87,6 +88,15 @@
 	return s.remember(o, j), nil
 }
 
+// unchanging reads an object, in any version. An old copy may lack it.
+func (s *Jobs) unchanging(c context.Context, kind, name string) (object.Object, error) {
+	o, e := s.store.GetStale(c, kind, name)
+	if errors.Is(e, trail.ErrNotFound) {
+		return s.store.Get(c, kind, name)
+	}
+	return o, e
+}
+
 // remember keeps a job's object unless a newer version is known.
 func (s *Jobs) remember(o object.Object, j *wire.BatchJob) *known {
 	s.m.Lock()
@@ -103,31 +113,56 @@
 	return k
 }
 
-// current returns the results from a position on. It reads the platform unless
-// its copy is fresh.
+// current returns the results from a position on. Those that an old copy has
+// are as good as any, since the list only grows. That there are none is read
+// from the platform itself, unless that was done just now.
 func (s *Jobs) current(c context.Context, id string, k *known, after int) ([]*wire.BatchResult, error) {
 	s.m.Lock()
 	f := time.Since(k.read) < freshFor
 	s.m.Unlock()
-	if !f {
-		e := s.refresh(c, id, k)
-		if e != nil {
-			return nil, e
-		}
+	if f {
+		return s.after(k, after), nil
 	}
+	e := s.readParts(c, id, k, s.store.GetStale)
+	if e != nil {
+		return nil, e
+	}
+	l := s.after(k, after)
+	if len(l) > 0 {
+		return l, nil
+	}
+	e = s.refresh(c, id, k)
+	return s.after(k, after), e
+}
+
+// after returns the results from a position on that this process knows.
+func (s *Jobs) after(k *known, position int) []*wire.BatchResult {
 	s.m.Lock()
 	defer s.m.Unlock()
-	return k.results(after), nil
+	return k.results(position)
 }
 
 // refresh reads the newest results objects of a job.
 func (s *Jobs) refresh(c context.Context, id string, k *known) error {
 	b := time.Now()
+	e := s.readParts(c, id, k, s.store.Get)
+	if e != nil {
+		return e
+	}
+	s.m.Lock()
+	defer s.m.Unlock()
+	k.read = b
+	return nil
+}
+
+// readParts reads the last results object that is known of a job, and those
+// after it.
+func (s *Jobs) readParts(c context.Context, id string, k *known, get func(c context.Context, kind, name string) (object.Object, error)) error {
 	s.m.Lock()
 	n := max(len(k.parts)-1, 0)
 	s.m.Unlock()
 	for {
-		o, e := s.store.Get(c, kindResults, partName(id, n))
+		o, e := get(c, kindResults, partName(id, n))
 		if errors.Is(e, trail.ErrNotFound) {
 			break
 		}
@@ -144,9 +179,6 @@
 		}
 		n++
 	}
-	s.m.Lock()
-	k.read = b
-	s.m.Unlock()
 	return nil
 }
 
@@ -205,7 +237,7 @@
 	}
 	var l []*wire.BatchItem
 	for i := range k.inputs {
-		o, e := s.store.Get(c, kindInputs, partName(id, i))
+		o, e := s.unchanging(c, kindInputs, partName(id, i))
 		if e != nil {
 			return trail.WrapError(e, "platform-unavailable", trail.NotRun, "items of the job are not at hand").At(id)
 		}
--- a/internal/coordination/relay/store.go
+++ b/internal/coordination/relay/store.go
@@ -25,9 +25,9 @@
 	callTimeout = 1500 * time.Millisecond
 )
 
-// Store is a trail.Store with a way around.
+// Store is a trail.StaleStore with a way around.
 type Store struct {
-	own trail.Store
+	own trail.StaleStore
 	m   *mesh.Mesh
 	// Peer addresses of the fronts that the platform answers.
 	peers func() []string
@@ -36,11 +36,11 @@
 	avoided atomic.Int64
 }
 
-var _ trail.Store = (*Store)(nil)
+var _ trail.StaleStore = (*Store)(nil)
 
 // New returns a store that calls own, and the fronts at peers while own does
 // not answer.
-func New(own trail.Store, m *mesh.Mesh, peers func() []string, l log.Interface) *Store {
+func New(own trail.StaleStore, m *mesh.Mesh, peers func() []string, l log.Interface) *Store {
 	return &Store{own: own, m: m, peers: peers, l: l}
 }
 
@@ -55,6 +55,41 @@
 	return s.call(c, wire.StoreVerb_STORE_VERB_LIST, object.New(kind, "", 0, nil))
 }
 
+// GetStale reads one object from a copy that may be seconds old, or from the
+// platform through another front if no copy answers.
+func (s *Store) GetStale(c context.Context, kind, name string) (object.Object, error) {
+	if !s.avoids() {
+		o, e := s.own.GetStale(c, kind, name)
+		if !away(e) {
+			return o, e
+		}
+		s.avoid()
+	}
+	return s.Get(c, kind, name)
+}
+
+// ListStale does so with all objects of a kind.
+func (s *Store) ListStale(c context.Context, kind string) ([]object.Object, int64, error) {
+	if !s.avoids() {
+		l, v, e := s.own.ListStale(c, kind)
+		if !away(e) {
+			return l, v, e
+		}
+		s.avoid()
+	}
+	return s.List(c, kind)
+}
+
+// avoids says whether the platform has not answered lately.
+func (s *Store) avoids() bool { return time.Now().UnixNano() < s.avoided.Load() }
+
+func (s *Store) avoid() { s.avoided.Store(time.Now().Add(avoidTime).UnixNano()) }
+
+// away says whether an error means that the platform does not answer.
+func away(e error) bool {
+	return errors.Is(e, trail.ErrUnavailable) && trail.CodeOf(e) != "object-unreadable"
+}
+
 // Create stores a new object and returns it with its version.
 func (s *Store) Create(c context.Context, o object.Object) (object.Object, error) {
 	l, _, e := s.call(c, wire.StoreVerb_STORE_VERB_CREATE, o)
@@ -88,14 +123,14 @@
 // call makes one call directly, or through another front.
 func (s *Store) call(c context.Context, v wire.StoreVerb, o object.Object) ([]object.Object, int64, error) {
 	p := s.peers()
-	a := len(p) > 0 && time.Now().UnixNano() < s.avoided.Load()
+	a := len(p) > 0 && s.avoids()
 	var e error
 	if !a {
 		l, n, f := direct(c, s.own, v, o)
-		if !errors.Is(f, trail.ErrUnavailable) || trail.CodeOf(f) == "object-unreadable" {
+		if !away(f) {
 			return l, n, f
 		}
-		s.avoided.Store(time.Now().Add(avoidTime).UnixNano())
+		s.avoid()
 		if trail.VerdictOf(f) != trail.NotRun || c.Err() != nil || len(p) == 0 {
 			return nil, 0, f
 		}
--- a/internal/coordination/relay/store_test.go
+++ b/internal/coordination/relay/store_test.go
@@ -23,7 +23,7 @@
 
 // platform answers each call with an error, or with an object of version 7.
 type platform struct {
-	trail.Store
+	trail.StaleStore
 	fails error
 	calls int
 }
@@ -37,6 +37,10 @@
 	return p.do(object.New(kind, name, 0, nil))
 }
 
+func (p *platform) GetStale(c context.Context, kind, name string) (object.Object, error) {
+	return p.Get(c, kind, name)
+}
+
 func (p *platform) Create(_ context.Context, o object.Object) (object.Object, error) { return p.do(o) }
 
 func (p *platform) Update(_ context.Context, o object.Object) (object.Object, error) { return p.do(o) }
@@ -88,6 +92,23 @@
 	})
 }
 
+// Guards against a read of an old copy that fails although another front can
+// read, and against one that asks the platform after it has just failed.
+func TestStaleReadThroughAnotherFront(t *testing.T) {
+	play(t, func(c context.Context, s *relay.Store, near, far *platform) {
+		_, e := s.GetStale(c, "jobs", "a")
+		near.fails = refused()
+		_, f := s.GetStale(c, "jobs", "a")
+		_, g := s.GetStale(c, "jobs", "a")
+		if e != nil || f != nil || g != nil {
+			t.Error(e, f, g)
+		}
+		if d := cmp.Diff([]int{2, 2}, []int{near.calls, far.calls}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a write that is made twice: one whose answer was lost is not
 // repeated through another front.
 func TestDoubtfulWriteIsNotRepeated(t *testing.T) {
--- a/store.go
+++ b/store.go
@@ -45,6 +45,17 @@
 	Watch(c context.Context, kind string, after int64) (<-chan Change, error)
 }
 
+// StaleStore is a Store that also reads from a copy which may be seconds old,
+// at a fraction of the price of a read and outside the platform's call rate.
+type StaleStore interface {
+	Store
+	// GetStale reads one object as it was at some time. An object that it does
+	// not find may exist.
+	GetStale(c context.Context, kind, name string) (object.Object, error)
+	// ListStale reads all objects of a kind as they were at some time.
+	ListStale(c context.Context, kind string) ([]object.Object, int64, error)
+}
+
 // Change is one change of an object.
 type Change struct {
 	object  object.Object
