--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -40,7 +40,7 @@
 	changed chan struct{}
 	// Holds a value while a new list is wanted.
 	refresh chan struct{}
-	// Lists with changes that the watch had not told.
+	// Lists at the interval of Verify with changes that the watch had not told.
 	missed uint32
 }
 
@@ -194,7 +194,9 @@
 	return s.known
 }
 
-// Missed returns how many lists have had changes that the watch had not told.
+// Missed returns how many lists at the interval of Verify have had changes that
+// the watch had not told. Lists that Refresh has asked for don't count: fronts
+// that follow each other's finds would otherwise ask each other for ever more.
 func (s *Informer) Missed() uint32 {
 	s.m.Lock()
 	defer s.m.Unlock()
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -182,8 +182,8 @@
 	})
 }
 
-// Guards against fronts that all list at the interval, and against one that
-// does not list when it is asked to.
+// Guards against fronts that all list at the interval, against one that does
+// not list when it is asked to, and against finds that are told on and on.
 func TestRefresh(t *testing.T) {
 	play(t, func(c context.Context, s *store, i *inform.Informer) {
 		go i.Verify(c, 900*time.Millisecond, func() bool { return false })
@@ -196,5 +196,9 @@
 		if d := cmp.Diff([]string{"a", "b"}, g); d != "" {
 			t.Error(d)
 		}
+		// The others were told by the one that asked.
+		if d := cmp.Diff(uint32(0), i.Missed()); d != "" {
+			t.Error(d)
+		}
 	})
 }
--- a/internal/coordination/inform/verify.go
+++ b/internal/coordination/inform/verify.go
@@ -21,10 +21,11 @@
 		case <-c.Done():
 			return
 		case <-t.C:
-			if due() {
-				s.verify(c)
+			if due() && s.verify(c) {
+				s.miss()
 			}
 		case <-s.refresh:
+			// Whoever asked for it is told already.
 			s.verify(c)
 			select {
 			case <-time.After(refreshPause):
@@ -35,10 +36,12 @@
 	}
 }
 
-func (s *Informer) verify(c context.Context) {
+// verify lists the kind. It returns whether the list has changes that the watch
+// has not told.
+func (s *Informer) verify(c context.Context) bool {
 	if !s.Known() {
 		// The first list is on its way.
-		return
+		return false
 	}
 	d := s.Digest()
 	l, v, e := s.store.List(c, s.kind)
@@ -46,15 +49,20 @@
 		if c.Err() == nil {
 			s.lost(e)
 		}
-		return
+		return false
 	}
 	s.replace(l, v)
-	if d != s.Digest() {
-		s.m.Lock()
-		s.missed++
-		s.m.Unlock()
-		s.l.Info("inform: list has changes that the watch has not told yet")
+	if d == s.Digest() {
+		return false
 	}
+	s.l.Info("inform: list has changes that the watch has not told yet")
+	return true
+}
+
+func (s *Informer) miss() {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.missed++
 }
 
 // Refresh asks for a new list soon.
