batch, notice: tell the owner of a job that it has ended

Cause: a front that runs jobs listed all jobs of the platform each 1.5 s to see within 3 s that one has ended. Ruled out: a read of each own job (as many calls as lists, where a front runs few jobs); rarer lists (too late for the 3 s). Change: the front that ends a job tells the owner over the mesh and acknowledges the end after the answer, or two seconds later; reviews read old copies. Test: TestTell, TestEndedElsewhereWithOldCopies, TestEndNotHeeded, TestEndedJobStops with a platform whose copies lag.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -15,6 +15,7 @@
 	"bulrushtrail.example/trail/internal/coordination/gossip"
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/member"
+	"bulrushtrail.example/trail/internal/coordination/notice"
 	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/coordination/relay"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -129,7 +130,7 @@
 		Incarnation: &p.incarnation, Role: &p.role,
 	}.Build(), p.d, p.l)
 	s.relay = relay.New(p.store, s.mesh, s.helpers, p.l)
-	s.jobs = batch.New(c, s.self, s.relay, s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
+	s.jobs = batch.New(c, s.self, s.relay, notice.New(s.mesh, s.peerOf), s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
 	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
 		httpd.WithTimes(s.callerTimes), httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
@@ -150,8 +151,14 @@
 // servePeers answers other fronts until c ends.
 func (s *frontRole) servePeers(c context.Context, n net.Listener) {
 	e := s.mesh.Serve(c, n, func(c context.Context, n *frame.Stream, o *wire.Open, _ *wire.Hello) {
-		if o.HasStore() {
+		switch {
+		case o.HasStore():
 			s.relay.ServeCall(c, n, o.GetStore())
+		case o.HasJob():
+			e := notice.Serve(n, o.GetJob(), s.jobs.Noticed)
+			if e != nil {
+				s.l.WithError(e).Warn("bulrushd: notice of another front not answered")
+			}
 		}
 	})
 	if e != nil {
@@ -163,15 +170,29 @@
 func (s *frontRole) helpers() []string {
 	var l []string
 	for _, n := range s.f.Watchful(time.Now()) {
-		o, _ := s.fronts.Get(n)
-		f := &wire.Front{}
-		if o.Value() != nil && o.Decode(f) == nil {
-			l = append(l, f.GetPeerAddress())
+		a := s.peerOf(n)
+		if a != "" {
+			l = append(l, a)
 		}
 	}
 	return l
 }
 
+// peerOf returns the peer address of a front, empty when it is not known.
+func (s *frontRole) peerOf(name string) string {
+	o, k := s.fronts.Get(name)
+	if !k {
+		return ""
+	}
+	f := &wire.Front{}
+	e := o.Decode(f)
+	if e != nil {
+		s.l.WithError(e).WithField("front", name).Warn("bulrushd: entry of a front is not readable")
+		return ""
+	}
+	return f.GetPeerAddress()
+}
+
 func (s *frontRole) stopTime() time.Duration {
 	return time.Duration(s.n.GetStopSeconds()*float64(time.Second)) - exitTime
 }
--- /dev/null
+++ b/internal/coordination/batch/end.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// A front that could not be told of a job's end finds it by its reviews, whose
+// copies of the platform's objects may be three seconds old. The end is
+// acknowledged so much later that no item begins three seconds after that.
+const untoldPause = 2 * time.Second
+
+// End ends a job and returns once that is kept and the front that runs the job
+// heeds it. The errors are those of Results, and "end-not-heeded", after which
+// the call may be repeated.
+func (s *Jobs) End(c context.Context, id string) error {
+	for {
+		e := s.change(c, id, func(j *wire.BatchJob) bool {
+			d := !j.GetEnded()
+			j.SetEnded(true)
+			return d
+		})
+		if e == nil {
+			s.drop(id, "ended by its caller")
+			return s.tell(c, id)
+		}
+		if errors.Is(e, trail.ErrNotFound) {
+			return trail.WrapError(e, "job-missing", trail.NotRun, "no such job").At(id)
+		}
+		if !wait(c, writePause) {
+			return e
+		}
+	}
+}
+
+// tell tells the owner of a job, if it is another front that lives, that the
+// job has ended.
+func (s *Jobs) tell(c context.Context, id string) error {
+	s.m.Lock()
+	k := s.known[id]
+	s.m.Unlock()
+	if k == nil {
+		return nil
+	}
+	s.m.Lock()
+	o, w := k.object, k.job.GetOwner()
+	s.m.Unlock()
+	if w == "" || w == s.self.GetName() || s.settled() && !s.f.Present(time.Now(), w) {
+		return nil
+	}
+	e := s.notifier.Tell(c, w, o)
+	if e == nil {
+		return nil
+	}
+	s.l.WithError(e).WithField("job-id", id).WithField("front", w).Warn("batch: front that runs an ended job was not told")
+	if !wait(c, untoldPause) {
+		return trail.WrapError(e, "end-not-heeded", trail.NotRun, "front that runs the job may not know of its end yet").At(id)
+	}
+	return nil
+}
+
+// Noticed takes in a job's object that another front has changed.
+func (s *Jobs) Noticed(name string, version int64, value []byte) {
+	o := object.New(kindJobs, name, version, value)
+	j := &wire.BatchJob{}
+	e := o.Decode(j)
+	if e != nil {
+		s.l.WithError(e).WithField("job-id", name).Warn("batch: notice of a job is not readable")
+		return
+	}
+	s.remember(o, j)
+	if j.GetEnded() {
+		s.drop(name, "ended by its caller")
+	}
+}
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -38,6 +38,8 @@
 	lag time.Duration
 	// Reads of the present by kind.
 	reads map[string]int
+	// Between the fronts on this platform.
+	notices *notices
 	// Fails the next write after it was carried out.
 	lose bool
 }
@@ -49,7 +51,7 @@
 }
 
 func newStore() *store {
-	return &store{objects: map[string]object.Object{}, reads: map[string]int{}}
+	return &store{objects: map[string]object.Object{}, reads: map[string]int{}, notices: &notices{fronts: map[string]*batch.Jobs{}}}
 }
 
 func failed(cause error, v trail.Verdict) error {
@@ -174,10 +176,30 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewBufferString(b))}, nil
 }
 
+// notices tells fronts that are in the same process.
+type notices struct {
+	m      sync.Mutex
+	fronts map[string]*batch.Jobs
+	// No notice arrives.
+	cut bool
+}
+
+func (n *notices) Tell(_ context.Context, front string, o object.Object) error {
+	n.m.Lock()
+	j := n.fronts[front]
+	c := n.cut
+	n.m.Unlock()
+	if j == nil || c {
+		return trail.NewError("peer-unreachable", trail.NotRun, "cut")
+	}
+	j.Noticed(o.Name(), o.Version(), o.Value())
+	return nil
+}
+
 func output(id string) string { return id + "\n" + strings.Repeat("x", 100) }
 
 // newJobs starts a front's jobs, with one backend server of 8 slots.
-func newJobs(t *testing.T, c context.Context, name string, s trail.StaleStore, g *engine, valueBytes int64) *batch.Jobs {
+func newJobs(t *testing.T, c context.Context, name string, s *store, g *engine, valueBytes int64) *batch.Jobs {
 	t.Helper()
 	f := fleet.New(name, "a")
 	f.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{
@@ -188,8 +210,13 @@
 		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
 	}.Build()}}.Build())
 	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
-	return batch.New(c, n, s, f, g, func() *rules.Table { return r }, valueBytes,
+	x := s.notices
+	j := batch.New(c, n, s, x, f, g, func() *rules.Table { return r }, valueBytes,
 		&log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {})
+	x.m.Lock()
+	defer x.m.Unlock()
+	x.fronts[name] = j
+	return j
 }
 
 func items(n int) []*wire.BatchItem {
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -32,9 +32,8 @@
 	// Items are handed to free slots at this interval, besides each time that
 	// the load changes.
 	dispatchPause = 50 * time.Millisecond
-	// Interval at which a front looks for jobs that have ended or lost their
-	// owner. With the time of one read it is below the 3 s in which an ended
-	// job must stop.
+	// Interval at which a front that runs jobs looks for those that have ended
+	// or lost their owner.
 	reviewPause = 1500 * time.Millisecond
 	// Time of the first review, in which a front finds the jobs that it ran
 	// before it was restarted.
@@ -57,7 +56,9 @@
 	f     *fleet.Fleet
 	up    trail.Upstream
 	table func() *rules.Table
-	l     log.Interface
+	// Tells other fronts that their jobs have ended.
+	notifier trail.Notifier
+	l        log.Interface
 	// Called when the loads of this front have changed.
 	changed func()
 	// Largest value of an object in bytes.
@@ -83,9 +84,9 @@
 }
 
 // New starts to run the jobs that this front owns, until c ends.
-func New(c context.Context, self *wire.Front, store trail.StaleStore, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
+func New(c context.Context, self *wire.Front, store trail.StaleStore, n trail.Notifier, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
 	s := &Jobs{
-		self: self, store: store, f: f, up: up, table: table, l: l, changed: changed,
+		self: self, store: store, notifier: n, f: f, up: up, table: table, l: l, changed: changed,
 		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), asked: make(chan struct{}, 1), born: time.Now(),
 		known: map[string]*known{}, owned: map[string]*owned{}, agenda: agenda.New(), runs: map[string][]*run{},
 		items: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/batch"
 )
 
@@ -160,6 +161,41 @@
 	})
 }
 
+// Guards against an ended job that runs on because reviews see an old copy of
+// it, whether or not its front could be told.
+func TestEndedElsewhereWithOldCopies(t *testing.T) {
+	for _, x := range []bool{false, true} {
+		play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+			s.lag = 3 * time.Second
+			s.notices.cut = x
+			p := newJobs(t, c, "front-1", s, g, valueBytes)
+			q := newJobs(t, c, "front-2", s, g, valueBytes)
+			accept(t, c, p, "job", 200)
+			b := time.Now()
+			endedStops(t, c, q, g)
+			if d := time.Since(b); !x && d != 24*time.Second {
+				t.Error("the end was not acknowledged at once:", d)
+			}
+		})
+	}
+}
+
+// Guards against an end that is acknowledged although the job may run on.
+func TestEndNotHeeded(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		s.notices.cut = true
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		q := newJobs(t, c, "front-2", s, g, valueBytes)
+		accept(t, c, p, "job", 10)
+		b, f := context.WithTimeout(c, time.Second)
+		defer f()
+		e := q.End(b, "job")
+		if d := cmp.Diff([]any{"end-not-heeded", trail.NotRun}, []any{trail.CodeOf(e), trail.VerdictOf(e)}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // endedStops ends the job at q and checks that no item begins later than three
 // seconds afterwards.
 func endedStops(t *testing.T, c context.Context, q *batch.Jobs, g *engine) {
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -45,7 +45,7 @@
 	k := s.remember(b, j)
 	s.m.Lock()
 	defer s.m.Unlock()
-	if s.owned[d] != nil || s.leaving || j.GetEnded() {
+	if s.owned[d] != nil || s.leaving || k.job.GetEnded() {
 		return
 	}
 	k.input = items
@@ -102,7 +102,7 @@
 		switch w {
 		case noReview:
 			return
-		case idleReview:
+		case periodicReview:
 			l, _, e = s.store.ListStale(c, kindJobs)
 		default:
 			l, _, e = s.store.List(c, kindJobs)
@@ -139,11 +139,11 @@
 const (
 	// The front is stopping.
 	noReview occasion = iota
-	// Nothing is known to have changed; a job that is found lost some seconds
-	// later does no harm.
-	idleReview
-	// This front runs jobs, which may have been ended, or a review was asked for.
-	wantedReview
+	// Nothing is known to have changed, and what is found some seconds later
+	// does no harm: fronts are told of the end of the jobs that they run.
+	periodicReview
+	// Another front has left a job, or an earlier review could not do all.
+	askedReview
 )
 
 // waitReview returns when a review is due: while this front runs jobs each
@@ -155,14 +155,11 @@
 	for {
 		select {
 		case <-t.C:
-			if s.ownedJobs() > 0 {
-				return wantedReview
-			}
-			if time.Since(b) >= idleReviewPause {
-				return idleReview
+			if s.ownedJobs() > 0 || time.Since(b) >= idleReviewPause {
+				return periodicReview
 			}
 		case <-s.asked:
-			return wantedReview
+			return askedReview
 		case <-c.Done():
 			return noReview
 		}
--- a/internal/coordination/batch/read.go
+++ b/internal/coordination/batch/read.go
@@ -254,28 +254,6 @@
 	return nil
 }
 
-// End ends a job and returns once that is kept. The errors are those of
-// Results.
-func (s *Jobs) End(c context.Context, id string) error {
-	for {
-		e := s.change(c, id, func(j *wire.BatchJob) bool {
-			d := !j.GetEnded()
-			j.SetEnded(true)
-			return d
-		})
-		if e == nil {
-			s.drop(id, "ended by its caller")
-			return nil
-		}
-		if errors.Is(e, trail.ErrNotFound) {
-			return trail.WrapError(e, "job-missing", trail.NotRun, "no such job").At(id)
-		}
-		if !wait(c, writePause) {
-			return e
-		}
-	}
-}
-
 // change updates a job's object by a conditional update. The function returns
 // false when there is nothing to change.
 func (s *Jobs) change(c context.Context, id string, f func(j *wire.BatchJob) bool) error {
--- /dev/null
+++ b/internal/coordination/notice/sender_test.go
@@ -0,0 +1,58 @@
+package notice_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/notice"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/standin/golden"
+	"bulrushtrail.example/trail/internal/standin/memnet"
+	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/transport/frame"
+	"bulrushtrail.example/trail/internal/transport/mesh"
+)
+
+// Guards against a notice that counts as heeded although nobody has taken it
+// in, and against one that arrives changed.
+func TestTell(t *testing.T) {
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
+		n := memnet.New()
+		m := mesh.New(c, &wire.Hello{}, n, &log.Logger{Handler: discard.New()})
+		var g []any
+		go func() {
+			_ = m.Serve(c, n.Listen("far:1"), func(_ context.Context, s *frame.Stream, o *wire.Open, _ *wire.Hello) {
+				if o.GetJob().GetName() == "ignored" {
+					return
+				}
+				_ = notice.Serve(s, o.GetJob(), func(name string, version int64, value []byte) {
+					g = append(g, name, version, string(value))
+				})
+			})
+		}()
+		synctest.Wait()
+		s := notice.New(m, func(front string) string {
+			return map[string]string{"far": "far:1", "gone": "gone:1"}[front]
+		})
+		for _, k := range []struct{ front, job, code string }{
+			{"far", "job", ""},
+			{"far", "ignored", "peer-lost"},
+			{"gone", "job", "peer-unreachable"},
+			{"unknown", "job", "peer-unknown"},
+		} {
+			e := s.Tell(c, k.front, object.New("jobs", k.job, 7, []byte("{}")))
+			if d := cmp.Diff(k.code, trail.CodeOf(e)); e == nil && k.code != "" || e != nil && d != "" {
+				t.Errorf("%s at %s: %v %s", k.job, k.front, e, d)
+			}
+		}
+		if d := cmp.Diff([]any{"job", int64(7), "{}"}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/upstream.go
+++ b/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 // Upstream runs one attempt of a request at a backend server.
@@ -68,6 +69,13 @@
 // Deadline returns when the caller stops waiting, zero for never.
 func (r *Request) Deadline() time.Time { return r.deadline }
 
+// Notifier tells another front of a change that concerns its work.
+type Notifier interface {
+	// Tell returns nil once the front heeds the object. The error's verdict is
+	// MayHaveRun when the front may do so.
+	Tell(c context.Context, front string, o object.Object) error
+}
+
 // Sharer is the work that fronts share among each other, as their datagrams
 // tell it.
 type Sharer interface {
