fleet, direct, batch: leave servers alone that answer with failures

Ruled out: retries (the streams must not run twice). Change: a server that answers with a failure is left alone for 0.3 s, twice as long with each further one; the datagrams tell the others, who take it only when there is no other. It gets one request alone when its time is over. Pattern: a server of ten fails at once for four seconds.

--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -167,6 +167,8 @@
 		s.result(r, true, "")
 		return "impossible"
 	case errors.Is(e, errFailed):
+		s.f.FailedAnswer(w, r.server.GetId())
+		s.changed()
 		if s.agenda.Failed(w, r.o.id, r.n) {
 			s.result(r, true, "")
 			return "given-up"
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -44,7 +44,7 @@
 		r = x.whole(c, a, t)
 	}
 	h := time.Since(n)
-	if !r.done {
+	if !r.done || r.failed {
 		h = 0
 	}
 	x.s.f.Done(b.GetId(), h)
@@ -93,10 +93,11 @@
 		return x.broken(c, e)
 	}
 	t.Stop()
-	if x.retriable(a) || x.status != 0 {
+	f := failed(a)
+	if f && x.retriable() || x.status != 0 {
 		// Another attempt may do better, and a stream that was to be resumed
 		// has no use for another status.
-		return result{verdict: trail.MayHaveRun, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", a.StatusCode)}
+		return result{verdict: trail.MayHaveRun, failed: f, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", a.StatusCode)}
 	}
 	if len(b) <= maxWhole {
 		a.Header.Set("Content-Length", strconv.Itoa(len(b)))
@@ -109,7 +110,12 @@
 	if e != nil {
 		return x.relayFailed(c, e)
 	}
-	return result{done: true, verdict: trail.Ran}
+	return result{done: true, failed: f, verdict: trail.Ran}
+}
+
+// failed says whether an answer is a failure of the backend server itself.
+func failed(a *http.Response) bool {
+	return a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout
 }
 
 // relayFailed is an answer that broke off while it was passed on.
@@ -122,9 +128,8 @@
 
 // retriable says whether a failure that the backend server has answered is
 // tried again elsewhere.
-func (x *call) retriable(a *http.Response) bool {
-	return a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout &&
-		x.u.GetRepeat() == wire.Repeat_REPEAT_SAFE && x.runs+1 < int(x.u.GetAttempts())
+func (x *call) retriable() bool {
+	return x.u.GetRepeat() == wire.Repeat_REPEAT_SAFE && x.runs+1 < int(x.u.GetAttempts())
 }
 
 // head writes the head of the answer once.
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -54,6 +54,8 @@
 	verdict trail.Verdict
 	// The backend server was not reached at all.
 	unreachable bool
+	// The backend server answered with a failure of its own.
+	failed bool
 	// The connection was lost after the request had been sent.
 	lost bool
 	// The caller has gone.
@@ -106,6 +108,10 @@
 func (x *call) account(b *wire.BackendServer, r result) {
 	x.s.changed()
 	x.tried = append(x.tried, b.GetId())
+	if r.failed {
+		x.s.failedAnswer(b)
+		return
+	}
 	if r.done || r.gone {
 		return
 	}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -118,12 +118,22 @@
 
 // failed tells the fleet of an attempt without an answer.
 func (s *Server) failed(b *wire.BackendServer, r result) {
-	d := s.f.Failed(time.Now(), b.GetId(), r.unreachable)
-	if d > 0 {
-		s.l.WithFields(log.Fields{
-			"server": b.GetId(), "address": b.GetAddress(), "ms": d.Milliseconds(), "cause": r.cause.Error(),
-		}).Warn("direct: backend server left alone for a while")
+	s.leftAlone(b, s.f.Failed(time.Now(), b.GetId(), r.unreachable), r.cause.Error())
+}
+
+// failedAnswer tells it of an answer that is a failure.
+func (s *Server) failedAnswer(b *wire.BackendServer) {
+	s.leftAlone(b, s.f.FailedAnswer(time.Now(), b.GetId()), "backend server answers with failures")
+}
+
+func (s *Server) leftAlone(b *wire.BackendServer, d time.Duration, cause string) {
+	if d == 0 {
+		return
 	}
+	s.changed()
+	s.l.WithFields(log.Fields{
+		"server": b.GetId(), "address": b.GetAddress(), "ms": d.Milliseconds(), "cause": cause,
+	}).Warn("direct: backend server left alone for a while")
 }
 
 // retry takes a retry from the budget of a service.
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -14,10 +14,6 @@
 	// Part of a service's slots that batch items leave free for the online
 	// requests that arrive next.
 	headroom = 0.08
-	// First and longest time in which a backend server is left alone after a
-	// failure.
-	firstAvoid = 300 * time.Millisecond
-	maxAvoid   = 5 * time.Second
 	// Callers wait for at most this part of the time that they have left, and
 	// come back once.
 	returnShare = 1.0 / 3
@@ -34,6 +30,7 @@
 	ReasonFree    = "free-slot"
 	ReasonYield   = "batch-yields"
 	ReasonQueue   = "queue"
+	ReasonSuspect = "suspect"
 	ReasonFull    = "full"
 	ReasonNone    = "no-backend-server"
 	ReasonDropped = "unknown-backend-server"
@@ -52,10 +49,14 @@
 	var b *server
 	var k place
 	for _, s := range v.servers {
-		if !s.usable(now) || contains(tried, s.b.GetId()) {
+		u := s.suspect(now)
+		if !u && !s.usable(now) || s.b.GetDraining() || contains(tried, s.b.GetId()) {
 			continue
 		}
 		p := f.place(s)
+		if u {
+			p.tier = tierSuspect
+		}
 		if b == nil || p.before(k) {
 			b, k = s, p
 		}
@@ -63,7 +64,7 @@
 	if b == nil {
 		return nil, ReasonNone, wait(left, earliestRecovery, draw)
 	}
-	if k.tier == tierQueue && b.totalOnline()-b.slots() >= v.depth(b.slots(), target) {
+	if k.tier >= tierQueue && b.totalOnline()-b.slots() >= v.depth(b.slots(), target) {
 		return nil, ReasonFull, wait(left, earliestReturn, draw)
 	}
 	b.online++
@@ -86,9 +87,12 @@
 	tierFree = iota
 	tierYield
 	tierQueue
+	// The server fails what it takes: better than none, worse than one that is
+	// full.
+	tierSuspect
 )
 
-var reasons = [...]string{tierFree: ReasonFree, tierYield: ReasonYield, tierQueue: ReasonQueue}
+var reasons = [...]string{tierFree: ReasonFree, tierYield: ReasonYield, tierQueue: ReasonQueue, tierSuspect: ReasonSuspect}
 
 // place is how good a backend server is for one more online request.
 type place struct {
@@ -144,7 +148,7 @@
 	var k place
 	r, l := 0, 0
 	for _, s := range f.service(name).servers {
-		if !s.usable(now) {
+		if s.suspect(now) || !s.usable(now) {
 			continue
 		}
 		l += s.slots()
@@ -206,7 +210,7 @@
 	}
 	s.online = max(s.online-1, 0)
 	if held > 0 {
-		s.failures = 0
+		s.answered()
 		v := f.service(s.b.GetService())
 		v.hold += time.Duration(holdWeight * float64(held-v.hold))
 	}
@@ -222,33 +226,8 @@
 	}
 	s.batch = max(s.batch-1, 0)
 	if answered {
-		s.failures = 0
-	}
-}
-
-// Failed records that a backend server broke a request, or that it could not
-// be reached at all. An unreachable one is left alone for a while that doubles
-// with each failure; one that broke a single request is not, since answers are
-// lost now and then by servers that are well. It returns how long the backend
-// server is left alone.
-func (f *Fleet) Failed(now time.Time, id string, unreachable bool) time.Duration {
-	f.m.Lock()
-	defer f.m.Unlock()
-	s := f.servers[id]
-	if s == nil {
-		return 0
-	}
-	s.failures++
-	n := s.failures - 1
-	if unreachable {
-		n = s.failures
-	}
-	if n == 0 {
-		return 0
+		s.answered()
 	}
-	d := min(firstAvoid<<min(n-1, 10), maxAvoid)
-	s.avoided = now.Add(d)
-	return d
 }
 
 func contains(l []string, id string) bool {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -62,8 +62,12 @@
 	othersOnline, othersBatch int
 	// Not used before this time, after a failure.
 	avoided time.Time
-	// Failures since the last answer.
+	// Failures since the last good answer.
 	failures int
+	// The last of them was an answer of the server.
+	failing bool
+	// Other fronts that leave it alone for that reason.
+	othersFailing int
 	// Not in the newest list, and dropped at this time; zero while listed.
 	dropAt time.Time
 }
@@ -74,15 +78,6 @@
 
 func (s *server) slots() int { return max(int(s.b.GetSlots()), 1) }
 
-// usable says whether the server may get a request. After a failure it gets one
-// alone, whose answer decides.
-func (s *server) usable(now time.Time) bool {
-	if s.b.GetDraining() || now.Before(s.avoided) {
-		return false
-	}
-	return s.avoided.IsZero() || s.failures == 0 || s.online+s.batch == 0
-}
-
 // service holds the backend servers with the same work.
 type service struct {
 	// In the order of their ids.
@@ -269,6 +264,7 @@
 	for _, s := range f.servers {
 		s.othersOnline = 0
 		s.othersBatch = 0
+		s.othersFailing = 0
 	}
 	for _, p := range f.peers {
 		f.add(p.load, 1)
@@ -283,6 +279,9 @@
 		if s != nil {
 			s.othersOnline += sign * int(x.GetOnline())
 			s.othersBatch += sign * int(x.GetBatch())
+			if x.GetFailing() {
+				s.othersFailing += sign
+			}
 		}
 	}
 }
@@ -329,17 +328,23 @@
 	return l
 }
 
-// Loads returns this front's own requests in flight.
-func (f *Fleet) Loads() []*wire.ServerLoad {
+// Loads returns this front's own requests in flight, and the servers that it
+// leaves alone because they fail what they take.
+func (f *Fleet) Loads(now time.Time) []*wire.ServerLoad {
 	f.m.Lock()
 	defer f.m.Unlock()
 	var l []*wire.ServerLoad
 	for _, s := range f.servers {
-		if s.online == 0 && s.batch == 0 {
+		a := s.failing && now.Before(s.avoided)
+		if s.online == 0 && s.batch == 0 && !a {
 			continue
 		}
 		o, b := int32(s.online), int32(s.batch)
-		l = append(l, wire.ServerLoad_builder{Server: &s.hash, Online: &o, Batch: &b}.Build())
+		v := wire.ServerLoad_builder{Server: &s.hash, Online: &o, Batch: &b}.Build()
+		if a {
+			v.SetFailing(true)
+		}
+		l = append(l, v)
 	}
 	return l
 }
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -172,7 +172,7 @@
 	o := time.Now()
 	b, e := proto.Marshal(wire.Load_builder{
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
-		Sequence: &t.sequence, Servers: t.f.Loads(), Crashes: t.p.Crashes(o.Add(-crashAge)),
+		Sequence: &t.sequence, Servers: t.f.Loads(o), Crashes: t.p.Crashes(o.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		Released: proto.Uint32(t.jobs.Released()),
