batch, agenda: a first owner bears twice the failures of an item

Ruled out: three times the route's attempts (an owner after the first does not know how often an item has failed, and more than three times is not allowed). Change: the first owner bears twice the route's attempts, later ones once. The attempts are looked up at the failure: a front that took a job over before it knew a configuration gave items up after one failure. Test: TestFailedItemIsGivenUp.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -37,9 +37,7 @@
 	due time.Time
 	// Time from acceptance until it is due.
 	allowed time.Duration
-	// Failures after which an item is given up.
-	attempts int
-	items    []item
+	items   []item
 	// Items that wait or run.
 	open int
 }
@@ -71,13 +69,12 @@
 func New() *Agenda { return &Agenda{} }
 
 // Add takes in a job that is due at a time, after it was allowed so long. Its
-// items with an id in listed have a result already. An item is given up after
-// so many failures.
-func (a *Agenda) Add(id string, due time.Time, allowed time.Duration, attempts int, items []string, listed map[string]bool) {
+// items with an id in listed have a result already.
+func (a *Agenda) Add(id string, due time.Time, allowed time.Duration, items []string, listed map[string]bool) {
 	if a.find(id) != nil {
 		return
 	}
-	j := &job{id: id, due: due, allowed: allowed, attempts: max(attempts, 1)}
+	j := &job{id: id, due: due, allowed: allowed}
 	for _, i := range items {
 		s := waiting
 		if listed[i] {
@@ -220,15 +217,16 @@
 }
 
 // Failed returns an item whose run the backend server answered with a failure.
-// It reports whether the item is given up, which closes it.
-func (a *Agenda) Failed(now time.Time, id string, n int) bool {
+// An item with so many failures is given up, which closes it; Failed returns
+// whether this one is.
+func (a *Agenda) Failed(now time.Time, id string, n, attempts int) bool {
 	j := a.find(id)
 	if j == nil {
 		return false
 	}
 	i := &j.items[n]
 	i.failures++
-	if i.failures >= j.attempts {
+	if i.failures >= attempts {
 		a.Close(id, n)
 		return true
 	}
--- a/internal/coordination/agenda/agenda_test.go
+++ b/internal/coordination/agenda/agenda_test.go
@@ -25,8 +25,8 @@
 // Guards against a small job that waits behind a large one that is due later.
 func TestEarliestDueFirst(t *testing.T) {
 	a := agenda.New()
-	a.Add("large", start.Add(time.Minute), time.Minute, 3, []string{"a", "b", "c"}, nil)
-	a.Add("small", start.Add(20*time.Second), time.Minute, 3, []string{"d"}, nil)
+	a.Add("large", start.Add(time.Minute), time.Minute, []string{"a", "b", "c"}, nil)
+	a.Add("small", start.Add(20*time.Second), time.Minute, []string{"d"}, nil)
 	g := []string{next(a, start), next(a, start), next(a, start), next(a, start), next(a, start)}
 	w := []string{"small0", "large0", "large1", "large2", "none"}
 	if d := cmp.Diff(w, g); d != "" {
@@ -38,7 +38,7 @@
 // goes on before its job's other items begin.
 func TestYieldedGoesOnFirst(t *testing.T) {
 	a := agenda.New()
-	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a", "b", "c"}, nil)
+	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a", "b", "c"}, nil)
 	g := []string{next(a, start), next(a, start)}
 	a.Yielded("j", 1)
 	g = append(g, next(a, start))
@@ -51,7 +51,7 @@
 // has just refused it.
 func TestBrokenRests(t *testing.T) {
 	a := agenda.New()
-	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
+	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
 	next(a, start)
 	a.Broken(start, "j", 0, false)
 	g := []string{next(a, start), next(a, start.Add(time.Second))}
@@ -64,12 +64,12 @@
 // is given up too early.
 func TestGivenUpAfterAttempts(t *testing.T) {
 	a := agenda.New()
-	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
+	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
 	var g []bool
 	for k := range 3 {
 		n := start.Add(time.Duration(k) * time.Second)
 		next(a, n)
-		g = append(g, a.Failed(n, "j", 0))
+		g = append(g, a.Failed(n, "j", 0, 3))
 	}
 	if d := cmp.Diff([]bool{false, false, true}, g); d != "" {
 		t.Error(d)
@@ -82,7 +82,7 @@
 // Guards against items with a result that run again after a takeover.
 func TestListedItemsAreClosed(t *testing.T) {
 	a := agenda.New()
-	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a", "b"}, map[string]bool{"a": true})
+	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a", "b"}, map[string]bool{"a": true})
 	g := []string{next(a, start), next(a, start)}
 	if d := cmp.Diff([]string{"j1", "none"}, g); d != "" {
 		t.Error(d)
@@ -92,8 +92,8 @@
 // Guards against a job without a free slot that holds up the next one.
 func TestJobWithoutSlotIsPassedOver(t *testing.T) {
 	a := agenda.New()
-	a.Add("blocked", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
-	a.Add("free", start.Add(2*time.Minute), time.Minute, 3, []string{"b"}, nil)
+	a.Add("blocked", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
+	a.Add("free", start.Add(2*time.Minute), time.Minute, []string{"b"}, nil)
 	j, _, _ := a.Next(start, func(id string) bool { return id == "free" })
 	if d := cmp.Diff("free", j); d != "" {
 		t.Error(d)
@@ -104,9 +104,9 @@
 // after a restart of all fronts more items wait than can be done in time.
 func TestLateItemsLast(t *testing.T) {
 	a := agenda.New()
-	a.Add("late", start.Add(3*time.Second), 18*time.Second, 3, []string{"a", "b"}, nil)
-	a.Add("timely", start.Add(9*time.Second), 18*time.Second, 3, []string{"c"}, nil)
-	a.Add("done", start.Add(time.Hour), time.Hour, 3, []string{"d"}, nil)
+	a.Add("late", start.Add(3*time.Second), 18*time.Second, []string{"a", "b"}, nil)
+	a.Add("timely", start.Add(9*time.Second), 18*time.Second, []string{"c"}, nil)
+	a.Add("done", start.Add(time.Hour), time.Hour, []string{"d"}, nil)
 	g := []string{next(a, start)}
 	// An item of the late job that has nearly run to its end is in time.
 	a.Ran("late", 0, 4*time.Second, false)
@@ -121,7 +121,7 @@
 // after its third run it gets one in four seconds.
 func TestLostItemRestsLonger(t *testing.T) {
 	a := agenda.New()
-	a.Add("j", start.Add(time.Minute), time.Minute, 3, []string{"a"}, nil)
+	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
 	var g []time.Duration
 	for d := time.Duration(0); d < 15*time.Second; d += 100 * time.Millisecond {
 		_, _, k := a.Next(start.Add(d), yes)
--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -60,7 +60,7 @@
 		s.changed()
 		return nil
 	}
-	s.own(o, j, items)
+	s.own(o, j, items, true)
 	return nil
 }
 
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -161,12 +161,18 @@
 	m sync.Mutex
 	// Runs by item id.
 	runs map[string]int
+	// Items that fail at each run.
+	fails map[string]bool
 }
 
 func (g *engine) Send(c context.Context, _ *wire.BackendServer, r *trail.Request, resume string) (*http.Response, error) {
 	g.m.Lock()
 	g.runs[r.ID()]++
+	f := g.fails[r.ID()]
 	g.m.Unlock()
+	if f {
+		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
+	}
 	select {
 	case <-time.After(time.Second):
 	case <-c.Done():
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -129,6 +129,34 @@
 	})
 }
 
+// Guards against an item that is given up sooner than its route allows, or that
+// runs more often than three times that: the route says three, the first owner
+// takes six, and one that follows three more.
+func TestFailedItemIsGivenUp(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		g.fails = map[string]bool{"i0": true}
+		p := newJobs(t, c, "front-1", s, g, valueBytes)
+		accept(t, c, p, "job", 1)
+		time.Sleep(30 * time.Second)
+		n := g.runs["i0"]
+		_, l, e := p.Results(c, "job", 0, 0)
+		if e != nil || len(l) != 1 || !l[0].GetFailed() {
+			t.Error("not given up:", l, e)
+		}
+		g.fails["i1"] = true
+		b, f := context.WithCancel(c)
+		q := newJobs(t, b, "front-2", s, g, valueBytes)
+		_ = q.Accept(c, "other", "h", "/b/1", items(2)[1:])
+		time.Sleep(2 * time.Second)
+		f()
+		m := g.runs["i1"]
+		time.Sleep(40 * time.Second)
+		if d := cmp.Diff([]int{6, 3}, []int{n, g.runs["i1"] - m}); d != "" {
+			t.Error(d, m)
+		}
+	})
+}
+
 // Guards against jobs that fill the platform for ever, and against one that is
 // deleted while it can be asked for.
 func TestOldJobIsDeleted(t *testing.T) {
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -24,6 +24,8 @@
 	committing bool
 	// Is being left to another front.
 	leaving bool
+	// Was accepted here, so that no earlier owner has counted failures.
+	first bool
 	// Ends the runs and commits of the job.
 	c    context.Context
 	stop context.CancelCauseFunc
@@ -39,8 +41,9 @@
 	begun bool
 }
 
-// own starts to run a job whose items are known.
-func (s *Jobs) own(b object.Object, j *wire.BatchJob, items []*wire.BatchItem) {
+// own starts to run a job whose items are known. First says that no other
+// front has run it before.
+func (s *Jobs) own(b object.Object, j *wire.BatchJob, items []*wire.BatchItem, first bool) {
 	d := b.Name()
 	k := s.remember(b, j)
 	s.m.Lock()
@@ -49,10 +52,10 @@
 		return
 	}
 	k.input = items
-	o := &owned{id: d, k: k, progress: map[int]*progress{}}
+	o := &owned{id: d, k: k, progress: map[int]*progress{}, first: first}
 	o.c, o.stop = context.WithCancelCause(context.Background())
 	s.owned[d] = o
-	u, n := s.plan(k)
+	u := time.Duration(s.route(k).GetDueMs()) * time.Millisecond
 	l := make([]string, 0, len(items))
 	for _, i := range items {
 		l = append(l, i.GetId())
@@ -60,7 +63,7 @@
 	a := time.Since(time.UnixMilli(j.GetAcceptedUnixMs()))
 	// Clocks differ between hosts, and may be set.
 	a = min(max(a, 0), u)
-	s.agenda.Add(d, time.Now().Add(u-a), u, n, l, k.listed())
+	s.agenda.Add(d, time.Now().Add(u-a), u, l, k.listed())
 	if s.agenda.Open(d) == 0 {
 		// An earlier owner had listed everything.
 		go s.complete(o)
@@ -68,15 +71,25 @@
 	s.Wake()
 }
 
-// plan returns when the results of a job are due and how often an item may
-// fail, as its route has it.
-func (s *Jobs) plan(k *known) (time.Duration, int) {
+// route returns the route of a job, nil when it is gone or no configuration is
+// known.
+func (s *Jobs) route(k *known) *wire.RouteRule {
 	t := s.table()
 	if t == nil {
-		return 0, 1
+		return nil
 	}
-	u := t.Match(k.host, k.path)
-	return time.Duration(u.GetDueMs()) * time.Millisecond, int(u.GetAttempts())
+	return t.Match(k.host, k.path)
+}
+
+// attempts returns how often an item may fail before it is given up. The
+// platform allows from one to three times what the route says; an owner after
+// the first does not know how often the items have failed before.
+func (s *Jobs) attempts(o *owned) int {
+	n := max(int(s.route(o.k).GetAttempts()), 1)
+	if o.first {
+		return firstOwnerShare * n
+	}
+	return n
 }
 
 // drop stops running a job.
@@ -259,7 +272,7 @@
 	o, j, i := k.object, k.job, k.input
 	s.m.Unlock()
 	s.l.WithField("job-id", id).Info("batch: job run here from now on")
-	s.own(o, j, i)
+	s.own(o, j, i, false)
 }
 
 // Drain starts no new runs and leaves each job to the other fronts once its runs
@@ -345,5 +358,10 @@
 	}
 }
 
+// Failures that the first owner of a job bears, in multiples of the route's
+// attempts. Backend servers that fail all they take are found by failures of
+// items that are well.
+const firstOwnerShare = 2
+
 // Bound of the time in which a stopping front releases its jobs.
 const releaseTimeout = 1200 * time.Millisecond
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -169,7 +169,7 @@
 	case errors.Is(e, errFailed):
 		s.f.FailedAnswer(w, r.server.GetId())
 		s.changed()
-		if s.agenda.Failed(w, r.o.id, r.n) {
+		if s.agenda.Failed(w, r.o.id, r.n, s.attempts(r.o)) {
 			s.result(r, true, "")
 			return "given-up"
 		}
