inform, platform/store: a platform that wants a new list is not away

The end of the watch counted as an outage, after which missing entries are kept for 2.2 s. Change: the watch's end carries its cause, and a wish for a new list is no outage; so also where a history is dropped. Test: TestNewListIsNoOutage (failed before), TestWatch.

--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -66,6 +66,7 @@
 		if time.Since(b) > maxPause {
 			p = firstPause
 		}
+		// A platform that wants a new list answers.
 		if !errors.Is(e, trail.ErrTooOld) {
 			s.lost(e)
 		}
@@ -90,6 +91,9 @@
 		return e
 	}
 	for x := range w {
+		if x.Cause() != nil {
+			return x.Cause()
+		}
 		s.apply(x)
 	}
 	return errors.New("watch ended")
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -162,6 +162,24 @@
 	})
 }
 
+// Guards against an outage that is seen where the platform only wants a new
+// list: servers that have left would be used as if their entries had lapsed.
+func TestNewListIsNoOutage(t *testing.T) {
+	play(t, func(_ context.Context, s *store, i *inform.Informer) {
+		s.set(2, "b")
+		s.watches[0] <- trail.NewEnd(trail.ErrTooOld)
+		s.end()
+		time.Sleep(time.Second)
+		l, r := i.Trouble()
+		if !l.IsZero() || !r.IsZero() {
+			t.Error("outage was told:", l, r)
+		}
+		if d := cmp.Diff("b", names(i)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a watch that stays open and silent while changes are made, by
 // which a front goes on with an old configuration.
 func TestVerifyFindsMissedChanges(t *testing.T) {
--- a/internal/coordination/jobs/follow.go
+++ b/internal/coordination/jobs/follow.go
@@ -78,6 +78,9 @@
 		return v, e
 	}
 	for x := range w {
+		if x.Cause() != nil {
+			return v, x.Cause()
+		}
 		v = max(v, x.Object().Version())
 		n := news{id: x.Object().Name(), deleted: x.Deleted()}
 		if !n.deleted {
--- a/internal/coordination/view/watch.go
+++ b/internal/coordination/view/watch.go
@@ -59,6 +59,12 @@
 			continue
 		}
 		for h := range w {
+			if errors.Is(h.Cause(), trail.ErrTooOld) {
+				return
+			}
+			if h.Cause() != nil {
+				continue
+			}
 			o := h.Object()
 			version = max(version, o.Version())
 			if h.Deleted() {
--- a/store.go
+++ b/store.go
@@ -41,7 +41,8 @@
 	// Delete removes the object if the platform's version is still o's.
 	Delete(c context.Context, o object.Object) error
 	// Watch reports the changes of a kind after a version until c ends or the
-	// platform closes the watch; then the channel is closed.
+	// platform closes the watch; then the channel is closed. Before that, the
+	// last change may only tell why (Change.Cause).
 	Watch(c context.Context, kind string, after int64) (<-chan Change, error)
 }
 
@@ -60,6 +61,8 @@
 type Change struct {
 	object  object.Object
 	deleted bool
+	// Not nil for the end of a watch, which has no object.
+	cause error
 }
 
 // NewChange returns a change to o, or its deletion.
@@ -67,6 +70,12 @@
 	return Change{object: o, deleted: deleted}
 }
 
+// NewEnd returns the end of a watch for a reason.
+func NewEnd(cause error) Change { return Change{cause: cause} }
+
+// Cause returns why the watch ends here, nil for a change of an object.
+func (c Change) Cause() error { return c.cause }
+
 // Object returns the object as it is after the change.
 func (c Change) Object() object.Object { return c.object }
 
