fleet: fronts that see the same place in a queue don't all take it

When all slots are taken, one place that becomes free in a queue is seen by all fronts, and each sends its next request there. Change: a front takes a place in a queue with the chance that the places left have against the requests that arrive while loads are on their way.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -21,6 +21,10 @@
 	// to three seconds, so the later a caller returns the better, and callers
 	// that are spread over the rest do not come together.
 	earliestReturn = 0.55
+	// Time over which the rate of requests is averaged.
+	rateTime = time.Second
+	// Time after which the other fronts know of a change of the loads.
+	tellTime = 10 * time.Millisecond
 	// The same while no backend server is known, which is soon over.
 	earliestRecovery = 0.2
 )
@@ -40,14 +44,18 @@
 // target is the time to its first byte within which an answer is on time, and
 // left the time that its caller waits at all. It skips the ids in tried.
 // Without a server it returns nil; the reason tells why, and the time is when
-// the caller may come back. The draw, from 0 up to but not including 1, spreads
+// the caller may come back. The draw, from 0 up to but not including 1, says
+// which of the fronts that see the same place in a queue take it, and spreads
 // the callers that come back.
 func (f *Fleet) Take(now time.Time, name string, target, left time.Duration, tried []string, draw float64) (*wire.BackendServer, string, time.Duration) {
 	f.m.Lock()
 	defer f.m.Unlock()
 	v := f.service(name)
+	v.arrived(now)
 	var b *server
 	var k place
+	// Places left in the queues.
+	o := 0
 	for _, s := range v.servers {
 		u := s.suspect(now)
 		if !u && !s.usable(now) || s.b.GetDraining() || contains(tried, s.b.GetId()) {
@@ -60,6 +68,7 @@
 		if b == nil || p.before(k) {
 			b, k = s, p
 		}
+		o += max(v.depth(s.slots(), target)-max(s.totalOnline()-s.slots(), 0), 0)
 	}
 	if b == nil {
 		return nil, ReasonNone, wait(left, earliestRecovery, draw)
@@ -67,6 +76,10 @@
 	if k.tier >= tierQueue && b.totalOnline()-b.slots() >= v.depth(b.slots(), target) {
 		return nil, ReasonFull, wait(left, earliestReturn, draw)
 	}
+	// Fronts that see the same place would all take it.
+	if a := float64(o) / v.contenders(len(f.peers)); k.tier == tierQueue && draw >= a {
+		return nil, ReasonFull, wait(left, earliestReturn, (draw-a)/(1-a))
+	}
 	b.online++
 	return b.b, reasons[k.tier], 0
 }
@@ -83,6 +96,20 @@
 	return int(math.Round(d))
 }
 
+// arrived counts a request for the rate at which this front gets them.
+func (v *service) arrived(now time.Time) {
+	d := now.Sub(v.last)
+	v.last = now
+	v.rate = v.rate*math.Exp(-d.Seconds()/rateTime.Seconds()) + 1/rateTime.Seconds()
+}
+
+// contenders returns how many requests, this one among them, the fronts place
+// by the same loads: as many as arrive while a change of the loads is on its
+// way, if all fronts get as many as this one.
+func (v *service) contenders(peers int) float64 {
+	return 1 + v.rate*float64(peers)*tellTime.Seconds()
+}
+
 const (
 	tierFree = iota
 	tierYield
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -84,6 +84,9 @@
 	servers []*server
 	// Average time in which an online request holds a slot.
 	hold time.Duration
+	// Requests a second that this front has got lately, as of last.
+	rate float64
+	last time.Time
 	// Servers that went missing without notice since lapseBegan.
 	lapses     int
 	lapseBegan time.Time
