batch, notice: an end that cannot be told is acknowledged within the bound of the call

Cause: the notice's 0.8 s and the two seconds after it were longer than the 2.5 s of a call on a batch job, so such an end was always answered with 503 when the owner was silent. Ruled out: no pause (the reviews see copies that may be three seconds old). Change: 0.5 s and 1.8 s. Test: TestEndedElsewhereWithOldCopies, as before.

--- a/internal/coordination/batch/end.go
+++ b/internal/coordination/batch/end.go
@@ -13,8 +13,9 @@
 
 // A front that could not be told of a job's end finds it by its reviews, whose
 // copies of the platform's objects may be three seconds old. The end is
-// acknowledged so much later that no item begins three seconds after that.
-const untoldPause = 2 * time.Second
+// acknowledged so much later that no item begins three seconds after that. With
+// the time of the notice it is within the bound of a call on a batch job.
+const untoldPause = 1800 * time.Millisecond
 
 // End ends a job and returns once that is kept and the front that runs the job
 // heeds it. The errors are those of Results, and "end-not-heeded", after which
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -12,6 +12,11 @@
 	"bulrushtrail.example/trail/internal/state/object"
 )
 
+// Failures that the first owner of a job bears, in multiples of the route's
+// attempts. Backend servers that fail all they take are found by failures of
+// items that are well.
+const firstOwnerShare = 2
+
 // owned is a job that this front runs.
 type owned struct {
 	id string
@@ -358,10 +363,5 @@
 	}
 }
 
-// Failures that the first owner of a job bears, in multiples of the route's
-// attempts. Backend servers that fail all they take are found by failures of
-// items that are well.
-const firstOwnerShare = 2
-
 // Bound of the time in which a stopping front releases its jobs.
 const releaseTimeout = 1200 * time.Millisecond
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -93,7 +93,7 @@
 		return x.broken(c, e)
 	}
 	t.Stop()
-	f := failed(a)
+	f := ownFailure(a)
 	if f && x.retriable() || x.status != 0 {
 		// Another attempt may do better, and a stream that was to be resumed
 		// has no use for another status.
@@ -113,8 +113,8 @@
 	return result{done: true, failed: f, verdict: trail.Ran}
 }
 
-// failed says whether an answer is a failure of the backend server itself.
-func failed(a *http.Response) bool {
+// ownFailure says whether an answer is a failure of the backend server itself.
+func ownFailure(a *http.Response) bool {
 	return a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout
 }
 
--- a/internal/coordination/notice/sender.go
+++ b/internal/coordination/notice/sender.go
@@ -14,7 +14,7 @@
 )
 
 // Bound of one notice. Fronts that are well answer within milliseconds.
-const timeout = 800 * time.Millisecond
+const timeout = 500 * time.Millisecond
 
 // Sender is a trail.Notifier over the mesh.
 type Sender struct {
