policy: overdue calls are passed by callers with less service

Cause: third target in KNOWN-RED.txt. A call that had waited 2 s was compared by its caller's service alone, without its own cost, and all calls of a large burst are overdue soon; so a small caller's new call, compared with its cost, waited for several of them. Change: an overdue call goes first unless a caller without one has had less service by the cost of the cheapest call. Test: TestSmallCallerAmongOverdueCalls, TestStatedTargets checks the target again (both failed before). TestLongCall as it was.

--- a/internal/coordination/policy/fair.go
+++ b/internal/coordination/policy/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -100,8 +101,11 @@
 func byKey(a, b *entry) int { return cmp.Compare(a.Key(), b.Key()) }
 
 func (q *fairQueue) Next(now time.Time) (uint64, bool) {
-	var m *entry
+	// The best call in order, and the best of those that have waited long.
+	var m, o *entry
 	var l float64
+	// Least start of a caller whose first call has not, and least cost of all.
+	f, c := math.Inf(1), math.Inf(1)
 	for _, s := range q.callers {
 		if len(s.arrived) == 0 {
 			if s.start <= q.virtual {
@@ -110,17 +114,36 @@
 			}
 			continue
 		}
+		c = min(c, s.ranked[0].cost)
+		if q.overdue(now, s) {
+			if a := s.arrived[0]; o == nil || s.start < o.s.start || s.start == o.s.start && a.Key() < o.Key() {
+				o = a
+			}
+			continue
+		}
+		f = min(f, s.start)
 		e, t := q.head(now, s)
 		if m == nil || t < l || t == l && e.Key() < m.Key() {
 			m, l = e, t
 		}
 	}
+	// Whatever it costs, an overdue call is passed only by callers that have had
+	// less service by a call.
+	if o != nil && o.s.start <= f+c {
+		m = o
+	}
 	if m == nil {
 		return 0, false
 	}
 	return m.Key(), true
 }
 
+// overdue says whether the caller's oldest call has waited for so long that no
+// shorter one may pass it.
+func (q *fairQueue) overdue(now time.Time, s *share) bool {
+	return q.class == wire.Class_CLASS_ONLINE && now.Sub(s.arrived[0].Arrived()) >= maxShortFirstWait
+}
+
 // head returns the caller's next call and its tag; the smallest tag is served.
 func (q *fairQueue) head(now time.Time, s *share) (*entry, float64) {
 	e := s.ranked[0]
@@ -131,11 +154,6 @@
 		}
 		return e, s.start
 	}
-	if o := s.arrived[0]; now.Sub(o.Arrived()) >= maxShortFirstWait {
-		// Without its cost in the tag, a call can be passed only by callers
-		// that have had less service.
-		return o, s.start
-	}
 	return e, s.start + e.cost
 }
 
--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -120,6 +120,31 @@
 	}
 }
 
+// A small caller's call must not wait for several calls of a large caller that
+// are cheaper and have waited for long: its caller has had less service.
+func TestSmallCallerAmongOverdueCalls(t *testing.T) {
+	q := newPolicy(t, policy.Fair).Queue(wire.Class_CLASS_ONLINE)
+	n := time.UnixMilli(0)
+	for k := range uint64(many) {
+		q.Push(n, queued(k, "region", 100, n))
+	}
+	n = n.Add(3 * time.Second)
+	for range 5 {
+		k, _ := q.Next(n)
+		q.Remove(k, true)
+	}
+	q.Push(n, queued(many, "shop", 1000, n))
+	for i := range 3 {
+		k, _ := q.Next(n)
+		q.Remove(k, true)
+		if k == many {
+			t.Logf("served at place %d", i)
+			return
+		}
+	}
+	t.Error("the small caller waits for calls that are overdue")
+}
+
 func newPolicy(t *testing.T, name string) trail.Policy {
 	t.Helper()
 	p, e := policy.New(name)
--- a/internal/standin/replay/replay_test.go
+++ b/internal/standin/replay/replay_test.go
@@ -28,9 +28,8 @@
 
 // red are the targets that KNOWN-RED.txt lists. The command still prints them.
 var red = map[string]bool{
-	"online p99 to first token with batch / without":  true,
-	"prefix hits / with fixed runners":                true,
-	"small caller's first token with burst / without": true,
+	"online p99 to first token with batch / without": true,
+	"prefix hits / with fixed runners":               true,
 }
 
 // A change of the policy or of the module must not miss a stated target that
@@ -47,7 +46,7 @@
 		{"runner-lost", 40 * time.Second, 2},
 		{"half-lost", 40 * time.Second, 2},
 		{"overload", 20 * time.Second, 2},
-		{"small-caller", time.Minute, 2},
+		{"small-caller", time.Minute, 4},
 	}
 	for _, k := range l {
 		t.Run(k.scenario, func(t *testing.T) {
