--- a/internal/coordination/batch/end.go
+++ b/internal/coordination/batch/end.go
@@ -43,15 +43,7 @@
 // tell tells the owner of a job, if it is another front that lives, that the
 // job has ended.
 func (s *Jobs) tell(c context.Context, id string) error {
-	s.m.Lock()
-	k := s.known[id]
-	s.m.Unlock()
-	if k == nil {
-		return nil
-	}
-	s.m.Lock()
-	o, w := k.object, k.job.GetOwner()
-	s.m.Unlock()
+	o, w := s.owner(id)
 	if w == "" || w == s.self.GetName() || s.settled() && !s.f.Present(time.Now(), w) {
 		return nil
 	}
@@ -66,6 +58,18 @@
 	return nil
 }
 
+// owner returns the newest version of a job's object that is known and the
+// front that runs the job by it, empty when there is none.
+func (s *Jobs) owner(id string) (object.Object, string) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	k := s.known[id]
+	if k == nil {
+		return object.Object{}, ""
+	}
+	return k.object, k.job.GetOwner()
+}
+
 // Noticed takes in a job's object that another front has changed.
 func (s *Jobs) Noticed(name string, version int64, value []byte) {
 	o := object.New(kindJobs, name, version, value)
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -21,12 +21,12 @@
 	// to three seconds, so the later a caller returns the better, and callers
 	// that are spread over the rest do not come together.
 	earliestReturn = 0.55
+	// The same while no backend server is known, which is soon over.
+	earliestRecovery = 0.2
 	// Time over which the rate of requests is averaged.
 	rateTime = time.Second
 	// Time after which the other fronts know of a change of the loads.
 	tellTime = 10 * time.Millisecond
-	// The same while no backend server is known, which is soon over.
-	earliestRecovery = 0.2
 )
 
 // Why a backend server was chosen, or none.
@@ -37,7 +37,6 @@
 	ReasonSuspect = "suspect"
 	ReasonFull    = "full"
 	ReasonNone    = "no-backend-server"
-	ReasonDropped = "unknown-backend-server"
 )
 
 // Take chooses a backend server for an online request and counts it there. The
