fanout, roster, inform: few fronts of a data centre watch the platform

Cause: in a fleet of 76 fronts each change of the registry or of the list of fronts wakes a waiting call of each front. Change: with more than 13 fronts, the first two of each data centre by name that are alive, not stopping, and that the platform answers watch the registry and the fronts. The others follow one of the two over the mesh: its whole copy, then what changes, a beat each 500 ms. A stream that ends or is silent for 1.5 s is replaced by the other watcher's, else by a watch of the platform; each new source begins with a list, and what that list lacks can't come back from a front that is behind. A verifier's find sets off lists at watchers only. Tests: fanout (few watch, silent watchers, watchers that change), roster, TestOldCopyBringsNothingBack; the first three have no counterpart before.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -11,6 +11,7 @@
 
 	"bulrushtrail.example/trail/internal/coordination/batch"
 	"bulrushtrail.example/trail/internal/coordination/direct"
+	"bulrushtrail.example/trail/internal/coordination/fanout"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/gossip"
 	"bulrushtrail.example/trail/internal/coordination/inform"
@@ -18,6 +19,7 @@
 	"bulrushtrail.example/trail/internal/coordination/notice"
 	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/coordination/relay"
+	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
@@ -55,7 +57,8 @@
 	f       *fleet.Fleet
 	configs *inform.Informer
 	hosts   *inform.Informer
-	fronts  *inform.Informer
+	roster  *roster.Roster
+	fanout  *fanout.Store
 	gossip  *gossip.Task
 	mesh    *mesh.Mesh
 	relay   *relay.Store
@@ -118,9 +121,6 @@
 	s.f = fleet.New(p.n.GetName(), p.n.GetDataCentre())
 	s.pool = pool.New(p.d, p.r)
 	u := server.New(s.pool)
-	s.configs = inform.New(c, p.store, "configs", p.l)
-	s.hosts = inform.New(c, p.store, "hosts", p.l)
-	s.fronts = inform.New(c, p.store, member.Kind, p.l)
 	q := poison.New(rejectAfter)
 	// The parts tell each other of changes through s, which is complete before
 	// the first request.
@@ -129,14 +129,27 @@
 		MemberId: proto.String(p.n.GetName()), DataCentre: proto.String(p.n.GetDataCentre()),
 		Incarnation: &p.incarnation, Role: &p.role,
 	}.Build(), p.d, p.l)
+	s.fanout = fanout.New(p.store, p.n.GetName(), s.mesh, p.l)
+	// A configuration may be large, and each front reads it from the platform.
+	s.configs = inform.New(c, p.store, "configs", p.l)
+	s.hosts = s.follow(c, "hosts")
+	s.roster = roster.New(s.self, s.follow(c, member.Kind), s.f, p.l)
+	s.fanout.Elect(s.roster.Watchers, s.roster.Address)
 	s.relay = relay.New(p.store, s.mesh, s.helpers, p.l)
-	s.jobs = batch.New(c, s.self, s.relay, notice.New(s.mesh, s.peerOf), s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
-	s.gossip = gossip.New(c, n, s.self, s.f, q, s.fronts, s.configs, s.hosts, p.l, p.r, s.jobs)
+	s.jobs = batch.New(c, s.self, s.relay, notice.New(s.mesh, s.roster.Address), s.f, u, s.direct.Table, p.n.GetValueBytes(), p.l, p.r, func() { s.gossip.Wake() })
+	s.gossip = gossip.New(c, n, s.self, s.f, q, s.roster, s.configs, s.hosts, p.l, p.r, s.jobs)
 	s.api = httpd.New(api.New(s.direct, s.jobs, p.l), p.l, p.r,
 		httpd.WithTimes(s.callerTimes), httpd.WithCondition(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainBound(s.stopTime()-drainDelay))
 	return s
 }
 
+// follow returns a copy of a kind that the fronts share.
+func (s *frontRole) follow(c context.Context, kind string) *inform.Informer {
+	i := inform.New(c, s.fanout, kind, s.l)
+	s.fanout.Share(kind, i)
+	return i
+}
+
 // callerTimes returns the times of the configuration in force, zero while
 // there is none.
 func (s *frontRole) callerTimes() (header, idle time.Duration) {
@@ -154,6 +167,8 @@
 		switch {
 		case o.HasStore():
 			s.relay.ServeCall(c, n, o.GetStore())
+		case o.HasFollow():
+			s.fanout.Serve(c, n, o.GetFollow())
 		case o.HasJob():
 			e := notice.Serve(n, o.GetJob(), s.jobs.Noticed)
 			if e != nil {
@@ -170,7 +185,7 @@
 func (s *frontRole) helpers() []string {
 	var l []string
 	for _, n := range s.f.Watchful(time.Now()) {
-		a := s.peerOf(n)
+		a := s.roster.Address(n)
 		if a != "" {
 			l = append(l, a)
 		}
@@ -178,21 +193,6 @@
 	return l
 }
 
-// peerOf returns the peer address of a front, empty when it is not known.
-func (s *frontRole) peerOf(name string) string {
-	o, k := s.fronts.Get(name)
-	if !k {
-		return ""
-	}
-	f := &wire.Front{}
-	e := o.Decode(f)
-	if e != nil {
-		s.l.WithError(e).WithField("front", name).Warn("bulrushd: entry of a front is not readable")
-		return ""
-	}
-	return f.GetPeerAddress()
-}
-
 func (s *frontRole) stopTime() time.Duration {
 	return time.Duration(s.n.GetStopSeconds()*float64(time.Second)) - exitTime
 }
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -304,26 +304,29 @@
 // Peers returns the names of the fronts that are alive and take work, in
 // order, without this one.
 func (f *Fleet) Peers(now time.Time) []string {
-	f.m.Lock()
-	defer f.m.Unlock()
-	var l []string
-	for n, p := range f.peers {
-		if now.Sub(p.seen) <= peerTimeout && !p.load.GetLeaving() {
-			l = append(l, n)
-		}
-	}
-	slices.Sort(l)
-	return l
+	return f.names(now, func(l *wire.Load) bool { return !l.GetLeaving() })
+}
+
+// Steady returns the names of the fronts that are alive, that the platform
+// answers, and that are not about to stop, in order, without this one.
+func (f *Fleet) Steady(now time.Time) []string {
+	return f.names(now, func(l *wire.Load) bool { return !l.GetTroubled() && !l.GetLeaving() })
 }
 
 // Watchful returns the names of the fronts that are alive and that the platform
 // answers, in order, without this one.
 func (f *Fleet) Watchful(now time.Time) []string {
+	return f.names(now, func(l *wire.Load) bool { return !l.GetTroubled() })
+}
+
+// names returns the names of the fronts that are alive and whose last datagram
+// is as wanted, in order.
+func (f *Fleet) names(now time.Time, wanted func(l *wire.Load) bool) []string {
 	f.m.Lock()
 	defer f.m.Unlock()
 	var l []string
 	for n, p := range f.peers {
-		if now.Sub(p.seen) <= peerTimeout && !p.load.GetTroubled() {
+		if now.Sub(p.seen) <= peerTimeout && wanted(p.load) {
 			l = append(l, n)
 		}
 	}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -16,6 +16,7 @@
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/poison"
+	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -41,7 +42,7 @@
 	self   *wire.Front
 	f      *fleet.Fleet
 	p      *poison.Record
-	fronts *inform.Informer
+	fronts *roster.Roster
 	// Copies that are compared with those of the other fronts.
 	configs, hosts *inform.Informer
 	l              log.Interface
@@ -65,7 +66,7 @@
 // New starts a task that ends with c and closes n then. It wakes jobs after each
 // datagram. When another front holds other objects than the informers of configs
 // and hosts for a while, they are asked for a new list.
-func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
+func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts *roster.Roster, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
 	t := &Task{
 		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1),
 		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
@@ -147,16 +148,10 @@
 
 func (t *Task) targets() []target {
 	var l []target
-	for n, o := range t.fronts.All() {
+	for n, f := range t.fronts.All() {
 		if n == t.self.GetName() {
 			continue
 		}
-		var f wire.Front
-		e := o.Decode(&f)
-		if e != nil {
-			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front is not readable")
-			continue
-		}
 		a, e := net.ResolveUDPAddr("udp", f.GetPeerAddress())
 		if e != nil {
 			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front has no address")
@@ -229,10 +224,10 @@
 			r[l.GetName()] = l.GetReleased()
 			t.jobs.Review()
 		}
-		if f.due(o, &l, l.GetConfigs(), t.configs.Digest()) {
+		if f.due(o, &l, l.GetConfigs(), t.configs) {
 			t.configs.Refresh()
 		}
-		if h.due(o, &l, l.GetHosts(), t.hosts.Digest()) {
+		if h.due(o, &l, l.GetHosts(), t.hosts) {
 			t.hosts.Refresh()
 		}
 		t.jobs.Wake()
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,13 @@
 	// revive an object.
 	deleted map[string]int64
 	known   bool
+	// Version of the newest list. An object with a lower version that the list
+	// lacks has been deleted.
+	listed int64
+	// All changes up to this version are known.
+	complete int64
+	// The present watch is another front's.
+	relayed bool
 	// When the last trouble with the platform began and ended; the end is
 	// zero while it lasts.
 	failed    time.Time
@@ -85,7 +93,7 @@
 	if e != nil {
 		return e
 	}
-	s.replace(l, v)
+	s.replace(l, v, false)
 	w, e := s.store.Watch(c, s.kind, v)
 	if e != nil {
 		return e
@@ -94,6 +102,10 @@
 		if x.Cause() != nil {
 			return x.Cause()
 		}
+		if l, v, o := x.List(); o {
+			s.replace(l, v, true)
+			continue
+		}
 		s.apply(x)
 	}
 	return errors.New("watch ended")
@@ -113,10 +125,18 @@
 	}
 }
 
-// replace takes in a list. Objects that it lacks are deleted.
-func (s *Informer) replace(l []object.Object, version int64) {
+// replace takes in a list of the platform, or one that another front relays.
+// Objects that it lacks are deleted. An older list than the last one tells
+// nothing new.
+func (s *Informer) replace(l []object.Object, version int64, relayed bool) {
 	s.m.Lock()
 	defer s.m.Unlock()
+	s.relayed = relayed
+	if version < s.listed {
+		return
+	}
+	s.listed = version
+	s.complete = max(s.complete, version)
 	n := make(map[string]object.Object, len(l))
 	for _, o := range l {
 		n[o.Name()] = o
@@ -143,6 +163,7 @@
 	o := x.Object()
 	s.m.Lock()
 	defer s.m.Unlock()
+	s.complete = max(s.complete, o.Version())
 	if x.Deleted() {
 		s.deleted[o.Name()] = max(s.deleted[o.Name()], o.Version())
 		if h, k := s.objects[o.Name()]; k && h.Version() <= o.Version() {
@@ -156,6 +177,10 @@
 
 // put keeps an object unless a newer version is known.
 func (s *Informer) put(o object.Object) {
+	if o.Version() <= s.listed {
+		// The list has it, or something newer.
+		return
+	}
 	if o.Version() <= s.objects[o.Name()].Version() || o.Version() <= s.deleted[o.Name()] {
 		return
 	}
@@ -191,6 +216,21 @@
 	return maps.Clone(s.objects)
 }
 
+// Copy returns all objects and the version up to which all changes are known.
+func (s *Informer) Copy() ([]object.Object, int64) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return slices.Collect(maps.Values(s.objects)), s.complete
+}
+
+// Relayed says whether another front tells the changes in place of the
+// platform.
+func (s *Informer) Relayed() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.relayed
+}
+
 // Known says whether the kind has been listed once.
 func (s *Informer) Known() bool {
 	s.m.Lock()
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -220,3 +220,32 @@
 		}
 	})
 }
+
+// Guards against a front that is behind and relays its old copy: what a newer
+// list of the platform lacks must not come back.
+func TestOldCopyBringsNothingBack(t *testing.T) {
+	play(t, func(_ context.Context, s *store, i *inform.Informer) {
+		o := func(n string, v int64) object.Object { return object.New("hosts", n, v, nil) }
+		s.set(10, "a")
+		s.end()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		w := s.watches[0]
+		w <- trail.NewList([]object.Object{o("a", 1), o("b", 5)}, 6)
+		w <- trail.NewChange(o("b", 5), false)
+		synctest.Wait()
+		if d := cmp.Diff("a", names(i)); d != "" {
+			t.Error(d)
+		}
+		w <- trail.NewList([]object.Object{o("c", 11)}, 12)
+		w <- trail.NewChange(o("d", 13), false)
+		synctest.Wait()
+		if d := cmp.Diff("c d", names(i)); d != "" {
+			t.Error(d)
+		}
+		_, v := i.Copy()
+		if d := cmp.Diff(int64(13), v); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/inform/verify.go
+++ b/internal/coordination/inform/verify.go
@@ -51,7 +51,7 @@
 		}
 		return false
 	}
-	s.replace(l, v)
+	s.replace(l, v, s.Relayed())
 	if d == s.Digest() {
 		return false
 	}
--- /dev/null
+++ b/internal/coordination/roster/roster.go
@@ -0,0 +1,91 @@
+package roster
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// WatchersPerDataCentre is the number of fronts of a data centre that watch the
+// platform for the others. The second one covers the time until the loss of the
+// first is noticed.
+const WatchersPerDataCentre = 2
+
+// Roster is the list of fronts. Its methods may be called from any goroutine.
+type Roster struct {
+	self   *wire.Front
+	fronts *inform.Informer
+	f      *fleet.Fleet
+	l      log.Interface
+
+	m sync.Mutex
+	// Closed when the list has changed since it was decoded.
+	changed <-chan struct{}
+	// By name, as decoded last.
+	all map[string]*wire.Front
+}
+
+// New returns the roster that the copy of the fronts' entries holds.
+func New(self *wire.Front, fronts *inform.Informer, f *fleet.Fleet, l log.Interface) *Roster {
+	return &Roster{self: self, fronts: fronts, f: f, l: l}
+}
+
+// All returns all fronts by name. It must not be changed.
+func (r *Roster) All() map[string]*wire.Front {
+	r.m.Lock()
+	defer r.m.Unlock()
+	select {
+	case <-r.changed:
+	default:
+		if r.all != nil {
+			return r.all
+		}
+	}
+	r.changed = r.fronts.Changed()
+	r.all = r.decode()
+	return r.all
+}
+
+func (r *Roster) decode() map[string]*wire.Front {
+	m := map[string]*wire.Front{}
+	for n, o := range r.fronts.All() {
+		f := &wire.Front{}
+		e := o.Decode(f)
+		if e != nil {
+			r.l.WithError(e).WithField("front", n).Warn("roster: entry of a front is not readable")
+			continue
+		}
+		m[n] = f
+	}
+	return m
+}
+
+// Address returns the peer address of a front, empty when it is not known.
+func (r *Roster) Address(name string) string { return r.All()[name].GetPeerAddress() }
+
+// Watchers returns the names of the fronts of this data centre that watch the
+// platform now, and nil when all do, because the fleet is small or no other
+// front of the data centre is known.
+func (r *Roster) Watchers(now time.Time) []string {
+	a := r.All()
+	if len(a) <= fleet.SmallFleet+1 {
+		return nil
+	}
+	l := []string{r.self.GetName()}
+	for _, n := range r.f.Steady(now) {
+		if a[n].GetDataCentre() == r.self.GetDataCentre() {
+			l = append(l, n)
+		}
+	}
+	if len(l) == 1 {
+		return nil
+	}
+	slices.Sort(l)
+	return l[:min(len(l), WatchersPerDataCentre)]
+}
--- a/store.go
+++ b/store.go
@@ -42,7 +42,8 @@
 	Delete(c context.Context, o object.Object) error
 	// Watch reports the changes of a kind after a version until c ends or the
 	// platform closes the watch; then the channel is closed. Before that, the
-	// last change may only tell why (Change.Cause).
+	// last change may only tell why (Change.Cause). A change may hold the whole
+	// kind (Change.List).
 	Watch(c context.Context, kind string, after int64) (<-chan Change, error)
 }
 
@@ -57,12 +58,21 @@
 	ListStale(c context.Context, kind string) ([]object.Object, int64, error)
 }
 
-// Change is one change of an object.
+// Change is one change of an object, or the state of all objects of a kind.
 type Change struct {
 	object  object.Object
 	deleted bool
 	// Not nil for the end of a watch, which has no object.
 	cause error
+	// Not nil for the state of all objects.
+	list *list
+}
+
+// list is the state of all objects of a kind.
+type list struct {
+	objects []object.Object
+	// All changes up to this version are in it.
+	version int64
 }
 
 // NewChange returns a change to o, or its deletion.
@@ -73,6 +83,21 @@
 // NewEnd returns the end of a watch for a reason.
 func NewEnd(cause error) Change { return Change{cause: cause} }
 
+// NewList returns the state of all objects of a kind. It has all changes up to a
+// version.
+func NewList(objects []object.Object, version int64) Change {
+	return Change{list: &list{objects: objects, version: version}}
+}
+
+// List returns all objects of the kind and the version up to which the list has
+// all changes, and false if the change is to one object only.
+func (c Change) List() ([]object.Object, int64, bool) {
+	if c.list == nil {
+		return nil, 0, false
+	}
+	return c.list.objects, c.list.version, true
+}
+
 // Cause returns why the watch ends here, nil for a change of an object.
 func (c Change) Cause() error { return c.cause }
 
