batch, notice, fleet: the front that runs a job tells its results

Ruled out: a read of the owner once a second for all callers of a job (as many reads); a lease of each front in the platform (76 writes a second); watches of the results (each update carries the whole list). Change: a front asks the one that runs the job, which waits for a result and may say that there is none as long as no other can have taken the job over. It can not while all fronts hear it: each says after a second of silence whom it does not hear, well before it counts a front as gone. Whoever is not heard, hears somebody no more, or did not run for a second by either clock doubts, as long as the lost front may live behind a cut (15 s), and until a review of old copies that began 3 s later has found the job unchanged. A write of results of unknown outcome, or a takeover before the first own write, is a doubt too. In doubt the platform is read as before.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -169,6 +169,11 @@
 			s.relay.ServeCall(c, n, o.GetStore())
 		case o.HasFollow():
 			s.fanout.Serve(c, n, o.GetFollow())
+		case o.HasResults():
+			e := notice.ServeResults(c, n, o.GetResults(), s.jobs.Known)
+			if e != nil {
+				s.l.WithError(e).Info("bulrushd: another front that asked for results was lost")
+			}
 		case o.HasJob():
 			e := notice.Serve(n, o.GetJob(), s.jobs.Noticed)
 			if e != nil {
--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -116,6 +116,7 @@
 	if e != nil {
 		return e
 	}
+	s.settle(o, false)
 	if version == 0 {
 		b, e = s.store.Create(c, b)
 	} else {
@@ -125,10 +126,17 @@
 		return e
 	}
 	s.setPart(o.k, n, &part{version: b.Version(), v: v})
+	s.settle(o, true)
 	s.l.WithFields(log.Fields{"job-id": o.id, "part": n, "results": len(v.GetResults())}).Info("batch: results listed")
 	return nil
 }
 
+func (s *Jobs) settle(o *owned, settled bool) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	o.settled = settled
+}
+
 // complete marks a job whose items all have a result, and stops running it.
 func (s *Jobs) complete(o *owned) {
 	s.m.Lock()
--- a/internal/coordination/batch/end.go
+++ b/internal/coordination/batch/end.go
@@ -47,7 +47,7 @@
 	if w == "" || w == s.self.GetName() || s.settled() && !s.f.Present(time.Now(), w) {
 		return nil
 	}
-	e := s.notifier.Tell(c, w, o)
+	e := s.peers.Tell(c, w, o)
 	if e == nil {
 		return nil
 	}
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -44,6 +44,8 @@
 	notices *notices
 	// Fails the next write after it was carried out.
 	lose bool
+	// How long the failure of that write takes to show.
+	stuck time.Duration
 }
 
 // written is a version of an object.
@@ -148,6 +150,10 @@
 	s.past = append(s.past, written{time.Now(), o})
 	if s.lose {
 		s.lose = false
+		d := s.stuck
+		s.m.Unlock()
+		time.Sleep(d)
+		s.m.Lock()
 		return o, failed(trail.ErrUnavailable, trail.MayHaveRun)
 	}
 	return o, nil
@@ -240,6 +246,18 @@
 	return nil
 }
 
+func (n *notices) Results(c context.Context, front, job string, after int, wait time.Duration) ([]*wire.BatchResult, bool, error) {
+	n.m.Lock()
+	j := n.fronts[front]
+	d := n.cut
+	n.m.Unlock()
+	if j == nil || d {
+		return nil, false, trail.NewError("peer-unreachable", trail.NotRun, "cut")
+	}
+	l, o := j.Known(c, job, after, wait)
+	return l, o, nil
+}
+
 func output(id string) string { return id + "\n" + strings.Repeat("x", 100) }
 
 // newJobs starts a front's jobs, with one backend server of 8 slots.
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -56,9 +56,8 @@
 	f     *fleet.Fleet
 	up    trail.Upstream
 	table func() *rules.Table
-	// Tells other fronts that their jobs have ended.
-	notifier trail.Notifier
-	l        log.Interface
+	peers trail.PeerJobs
+	l     log.Interface
 	// Called when the loads of this front have changed.
 	changed func()
 	// Largest value of an object in bytes.
@@ -81,14 +80,16 @@
 	runs map[string][]*run
 	// No new items are started.
 	leaving bool
+	// When the last review that has succeeded began.
+	reviewed time.Time
 
 	items *prometheus.CounterVec
 }
 
 // New starts to run the jobs that this front owns, until c ends.
-func New(c context.Context, self *wire.Front, store trail.StaleStore, n trail.Notifier, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
+func New(c context.Context, self *wire.Front, store trail.StaleStore, p trail.PeerJobs, f *fleet.Fleet, up trail.Upstream, table func() *rules.Table, valueBytes int64, l log.Interface, r prometheus.Registerer, changed func()) *Jobs {
 	s := &Jobs{
-		self: self, store: store, notifier: n, f: f, up: up, table: table, l: l, changed: changed,
+		self: self, store: store, peers: p, f: f, up: up, table: table, l: l, changed: changed,
 		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), asked: make(chan struct{}, 1), lost: make(chan struct{}, 1), born: time.Now(),
 		known: map[string]*known{}, owned: map[string]*owned{}, agenda: agenda.New(), runs: map[string][]*run{},
 		items: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -31,6 +30,9 @@
 	leaving bool
 	// Was accepted here, so that no earlier owner has counted failures.
 	first bool
+	// No write to the results is under way or of unknown outcome: neither one of
+	// this front nor, until its first own write, one of an earlier owner.
+	settled bool
 	// Ends the runs and commits of the job.
 	c    context.Context
 	stop context.CancelCauseFunc
@@ -57,7 +59,7 @@
 		return
 	}
 	k.input = items
-	o := &owned{id: d, k: k, progress: map[int]*progress{}, first: first}
+	o := &owned{id: d, k: k, progress: map[int]*progress{}, first: first, settled: first}
 	o.c, o.stop = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	u := time.Duration(s.route(k).GetDueMs()) * time.Millisecond
@@ -115,6 +117,7 @@
 func (s *Jobs) review(c context.Context) {
 	for {
 		w := s.waitReview(c)
+		b := time.Now()
 		var l []object.Object
 		var e error
 		switch w {
@@ -133,6 +136,9 @@
 		for _, o := range l {
 			s.look(c, o)
 		}
+		s.m.Lock()
+		s.reviewed = b
+		s.m.Unlock()
 	}
 }
 
@@ -291,109 +297,12 @@
 	s.own(o, j, i, false)
 }
 
-// Drain starts no new runs and leaves each job to the other fronts once its runs
-// here have ended and their results are listed. At the end of c it does so
-// with the others too.
-func (s *Jobs) Drain(c context.Context) {
-	s.m.Lock()
-	s.leaving = true
-	s.m.Unlock()
-	var w sync.WaitGroup
-	for d := false; !d; {
-		d = !wait(c, dispatchPause)
-		for _, o := range s.idle(d) {
-			w.Go(func() { s.handOver(o) })
-		}
-		d = d || s.ownedJobs() == 0
-	}
-	w.Wait()
-}
-
-// idle takes the jobs without a run, or all, from those that this front runs.
-func (s *Jobs) idle(all bool) []*owned {
-	s.m.Lock()
-	defer s.m.Unlock()
-	n := map[*owned]int{}
-	for _, l := range s.runs {
-		for _, r := range l {
-			n[r.o]++
-		}
-	}
-	var l []*owned
-	for _, o := range s.owned {
-		if (all || n[o] == 0) && !o.leaving {
-			o.leaving = true
-			l = append(l, o)
-		}
-	}
-	return l
-}
-
 func (s *Jobs) ownedJobs() int {
 	s.m.Lock()
 	defer s.m.Unlock()
 	return len(s.owned)
 }
 
-// handOver lists the results at hand and releases a job.
-func (s *Jobs) handOver(o *owned) {
-	c, f := context.WithTimeout(context.Background(), releaseTimeout)
-	defer f()
-	e := s.commit(c, o)
-	if e != nil {
-		s.l.WithError(e).WithField("job-id", o.id).Warn("batch: results of a stopping front are lost, the items run again")
-	}
-	s.drop(o.id, "front is stopping")
-	r := false
-	e = s.change(c, o.id, func(j *wire.BatchJob) bool {
-		r = s.mine(j) && !j.GetComplete() && !j.GetEnded()
-		if r {
-			j.SetOwner("")
-		}
-		return r
-	})
-	if e != nil {
-		s.l.WithError(e).WithField("job-id", o.id).Warn("batch: job not released, another front takes it over later")
-		return
-	}
-	if r {
-		s.leave(c, o.id)
-	}
-}
-
-// leave tells the front that comes next for a job that it has no owner. If that
-// one can't be told, all fronts look for it.
-func (s *Jobs) leave(c context.Context, id string) {
-	n := s.first(id, "")
-	o, _ := s.owner(id)
-	if n != "" {
-		e := s.notifier.Tell(c, n, o)
-		if e == nil {
-			s.l.WithFields(log.Fields{"job-id": id, "front": n}).Info("batch: job left to another front")
-			return
-		}
-		s.l.WithError(e).WithFields(log.Fields{"job-id": id, "front": n}).Warn("batch: front that comes next for a job was not told")
-	}
-	s.released.Add(1)
-	s.changed()
-}
-
-// inherit takes over a job that another front has left to this one.
-func (s *Jobs) inherit(id string) {
-	if s.stopping() {
-		s.released.Add(1)
-		s.changed()
-		return
-	}
-	c, f := context.WithTimeout(context.Background(), inheritTimeout)
-	defer f()
-	s.adopt(c, id)
-}
-
-// Released returns how many jobs this front has left to no one in particular.
-// When the number of another front has changed, Review finds the job.
-func (s *Jobs) Released() uint32 { return s.released.Load() }
-
 // reviewLater asks for another review after one that could not do all.
 func (s *Jobs) reviewLater() { time.AfterFunc(reviewPause, s.Review) }
 
@@ -420,11 +329,5 @@
 	}
 }
 
-const (
-	// Bound of the time in which a stopping front releases its jobs.
-	releaseTimeout = 1200 * time.Millisecond
-	// Bound of the takeover of a job that another front has left to this one.
-	inheritTimeout = 3 * time.Second
-	// Greatest age of what is read from an old copy.
-	copyAge = 3 * time.Second
-)
+// Greatest age of what is read from an old copy.
+const copyAge = 3 * time.Second
--- a/internal/coordination/batch/read.go
+++ b/internal/coordination/batch/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -32,6 +33,11 @@
 	if after >= k.total {
 		return k.total, nil, nil
 	}
+	b := time.Now()
+	if l, d := s.ask(c, id, after, patience); d {
+		return k.total, bound(l), nil
+	}
+	patience = max(patience-time.Since(b), 0)
 	t := time.NewTimer(patience)
 	defer t.Stop()
 	for {
@@ -52,6 +58,71 @@
 	}
 }
 
+// ask asks the front that runs a job for the results from a position on. It
+// returns false when the answer does not settle what there is.
+func (s *Jobs) ask(c context.Context, id string, after int, patience time.Duration) ([]*wire.BatchResult, bool) {
+	_, w := s.owner(id)
+	if w == s.self.GetName() {
+		l, d := s.Known(c, id, after, patience)
+		return l, d || len(l) > 0
+	}
+	if w == "" || !s.f.Present(time.Now(), w) {
+		return nil, false
+	}
+	l, d, e := s.peers.Results(c, w, id, after, patience)
+	if e != nil {
+		s.l.WithError(e).WithFields(log.Fields{"job-id": id, "front": w}).Warn("batch: front that runs a job was not asked for its results")
+		return nil, false
+	}
+	return l, d || len(l) > 0
+}
+
+// Known returns the results from a position on that this front knows, for
+// another one, and whether there can be no others. It waits for so long until
+// there is one.
+func (s *Jobs) Known(c context.Context, id string, after int, patience time.Duration) ([]*wire.BatchResult, bool) {
+	s.m.Lock()
+	k := s.known[id]
+	o := s.owned[id]
+	s.m.Unlock()
+	if k == nil {
+		return nil, false
+	}
+	if o == nil {
+		return bound(s.after(k, after)), false
+	}
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	for {
+		s.m.Lock()
+		l, w := k.results(after), k.changed
+		s.m.Unlock()
+		if len(l) > 0 {
+			return bound(l), false
+		}
+		select {
+		case <-w:
+		case <-t.C:
+			return nil, s.certain(o)
+		case <-o.c.Done():
+			return bound(s.after(k, after)), false
+		case <-c.Done():
+			return nil, false
+		}
+	}
+}
+
+// certain says whether this front knows all results of a job that it runs. No
+// write to them may be of unknown outcome, and no other front can have taken the
+// job over: none has counted this front as gone, or a review since then has
+// found the job unchanged.
+func (s *Jobs) certain(o *owned) bool {
+	d := s.f.Doubted(time.Now())
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.owned[o.id] == o && o.settled && s.reviewed.After(d.Add(copyAge))
+}
+
 // bound cuts results to the size of one answer.
 func bound(l []*wire.BatchResult) []*wire.BatchResult {
 	n := 0
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -168,6 +168,7 @@
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		Released: proto.Uint32(t.jobs.Released()),
+		Unheard:  t.unheard(o),
 		Missed:   proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
 		Troubled: proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
 	}.Build())
@@ -187,6 +188,17 @@
 	}
 }
 
+// unheard returns the fronts with an entry that have been silent.
+func (t *Task) unheard(now time.Time) []string {
+	var l []string
+	for _, a := range t.addresses {
+		if !t.f.Heard(now, a.name, fleet.HearTime) {
+			l = append(l, a.name)
+		}
+	}
+	return l
+}
+
 func (t *Task) receive(c context.Context) {
 	b := make([]byte, maxDatagram)
 	f, h := newComparison(), newComparison()
--- a/internal/coordination/notice/doc.go
+++ b/internal/coordination/notice/doc.go
@@ -1,3 +1,4 @@
-// Package notice tells the front that runs a batch job that another front has
-// changed it. The platform tells it too, only later.
+// Package notice calls the front that runs a batch job: it tells that the job has
+// changed, and asks for its results. The platform tells both too, only later or
+// at a price.
 package notice
--- a/upstream.go
+++ b/upstream.go
@@ -69,11 +69,15 @@
 // Deadline returns when the caller stops waiting, zero for never.
 func (r *Request) Deadline() time.Time { return r.deadline }
 
-// Notifier tells another front of a change that concerns its work.
-type Notifier interface {
-	// Tell returns nil once the front heeds the object. The error's verdict is
-	// MayHaveRun when the front may do so.
+// PeerJobs is the batch jobs that other fronts run.
+type PeerJobs interface {
+	// Tell returns nil once the front heeds the changed object of a job. The
+	// error's verdict is MayHaveRun when the front may do so.
 	Tell(c context.Context, front string, o object.Object) error
+	// Results returns the results of a job from a position on that are listed,
+	// as the front knows, and whether there can be no others. The front waits
+	// for so long until there is one.
+	Results(c context.Context, front, job string, after int, wait time.Duration) (l []*wire.BatchResult, certain bool, e error)
 }
 
 // Sharer is the work that fronts share among each other, as their datagrams
