batch: a front that has just started lets all look for a job left to it

Cause: found by reading: a front takes no jobs over in its first 2.5 s, and the notice of a job that is left to it was answered and then forgotten; idle fronts would find the job up to 15 s later. Change: it counts the job as left to nobody, which all fronts hear. Test: TestJobLeftToNewFront (failed before).

--- a/internal/coordination/batch/leave.go
+++ b/internal/coordination/batch/leave.go
@@ -98,9 +98,10 @@
 	s.changed()
 }
 
-// inherit takes over a job that another front has left to this one.
+// inherit takes over a job that another front has left to this one. If this one
+// stops too, or has just started, all look for it.
 func (s *Jobs) inherit(id string) {
-	if s.stopping() {
+	if s.stopping() || !s.settled() {
 		s.released.Add(1)
 		s.changed()
 		return
--- a/internal/coordination/batch/leave_test.go
+++ b/internal/coordination/batch/leave_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Guards against a job that is left to a front which has just started and does
+// not take jobs over yet: it must let all look for it.
+func TestJobLeftToNewFront(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		r := newCrowd(c, s, g, "front-1")
+		r.run(5*time.Second, "")
+		accept(t, c, r.jobs["front-1"], "job", 10)
+		r.names = append(r.names, "front-2")
+		r.fleets["front-2"] = fleet.New("front-2", "a")
+		r.jobs["front-2"] = newJobsOf(c, r.fleets["front-2"], "front-2", s, g, valueBytes)
+		r.run(500*time.Millisecond, "")
+		d, f := context.WithTimeout(c, 100*time.Millisecond)
+		defer f()
+		r.jobs["front-1"].Drain(d)
+		time.Sleep(100 * time.Millisecond)
+		if d := cmp.Diff(uint32(1), r.jobs["front-2"].Released()); d != "" {
+			t.Error(d)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against fronts that all list the jobs each time that one of them stops
 // or goes silent: a restart of a large fleet would cost the square of its size.
 // Pattern: the restart of all fronts in turn on the grown sites.
