batch: one wait for results

Cause: the wait for results stood twice, for callers and for other fronts, and a front that knew results asked the owner before it looked at them. Change: `await` serves both; what is known at the front is answered first.

--- a/internal/coordination/batch/read.go
+++ b/internal/coordination/batch/read.go
@@ -33,27 +33,44 @@
 	if after >= k.total {
 		return k.total, nil, nil
 	}
+	l := s.after(k, after)
+	if len(l) > 0 {
+		return k.total, bound(l), nil
+	}
 	b := time.Now()
-	if l, d := s.ask(c, id, after, patience); d {
+	l, d := s.ask(c, id, after, patience)
+	if d {
+		return k.total, bound(l), nil
+	}
+	l = s.await(c, k, after, patience-time.Since(b))
+	if len(l) > 0 {
 		return k.total, bound(l), nil
 	}
-	patience = max(patience-time.Since(b), 0)
-	t := time.NewTimer(patience)
+	if c.Err() != nil {
+		return 0, nil, trail.WrapError(c.Err(), "cancelled", trail.NotRun, "caller has gone")
+	}
+	l, e = s.current(c, id, k, after)
+	return k.total, bound(l), e
+}
+
+// await returns the results from a position on that this process knows. It waits
+// until there is one, its patience is at its end, or c ends.
+func (s *Jobs) await(c context.Context, k *known, after int, patience time.Duration) []*wire.BatchResult {
+	t := time.NewTimer(max(patience, 0))
 	defer t.Stop()
 	for {
 		s.m.Lock()
 		l, w := k.results(after), k.changed
 		s.m.Unlock()
 		if len(l) > 0 {
-			return k.total, bound(l), nil
+			return l
 		}
 		select {
 		case <-w:
 		case <-t.C:
-			l, e = s.current(c, id, k, after)
-			return k.total, bound(l), e
+			return nil
 		case <-c.Done():
-			return 0, nil, trail.WrapError(c.Err(), "cancelled", trail.NotRun, "caller has gone")
+			return nil
 		}
 	}
 }
@@ -91,25 +108,12 @@
 	if o == nil {
 		return bound(s.after(k, after)), false
 	}
-	t := time.NewTimer(patience)
-	defer t.Stop()
-	for {
-		s.m.Lock()
-		l, w := k.results(after), k.changed
-		s.m.Unlock()
-		if len(l) > 0 {
-			return bound(l), false
-		}
-		select {
-		case <-w:
-		case <-t.C:
-			return nil, s.certain(o)
-		case <-o.c.Done():
-			return bound(s.after(k, after)), false
-		case <-c.Done():
-			return nil, false
-		}
-	}
+	c, f := context.WithCancel(c)
+	defer f()
+	// Nothing more comes once the job is dropped.
+	defer context.AfterFunc(o.c, f)()
+	l := s.await(c, k, after, patience)
+	return bound(l), len(l) == 0 && s.certain(o)
 }
 
 // certain says whether this front knows all results of a job that it runs. No
