--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -25,7 +25,7 @@
 	gather = 8 * time.Millisecond
 	// Time added to gather for each front beyond SmallFleet that hears of
 	// changes at once.
-	gatherPerFront = 100 * time.Microsecond
+	gatherPerFront = time.Millisecond
 	// Time from a datagram to the decisions that heed it.
 	tellTime = 8 * time.Millisecond
 	// Average before the first answer.
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -28,7 +28,9 @@
 	f.add(l, 1)
 	f.peers[l.GetName()] = &peer{load: l, seen: now}
 	delete(f.lost, l.GetName())
-	f.countNear()
+	if p == nil {
+		f.countNear()
+	}
 	f.hears(now, l.GetUnheard())
 	return p == nil || p.load.GetIncarnation() != l.GetIncarnation()
 }
