--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -108,7 +108,7 @@
 // hear of each other at once place by the same loads: as many as arrive while a
 // change of the loads is on its way, if all of them get as many as this one.
 func (v *service) contenders(peers int) float64 {
-	return 1 + v.rate*float64(peers)*TellTime(peers).Seconds()
+	return 1 + v.rate*float64(peers)*tellDelay(peers).Seconds()
 }
 
 const (
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -77,9 +77,9 @@
 	}
 }
 
-// TellTime is the time after which fronts know of a change of another one's
+// tellDelay is the time after which fronts know of a change of another one's
 // loads, when so many hear of it at once.
-func TellTime(fronts int) time.Duration { return tellTime + GatherTime(fronts)/4 }
+func tellDelay(fronts int) time.Duration { return tellTime + GatherTime(fronts)/4 }
 
 // GatherTime is the least time between datagrams with changes of the loads. It
 // grows with the number of fronts that hear of them at once, so that the rate
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -12,10 +12,10 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// WatchersPerDataCentre is the number of fronts of a data centre that watch the
+// watchersPerDataCentre is the number of fronts of a data centre that watch the
 // platform for the others. The second one covers the time until the loss of the
 // first is noticed.
-const WatchersPerDataCentre = 2
+const watchersPerDataCentre = 2
 
 // Roster is the list of fronts. Its methods may be called from any goroutine.
 type Roster struct {
@@ -87,5 +87,5 @@
 		return nil
 	}
 	slices.Sort(l)
-	return l[:min(len(l), WatchersPerDataCentre)]
+	return l[:min(len(l), watchersPerDataCentre)]
 }
