inform, fleet, gossip: copies are confirmed, no server is kept on a guess

Cause: a front could use a server for over two seconds after the registry had dropped it, in two ways. (1) Two fronts listed each 1.4 s for all; with a heartbeat, a lost datagram and the pause between lists the others heard up to 2.1 s later, and a front that neither watches nor hears listed never. (2) When half of the entries of a service went missing within 0.4 s, as two of three lookup servers can, they were kept for 2.2 s, whether or not the platform had been away; the same for entries that went while a cut watch was renewed.

Change: each copy knows up to when it had all changes. A list confirms it, and so does a datagram of a front with the same objects. An outage counts only when nothing was confirmed for two seconds. Servers that went together are kept until 1.7 s after the last confirmation of the list with them.

So it is shown by tests: TestServersRemovedTogetherAreNotKept and TestAnyFrontListsInTime, which the code before could not pass: it kept the servers for 2.2 s, and only two fronts listed.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -42,12 +42,6 @@
 	exitTime = 600 * time.Millisecond
 	// Time before the end of the drain in which batch jobs are released.
 	releaseTime = 1300 * time.Millisecond
-	// A change that the watches have not told is known after this time and two
-	// lists. Leaving backend servers and configurations must be heeded within
-	// two seconds.
-	verifyInterval = 1400 * time.Millisecond
-	// Fronts that look for such changes on behalf of all.
-	verifiers = 2
 )
 
 // frontRole is a running front.
@@ -97,8 +91,8 @@
 	serve(l, b, api.Ready(s.api.Ready))
 	p.metrics(l, s.api)
 	go s.servePeers(l, r)
-	go s.configs.Verify(l, verifyInterval, s.verifier)
-	go s.hosts.Verify(l, verifyInterval, s.verifier)
+	go s.configs.Verify(l, s.rank, s.gossip.Wake)
+	go s.hosts.Verify(l, s.rank, s.gossip.Wake)
 	go s.followConfig(l)
 	go s.followHosts(l)
 	d := make(chan struct{})
@@ -218,16 +212,16 @@
 	s.jobs.Drain(c)
 }
 
-// verifier says whether this front is among the first live ones by name that
-// the platform answers.
-func (s *frontRole) verifier() bool {
+// rank returns the place of this front by name among the live ones that the
+// platform answers.
+func (s *frontRole) rank() int {
 	n := 0
 	for _, p := range s.f.Watchful(time.Now()) {
 		if p < s.self.GetName() {
 			n++
 		}
 	}
-	return n < verifiers
+	return n
 }
 
 // followConfig puts each new configuration in force until c ends.
@@ -297,13 +291,13 @@
 	s.reportServers(k)
 	w := time.Now()
 	u := w
-	b, e := s.hosts.Trouble()
-	if !b.IsZero() && e.IsZero() {
+	o, e := s.hosts.Outage()
+	if o {
 		u = w.Add(fleet.LapseGrace)
 	} else if !e.IsZero() {
 		u = e.Add(fleet.LapseGrace)
 	}
-	a := s.f.SetServers(w, l, u)
+	a := s.f.SetServers(w, l, s.hosts.Before(), u)
 	s.jobs.Wake()
 	if a.After(w) {
 		return time.After(a.Sub(w) + time.Millisecond)
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -270,7 +270,7 @@
 func newJobsOf(c context.Context, f *fleet.Fleet, name string, s *store, g *engine, valueBytes int64) *batch.Jobs {
 	f.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{
 		Id: proto.String("s"), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
-	}.Build()}, time.Now())
+	}.Build()}, time.Now(), time.Now())
 	r := rules.New(wire.RouteTable_builder{Routes: []*wire.RouteRule{wire.RouteRule_builder{
 		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
 		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -98,7 +98,7 @@
 			Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
 		}.Build())
 	}
-	f.SetServers(time.Now(), l, time.Now())
+	f.SetServers(time.Now(), l, time.Now(), time.Now())
 	return direct.New(f, poison.New(3), up, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {}, func(string) {}), f
 }
 
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -32,6 +32,13 @@
 	initialHold = 500 * time.Millisecond
 )
 
+const (
+	// A platform that has confirmed the list within this time is not away.
+	answersLately = 2 * time.Second
+	// A server that was removed goes on serving for two seconds at least.
+	removedUse = 1700 * time.Millisecond
+)
+
 // LapseGrace is the time in which entries of backend servers that lapsed in an
 // outage of the platform, two seconds ago at the most, are back.
 const LapseGrace = 2200 * time.Millisecond
@@ -119,10 +126,11 @@
 // SetServers replaces the list of backend servers. One that the list lacks is
 // dropped at keepUntil, which is in the past unless the platform was away: an
 // entry that lapsed meanwhile comes back within seconds. So do the entries of a
-// service when most of them lapse together, whether or not this front has
-// noticed an outage. It returns when servers that are kept must be looked at
-// again, zero for never.
-func (f *Fleet) SetServers(now time.Time, l []*wire.BackendServer, keepUntil time.Time) time.Time {
+// service when most of them lapse together. The platform had confirmed the list
+// before this one at the time confirmed: entries that it has removed since then
+// are not kept longer than a server that leaves goes on serving. It returns when
+// servers that are kept must be looked at again, zero for never.
+func (f *Fleet) SetServers(now time.Time, l []*wire.BackendServer, confirmed, keepUntil time.Time) time.Time {
 	f.m.Lock()
 	defer f.m.Unlock()
 	n := map[string]bool{}
@@ -134,7 +142,7 @@
 	for _, v := range f.services {
 		k := keepUntil
 		if v.lapsed(now, n) {
-			k = now.Add(LapseGrace)
+			k = latest(k, lapseEnd(now, confirmed))
 		}
 		a = latest(a, f.drop(now, v, n, k))
 	}
@@ -163,6 +171,15 @@
 	return v.lapses > 1 && 2*v.lapses >= len(v.servers)
 }
 
+// lapseEnd returns until when servers that lapsed together are kept. If the
+// platform has answered lately, they may as well have been removed.
+func lapseEnd(now, confirmed time.Time) time.Time {
+	if now.Sub(confirmed) > answersLately {
+		return now.Add(LapseGrace)
+	}
+	return confirmed.Add(removedUse)
+}
+
 // drop removes the servers of a service that are not listed and whose time is
 // over. It returns when the last of the others ends.
 func (f *Fleet) drop(now time.Time, v *service, listed map[string]bool, keepUntil time.Time) time.Time {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 
 func newFleet(l ...*wire.BackendServer) *fleet.Fleet {
 	f := fleet.New("front-b", "a")
-	f.SetServers(start, l, start)
+	f.SetServers(start, l, start, start)
 	return f
 }
 
@@ -157,7 +157,7 @@
 	a := fleet.New("front-a", "a")
 	b := fleet.New("front-b", "a")
 	for _, f := range []*fleet.Fleet{a, b} {
-		f.SetServers(start, []*wire.BackendServer{server("s", "a", 4)}, start)
+		f.SetServers(start, []*wire.BackendServer{server("s", "a", 4)}, start, start)
 		f.TakeBatch(start, service)
 		f.TakeBatch(start, service)
 	}
@@ -200,7 +200,7 @@
 	d := server("draining", "a", 8)
 	d.SetDraining(true)
 	f := newFleet(d, server("gone", "a", 8))
-	f.SetServers(start, []*wire.BackendServer{d}, start)
+	f.SetServers(start, []*wire.BackendServer{d}, start, start)
 	if d := cmp.Diff([2]string{"", fleet.ReasonNone}, take(f, start)); d != "" {
 		t.Error(d)
 	}
@@ -211,9 +211,9 @@
 func TestLapsedEntryIsKept(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
 	u := start.Add(2 * time.Second)
-	f.SetServers(start, nil, u)
+	f.SetServers(start, nil, start, u)
 	g := []string{take(f, start)[0]}
-	f.SetServers(u, nil, u)
+	f.SetServers(u, nil, u, u)
 	g = append(g, take(f, u)[0])
 	if d := cmp.Diff([]string{"s", ""}, g); d != "" {
 		t.Error(d)
@@ -229,20 +229,39 @@
 		l = append(l, server(fmt.Sprint("s", n), "a", 8))
 	}
 	f := newFleet(l...)
-	f.SetServers(start, l[1:], start)
+	f.SetServers(start, l[1:], start, start)
 	g := []int{f.Size()}
 	o := start.Add(10 * time.Second)
-	f.SetServers(o, l[4:], o)
-	f.SetServers(o.Add(100*time.Millisecond), nil, o)
+	f.SetServers(o, l[4:], start, o)
+	f.SetServers(o.Add(100*time.Millisecond), nil, start, o)
 	g = append(g, f.Size())
-	f.SetServers(o.Add(1900*time.Millisecond), l[3:], o)
-	f.SetServers(o.Add(2500*time.Millisecond), l[3:], o)
+	f.SetServers(o.Add(1900*time.Millisecond), l[3:], start, o)
+	f.SetServers(o.Add(2500*time.Millisecond), l[3:], start, o)
 	g = append(g, f.Size())
 	if d := cmp.Diff([]int{5, 5, 3}, g); d != "" {
 		t.Error(d)
 	}
 }
 
+// Guards against requests for servers of a service that are removed together
+// while the platform answers, as if their entries had lapsed in an outage: two
+// seconds after the removal none of them may get one.
+func TestServersRemovedTogetherAreNotKept(t *testing.T) {
+	l := []*wire.BackendServer{server("a", "a", 6), server("b", "a", 6), server("c", "a", 6)}
+	f := newFleet(l...)
+	// The platform confirmed the list a second before the removal was heard of.
+	removed := start.Add(9 * time.Second)
+	heard := removed.Add(time.Second)
+	u := f.SetServers(heard, l[2:], removed, heard)
+	if d := cmp.Diff(true, u.Before(removed.Add(2*time.Second))); d != "" {
+		t.Error(d)
+	}
+	f.SetServers(u, l[2:], heard, heard)
+	if d := cmp.Diff(1, f.Size()); d != "" {
+		t.Error(d)
+	}
+}
+
 // Guards against requests for servers that leave without notice, one after the
 // other, as in a release: each is dropped at once.
 func TestReplacedEntriesAreNotKept(t *testing.T) {
@@ -251,7 +270,7 @@
 	var g []int
 	for n := range l {
 		o := start.Add(time.Duration(n+1) * 800 * time.Millisecond)
-		f.SetServers(o, l[n+1:], o)
+		f.SetServers(o, l[n+1:], o.Add(-time.Second), o)
 		g = append(g, f.Size())
 	}
 	if d := cmp.Diff([]int{2, 1, 0}, g); d != "" {
--- a/internal/coordination/fleet/recorded_test.go
+++ b/internal/coordination/fleet/recorded_test.go
@@ -135,7 +135,7 @@
 	for _, x := range l {
 		if f[x.front] == nil {
 			f[x.front] = fleet.New(x.front, s.dataCentre(x.front))
-			f[x.front].SetServers(start, v, start)
+			f[x.front].SetServers(start, v, start, start)
 		}
 	}
 	w := rand.New(rand.NewPCG(1, 2))
--- a/internal/coordination/fleet/suspect_test.go
+++ b/internal/coordination/fleet/suspect_test.go
@@ -31,7 +31,7 @@
 	}
 	f := []*fleet.Fleet{fleet.New("f0", "a"), fleet.New("f1", "a")}
 	for _, x := range f {
-		x.SetServers(start, l, start)
+		x.SetServers(start, l, start, start)
 	}
 	var h []held
 	g := map[int]int{}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -164,17 +165,19 @@
 func (t *Task) broadcast(c context.Context, heartbeat bool) {
 	t.sequence++
 	o := time.Now()
-	b, e := proto.Marshal(wire.Load_builder{
+	m := wire.Load_builder{
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
 		DataCentre: proto.String(t.self.GetDataCentre()),
 		Sequence:   &t.sequence, Servers: t.f.Loads(o), Crashes: t.p.Crashes(o.Add(-crashAge)),
 		Leaving: proto.Bool(t.leaving.Load()),
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
-		Released: proto.Uint32(t.jobs.Released()),
-		Unheard:  t.unheard,
-		Missed:   proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
-		Troubled: proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
-	}.Build())
+		Released:     proto.Uint32(t.jobs.Released()),
+		Unheard:      t.unheard,
+		Missed:       proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
+		Troubled:     proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
+		ConfigsAgeMs: age(t.configs), HostsAgeMs: age(t.hosts),
+	}.Build()
+	b, e := proto.Marshal(m)
 	if e != nil {
 		t.l.WithError(e).Error("gossip: loads not encoded")
 		return
@@ -191,6 +194,27 @@
 	}
 }
 
+// age returns the age of a copy in milliseconds, nil before the first list.
+func age(i *inform.Informer) *uint32 {
+	a, k := i.Age()
+	if !k {
+		return nil
+	}
+	// Rounded up, so that nothing counts as newer than it is.
+	return proto.Uint32(uint32(min(a.Milliseconds()+1, math.MaxUint32)))
+}
+
+// confirm takes in that the copy of another front, if it holds the same objects,
+// was up to date not long ago.
+func (t *Task) confirm(now time.Time, l *wire.Load) {
+	if l.HasConfigsAgeMs() {
+		t.configs.Confirm(l.GetConfigs(), now.Add(-time.Duration(l.GetConfigsAgeMs())*time.Millisecond))
+	}
+	if l.HasHostsAgeMs() {
+		t.hosts.Confirm(l.GetHosts(), now.Add(-time.Duration(l.GetHostsAgeMs())*time.Millisecond))
+	}
+}
+
 // silent returns the fronts with an entry that have not been heard lately.
 func (t *Task) silent() []string {
 	o := time.Now()
@@ -230,6 +254,7 @@
 		if t.f.SetPeer(o, &l) {
 			t.l.WithFields(log.Fields{"front": l.GetName(), "incarnation": l.GetIncarnation()}).Info("gossip: front heard")
 		}
+		t.confirm(o, &l)
 		if len(l.GetCrashes()) > 0 {
 			t.p.Merge(o, l.GetCrashes())
 		}
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -18,6 +18,9 @@
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
+	// Entries lapse after they have not been renewed for some heartbeats, so a
+	// shorter outage of the platform removes none.
+	minOutage = 2 * time.Second
 )
 
 // Informer is a copy of one kind. Its methods may be called from any
@@ -46,6 +49,13 @@
 	// zero while it lasts.
 	failed    time.Time
 	recovered time.Time
+	// The copy has all changes that the platform had acknowledged by this time,
+	// zero before the first list.
+	confirmed time.Time
+	// The same before the newest change was taken in.
+	before time.Time
+	// End of the last time of at least minOutage in which nothing was confirmed.
+	outageEnd time.Time
 	// Closed and replaced at each change.
 	changed chan struct{}
 	// Holds a value while a new list is wanted.
@@ -91,11 +101,13 @@
 
 // follow lists the kind and takes in its changes until the watch ends.
 func (s *Informer) follow(c context.Context) error {
+	b := time.Now()
 	l, v, e := s.store.List(c, s.kind)
 	if e != nil {
 		return e
 	}
 	s.replace(l, v, false)
+	s.confirm(b)
 	w, e := s.store.Watch(c, s.kind, v)
 	if e != nil {
 		return e
@@ -193,6 +205,7 @@
 // notify wakes the waiting readers; the caller holds the lock.
 func (s *Informer) notify() {
 	s.digest = 0
+	s.before = s.confirmed
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -180,15 +180,20 @@
 	})
 }
 
+// rank is the place of a front among the live ones.
+func rank(n int) func() int { return func() int { return n } }
+
 // Guards against a watch that stays open and silent while changes are made, by
 // which a front goes on with an old configuration.
 func TestVerifyFindsMissedChanges(t *testing.T) {
 	play(t, func(c context.Context, s *store, i *inform.Informer) {
-		go i.Verify(c, 900*time.Millisecond, func() bool { return true })
+		n := 0
+		go i.Verify(c, rank(0), func() { n++ })
 		d := i.Digest()
 		s.set(2, "b")
-		time.Sleep(time.Second)
-		if d := cmp.Diff("b", names(i)); d != "" {
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		if d := cmp.Diff([]any{"b", 1}, []any{names(i), n}); d != "" {
 			t.Error(d)
 		}
 		if d := cmp.Diff(uint32(1), i.Missed()); d != "" {
@@ -200,13 +205,78 @@
 	})
 }
 
-// Guards against fronts that all list at the interval, against one that does
-// not list when it is asked to, and against finds that are told on and on.
+// Guards against a front that uses a server, or a configuration, for two seconds
+// after the platform has removed it, since its watch and the fronts that list
+// for all are silent.
+func TestAnyFrontListsInTime(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		go i.Verify(c, rank(100), func() {})
+		time.Sleep(time.Second)
+		// Another front has just listed the same.
+		i.Confirm(i.Digest(), time.Now())
+		s.set(2, "b")
+		time.Sleep(1600 * time.Millisecond)
+		synctest.Wait()
+		if d := cmp.Diff("b", names(i)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against fronts that all list, though the first one tells them that
+// nothing has changed, and against one that believes a front with another copy.
+func TestConfirmedCopyIsNotListed(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		go i.Verify(c, rank(3), func() {})
+		for range 10 {
+			time.Sleep(time.Second)
+			i.Confirm(i.Digest(), time.Now().Add(-250*time.Millisecond))
+		}
+		g := []int{s.lists}
+		for range 10 {
+			time.Sleep(time.Second)
+			i.Confirm(i.Digest()+1, time.Now())
+		}
+		g = append(g, s.lists)
+		if d := cmp.Diff([]int{1, 7}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against an outage in which entries can lapse that is not told, as when
+// calls hang until the platform is back, and against a moment without an answer
+// that counts as one.
+func TestOutage(t *testing.T) {
+	play(t, func(_ context.Context, s *store, i *inform.Informer) {
+		time.Sleep(time.Second)
+		i.Confirm(i.Digest(), time.Now())
+		s.end()
+		time.Sleep(time.Second)
+		o, e := i.Outage()
+		if d := cmp.Diff([]bool{false, true}, []bool{o, e.IsZero()}); d != "" {
+			t.Error(d)
+		}
+		s.fail(trail.ErrUnavailable)
+		s.end()
+		time.Sleep(4 * time.Second)
+		o, _ = i.Outage()
+		s.fail(nil)
+		time.Sleep(2 * time.Second)
+		p, e := i.Outage()
+		if d := cmp.Diff([]bool{true, false, false}, []bool{o, p, e.IsZero()}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against a front that does not list when it is asked to, and against
+// finds that are told on and on.
 func TestRefresh(t *testing.T) {
 	play(t, func(c context.Context, s *store, i *inform.Informer) {
-		go i.Verify(c, 900*time.Millisecond, func() bool { return false })
+		go i.Verify(c, rank(100), func() {})
 		s.set(2, "b")
-		time.Sleep(5 * time.Second)
+		time.Sleep(800 * time.Millisecond)
 		g := []string{names(i)}
 		i.Refresh()
 		time.Sleep(10 * time.Millisecond)
