quota, ledger, batch: a route's waiting tokens are limited over all fronts

Cause: a configuration may limit the tokens of unfinished batch items on a route.

Weighed (docs/decisions.md): one account a route as a platform object with an entry a job, changed by conditional update; shares of the limit leased to fronts; an owner of each account. The account is exact with any number of fronts, survives the loss of all of them, and needs the platform only where the acceptance of a job needs it anyway.

Change: package quota decides, ledger keeps the accounts. A reservation comes before the job, entries hold absolute numbers so that a lost answer does no harm, finished items are told with the next reservation, after 10 s, or after 0.12 s while any front sees an account over half of its limit. Entries left over are found by the jobs' own states. A refusal is 429 with the time in which the missing room comes free. Conflicts of the platform bring the present object.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -253,6 +253,7 @@
 		return
 	}
 	s.direct.SetTable(r)
+	s.jobs.Reroute()
 	s.l.WithField("config-version", r.Version()).Info("bulrushd: configuration in force")
 }
 
--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -27,6 +27,10 @@
 	if s.accepted(id) {
 		return nil
 	}
+	d, e := s.reserve(c, id, host, path, items)
+	if e != nil || d {
+		return e
+	}
 	l := split(items, s.valueBytes)
 	for n, i := range l {
 		_, e := s.create(c, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -46,6 +46,14 @@
 	lose bool
 	// How long the failure of that write takes to show.
 	stuck time.Duration
+	// Reads of the present are not answered.
+	away bool
+}
+
+func (s *store) setAway(away bool) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.away = away
 }
 
 // written is a version of an object.
@@ -91,6 +99,9 @@
 	s.m.Lock()
 	defer s.m.Unlock()
 	s.reads[kind]++
+	if s.away {
+		return object.Object{}, failed(trail.ErrUnavailable, trail.NotRun)
+	}
 	o, k := s.objects[kind+"/"+name]
 	if !k {
 		return o, failed(trail.ErrNotFound, trail.NotRun)
@@ -274,7 +285,7 @@
 	r := rules.New(wire.RouteTable_builder{Routes: []*wire.RouteRule{wire.RouteRule_builder{
 		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
 		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
-	}.Build()}}.Build())
+	}.Build(), quotaRoute()}}.Build())
 	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
 	x := s.notices
 	j := batch.New(c, n, s, x, f, g, func() *rules.Table { return r }, valueBytes,
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -14,6 +14,7 @@
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/agenda"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/ledger"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
@@ -57,7 +58,9 @@
 	up    trail.Upstream
 	table func() *rules.Table
 	peers trail.PeerJobs
-	l     log.Interface
+	// What the jobs take of the quotas of their routes.
+	ledger *ledger.Ledger
+	l      log.Interface
 	// Called when the loads of this front have changed.
 	changed func()
 	// Largest value of an object in bytes.
@@ -97,6 +100,7 @@
 			Help: "Runs of batch items by outcome.",
 		}, []string{"outcome"}),
 	}
+	s.ledger = ledger.New(store, s, l, r)
 	go s.dispatch(c)
 	go s.review(c)
 	time.AfterFunc(firstReviewPause, s.Review)
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -22,6 +22,8 @@
 	k  *known
 	// Progress of items that have run in part, by index.
 	progress map[int]*progress
+	// Tokens of the items without a result.
+	tokens int64
 	// Results that are not listed yet.
 	results []*wire.BatchResult
 	// A goroutine is listing results.
@@ -63,14 +65,19 @@
 	o.c, o.stop = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	u := time.Duration(s.route(k).GetDueMs()) * time.Millisecond
+	h := k.listed()
 	l := make([]string, 0, len(items))
 	for _, i := range items {
 		l = append(l, i.GetId())
+		if !h[i.GetId()] {
+			o.tokens += i.GetTokens()
+		}
 	}
+	s.hold(o)
 	a := time.Since(time.UnixMilli(j.GetAcceptedUnixMs()))
 	// Clocks differ between hosts, and may be set.
 	a = min(max(a, 0), u)
-	s.agenda.Add(d, time.Now().Add(u-a), u, l, k.listed())
+	s.agenda.Add(d, time.Now().Add(u-a), u, l, h)
 	if s.agenda.Open(d) == 0 {
 		// An earlier owner had listed everything.
 		go s.complete(o)
@@ -108,6 +115,9 @@
 		return
 	}
 	delete(s.owned, id)
+	if o.k.job.GetEnded() {
+		s.lower(o, 0)
+	}
 	s.agenda.Remove(id)
 	o.stop(errDropped)
 	s.l.WithFields(log.Fields{"job-id": id, "reason": reason}).Info("batch: job no longer run here")
--- /dev/null
+++ b/internal/coordination/batch/quota.go
@@ -0,0 +1,105 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/ledger"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// reserve makes room for a new job within the quota of its route. It returns
+// true when the job had been accepted before.
+func (s *Jobs) reserve(c context.Context, id, host, path string, items []*wire.BatchItem) (bool, error) {
+	u := s.table().Match(host, path)
+	if u.GetWaitingTokens() <= 0 {
+		return false, nil
+	}
+	e := s.ledger.Reserve(c, ledger.Claim{
+		Route: u.GetName(), Job: id, Tokens: tokens(items), Limit: u.GetWaitingTokens(),
+		Due: time.Duration(u.GetDueMs()) * time.Millisecond,
+	})
+	if trail.CodeOf(e) != "quota-exceeded" {
+		return false, e
+	}
+	// A job that was accepted is so again, however little room there is.
+	o, f := s.store.Get(c, kindJobs, id)
+	if errors.Is(f, trail.ErrNotFound) {
+		return false, e
+	}
+	if f != nil {
+		return false, trail.WrapError(f, trail.CodeOf(f), trail.MayHaveRun, "job may have been accepted before").At(id).RetryAfter(refusedWait)
+	}
+	j := &wire.BatchJob{}
+	f = o.Decode(j)
+	if f != nil {
+		return false, trail.WrapError(f, "object-unreadable", trail.MayHaveRun, "job is not readable").At(id)
+	}
+	s.remember(o, j)
+	return true, nil
+}
+
+// hold tells the ledger of a job that this front runs and has not accepted, or
+// whose route has got a quota since; the caller holds the lock.
+func (s *Jobs) hold(o *owned) {
+	u := s.route(o.k)
+	if u.GetWaitingTokens() > 0 {
+		s.ledger.Hold(u.GetName(), o.id, o.tokens, u.GetWaitingTokens())
+	}
+}
+
+// lower tells the ledger how much of a job still waits; the caller holds the
+// lock.
+func (s *Jobs) lower(o *owned, tokens int64) {
+	o.tokens = tokens
+	s.ledger.Lower(s.route(o.k).GetName(), o.id, tokens)
+}
+
+// Reroute is called when another configuration has come into force. Jobs that
+// were accepted without a quota count toward the one that their route has now.
+func (s *Jobs) Reroute() {
+	s.m.Lock()
+	defer s.m.Unlock()
+	for _, o := range s.owned {
+		s.hold(o)
+	}
+}
+
+// Pressed says whether this front has seen lately that a quota is nearly used
+// up.
+func (s *Jobs) Pressed() bool { return s.ledger.Pressed() }
+
+// Press is called while another front sees so.
+func (s *Jobs) Press() { s.ledger.Press() }
+
+// States returns whether a job still runs, by id, for all jobs that were kept
+// some seconds ago.
+func (s *Jobs) States(c context.Context) (map[string]bool, error) {
+	l, _, e := s.store.ListStale(c, kindJobs)
+	if e != nil {
+		return nil, e
+	}
+	m := make(map[string]bool, len(l))
+	for _, o := range l {
+		j := &wire.BatchJob{}
+		e := o.Decode(j)
+		if e != nil {
+			s.l.WithError(e).WithField("job-id", o.Name()).Warn("batch: job is not readable")
+			continue
+		}
+		m[o.Name()] = !j.GetEnded() && !j.GetComplete()
+	}
+	return m, nil
+}
+
+// tokens returns how many tokens items have together.
+func tokens(items []*wire.BatchItem) int64 {
+	n := int64(0)
+	for _, i := range items {
+		n += i.GetTokens()
+	}
+	return n
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -186,6 +186,7 @@
 // result keeps a result until it is listed; the caller holds the lock.
 func (s *Jobs) result(r *run, failed bool, text string) {
 	delete(r.o.progress, r.n)
+	s.lower(r.o, r.o.tokens-r.item.GetTokens())
 	i := r.item.GetId()
 	r.o.results = append(r.o.results, wire.BatchResult_builder{Id: &i, Failed: &failed, Output: &text}.Build())
 	if r.o.committing {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -176,6 +176,7 @@
 		Missed:       proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
 		Troubled:     proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
 		ConfigsAgeMs: age(t.configs), HostsAgeMs: age(t.hosts),
+		QuotaPressed: proto.Bool(t.jobs.Pressed()),
 	}.Build()
 	b, e := proto.Marshal(m)
 	if e != nil {
@@ -262,6 +263,9 @@
 			r[l.GetName()] = l.GetReleased()
 			t.jobs.Review()
 		}
+		if l.GetQuotaPressed() {
+			t.jobs.Press()
+		}
 		if f.due(o, &l, l.GetConfigs(), t.configs) {
 			t.configs.Refresh()
 		}
--- /dev/null
+++ b/internal/coordination/ledger/ledger_test.go
@@ -0,0 +1,393 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/ledger"
+	"bulrushtrail.example/trail/internal/coordination/quota"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+const (
+	route = "r"
+	limit = 100
+	due   = 18 * time.Second
+)
+
+// platform is a store in memory that also knows which jobs there are.
+type platform struct {
+	trail.Store
+	m sync.Mutex
+	o object.Object
+	// Calls that change something.
+	writes int
+	// Whether each job is open.
+	jobs map[string]bool
+	// Decides what becomes of a call: 0 it is answered, 1 it fails and nothing
+	// is done, 2 it is done and the answer is lost, 3 it is done a second later.
+	fate func() int
+}
+
+func newPlatform() *platform {
+	return &platform{jobs: map[string]bool{}, fate: func() int { return 0 }}
+}
+
+func failure(cause error, v trail.Verdict) error {
+	return trail.WrapError(cause, "failed", v, "failed")
+}
+
+func (p *platform) Get(context.Context, string, string) (object.Object, error) {
+	p.m.Lock()
+	defer p.m.Unlock()
+	if p.fate() != 0 {
+		return object.Object{}, failure(trail.ErrUnavailable, trail.NotRun)
+	}
+	if p.o.Version() == 0 {
+		return p.o, failure(trail.ErrNotFound, trail.NotRun)
+	}
+	return p.o, nil
+}
+
+func (p *platform) Create(_ context.Context, o object.Object) (object.Object, error) {
+	return p.put(o, trail.ErrExists)
+}
+
+func (p *platform) Update(_ context.Context, o object.Object) (object.Object, error) {
+	return p.put(o, trail.ErrConflict)
+}
+
+func (p *platform) put(o object.Object, conflict error) (object.Object, error) {
+	time.Sleep(4 * time.Millisecond)
+	p.m.Lock()
+	defer p.m.Unlock()
+	p.writes++
+	f := p.fate()
+	switch f {
+	case 1:
+		return o, failure(trail.ErrUnavailable, trail.NotRun)
+	case 3:
+		time.AfterFunc(time.Second, func() {
+			p.m.Lock()
+			defer p.m.Unlock()
+			p.set(o)
+		})
+		return o, failure(trail.ErrUnavailable, trail.MayHaveRun)
+	}
+	if !p.set(o) {
+		return p.o, failure(conflict, trail.NotRun)
+	}
+	if f == 2 {
+		return o, failure(trail.ErrUnavailable, trail.MayHaveRun)
+	}
+	return p.o, nil
+}
+
+// set stores an object if the version has not changed; the caller holds the
+// lock.
+func (p *platform) set(o object.Object) bool {
+	if p.o.Version() != o.Version() {
+		return false
+	}
+	p.o = object.New(o.Kind(), o.Name(), o.Version()+1, o.Value())
+	return true
+}
+
+func (p *platform) States(context.Context) (map[string]bool, error) {
+	p.m.Lock()
+	defer p.m.Unlock()
+	m := map[string]bool{}
+	for j, o := range p.jobs {
+		m[j] = o
+	}
+	return m, nil
+}
+
+// job records that a job is kept, open or not.
+func (p *platform) job(name string, open bool) {
+	p.m.Lock()
+	defer p.m.Unlock()
+	p.jobs[name] = open
+}
+
+// used returns what the account holds.
+func (p *platform) used() int64 {
+	p.m.Lock()
+	defer p.m.Unlock()
+	v := &wire.QuotaAccount{}
+	if p.o.Version() > 0 && p.o.Decode(v) != nil {
+		return -1
+	}
+	return quota.New(v).Used()
+}
+
+func newLedger(p *platform) *ledger.Ledger {
+	return ledger.New(p, p, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry())
+}
+
+func claim(job string, tokens int64) ledger.Claim {
+	return ledger.Claim{Route: route, Job: job, Tokens: tokens, Limit: limit, Due: due}
+}
+
+// reserve asks for room and returns the code of the error, empty for success.
+func reserve(s *ledger.Ledger, job string, tokens int64) string {
+	c, f := context.WithTimeout(context.Background(), 2*time.Second)
+	defer f()
+	e := s.Reserve(c, claim(job, tokens))
+	if e == nil {
+		return ""
+	}
+	return trail.CodeOf(e) + " " + trail.VerdictOf(e).String()
+}
+
+// Guards against two fronts that both take the last room, as they would if each
+// decided by its own copy.
+func TestFrontsAcceptAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		var w sync.WaitGroup
+		var m sync.Mutex
+		n := map[string]int{}
+		for i := range 8 {
+			s := newLedger(p)
+			w.Go(func() {
+				for k := range 3 {
+					x := reserve(s, fmt.Sprint(i, "-", k), 10)
+					m.Lock()
+					n[x]++
+					m.Unlock()
+				}
+			})
+		}
+		w.Wait()
+		if d := cmp.Diff(map[string]int{"": 10, "quota-exceeded not-run": 14}, n); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(int64(limit), p.used()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against room that is given back so late that jobs which fit are
+// rejected: while room is short each front tells of finished items at once, also
+// one that has only heard so.
+func TestRoomIsGivenBackInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := newLedger(p), newLedger(p)
+		g := []string{reserve(a, "x", 60), reserve(b, "y", 30)}
+		p.job("x", true)
+		p.job("y", true)
+		a.Lower(route, "x", 20)
+		g = append(g, reserve(b, "z", 30))
+		if b.Pressed() {
+			a.Press()
+		}
+		time.Sleep(300 * time.Millisecond)
+		g = append(g, reserve(b, "z", 30))
+		if d := cmp.Diff([]string{"", "", "quota-exceeded not-run", ""}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against entries for ever of jobs whose front was lost before it told of
+// their end, and of jobs that were never accepted. An entry of a job that is just
+// being accepted stays.
+func TestEntriesLeftOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := newLedger(p), newLedger(p)
+		g := []string{reserve(a, "ended", 50), reserve(a, "accepting", 30)}
+		p.job("ended", false)
+		g = append(g, reserve(b, "new", 70), reserve(b, "small", 60))
+		p.job("new", true)
+		time.Sleep(40 * time.Second)
+		g = append(g, reserve(b, "last", 30))
+		if d := cmp.Diff([]string{"", "", "", "quota-exceeded not-run", ""}, g); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(int64(limit), p.used()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against many calls for few jobs: a front's claims and changes that come
+// together share one.
+func TestCallsAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		s := newLedger(p)
+		var w sync.WaitGroup
+		for i := range 6 {
+			w.Go(func() { reserve(s, fmt.Sprint(i), 5) })
+		}
+		w.Wait()
+		for i := range 6 {
+			for k := range 5 {
+				s.Lower(route, fmt.Sprint(i), int64(4-k))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		if d := cmp.Diff(int64(0), p.used()); d != "" {
+			t.Error(d)
+		}
+		if p.writes > 3 {
+			t.Error("platform was written", p.writes, "times")
+		}
+	})
+}
+
+// Guards against a lost answer to the write that reserves, by which a job would
+// be counted twice or rejected for its own entry, and against a platform that is
+// away and lets jobs in or keeps callers waiting.
+func TestPlatformFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		s := newLedger(p)
+		n := 0
+		p.fate = func() int { n++; return []int{0, 2, 0, 0, 0}[min(n-1, 4)] }
+		g := []string{reserve(s, "a", 60)}
+		p.fate = func() int { return 1 }
+		b := time.Now()
+		g = append(g, reserve(s, "b", 30))
+		if time.Since(b) > 2100*time.Millisecond {
+			t.Error("caller waited", time.Since(b))
+		}
+		p.fate = func() int { return 0 }
+		g = append(g, reserve(s, "b", 40))
+		if d := cmp.Diff([]string{"", "failed not-run", ""}, g); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(int64(limit), p.used()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards, by random histories, against more accepted tokens than the limit and
+// against room that is lost for good: fronts accept and finish jobs, are lost and
+// replaced, while writes fail, are lost and come late.
+func TestHistories(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) { history(t, seed) })
+	}
+}
+
+// fronts is some fronts and the jobs that they have accepted.
+type fronts struct {
+	r *rand.Rand
+	p *platform
+	l []*ledger.Ledger
+	// Tokens that wait, by job, and the front that runs it.
+	waiting map[string]int64
+	owner   map[string]int
+}
+
+func history(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	// Used by the writing goroutines, one at a time.
+	v := rand.New(rand.NewPCG(seed, 2))
+	p := newPlatform()
+	p.fate = func() int {
+		if v.IntN(4) > 0 {
+			return 0
+		}
+		return v.IntN(4)
+	}
+	x := &fronts{r: r, p: p, waiting: map[string]int64{}, owner: map[string]int{}}
+	for range 4 {
+		x.l = append(x.l, newLedger(p))
+	}
+	for n := range 150 {
+		x.step(n)
+		if u := x.sum(); u > limit {
+			t.Fatalf("seed %d, step %d: %d tokens wait", seed, n, u)
+		}
+	}
+	p.m.Lock()
+	p.fate = func() int { return 0 }
+	p.m.Unlock()
+	for j := range x.owner {
+		x.finish(j, 0)
+	}
+	time.Sleep(time.Minute)
+	// Whoever needs the room finds what is left over.
+	c := x.l[0]
+	reserve(c, "all", limit)
+	time.Sleep(40 * time.Second)
+	if d := cmp.Diff("", reserve(c, "all", limit)); d != "" {
+		t.Errorf("seed %d: room is lost, %d tokens are held: %s", seed, p.used(), d)
+	}
+}
+
+func (x *fronts) step(n int) {
+	f := x.r.IntN(len(x.l))
+	switch k := x.r.IntN(10); {
+	case k < 5:
+		j := fmt.Sprint("j", n)
+		w := int64(1 + x.r.IntN(40))
+		if reserve(x.l[f], j, w) == "" {
+			x.p.job(j, true)
+			x.waiting[j], x.owner[j] = w, f
+		}
+	case k < 9:
+		for _, j := range slices.Sorted(maps.Keys(x.waiting)) {
+			if x.waiting[j] > 0 {
+				x.finish(j, x.waiting[j]/2)
+				break
+			}
+		}
+	default:
+		x.replace(f)
+	}
+	time.Sleep(time.Duration(x.r.IntN(400)) * time.Millisecond)
+}
+
+// finish leaves so many tokens of a job waiting.
+func (x *fronts) finish(job string, tokens int64) {
+	x.waiting[job] = tokens
+	if tokens == 0 {
+		x.p.job(job, false)
+	}
+	x.l[x.owner[job]].Lower(route, job, tokens)
+}
+
+// replace starts a front anew. The next one takes its jobs over.
+func (x *fronts) replace(front int) {
+	x.l[front] = newLedger(x.p)
+	n := (front + 1) % len(x.l)
+	for j, o := range x.owner {
+		if o == front {
+			x.owner[j] = n
+			if x.waiting[j] > 0 {
+				x.l[n].Hold(route, j, x.waiting[j], limit)
+			}
+		}
+	}
+}
+
+func (x *fronts) sum() int64 {
+	n := int64(0)
+	for _, w := range x.waiting {
+		n += w
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/quota/account_test.go
@@ -0,0 +1,61 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/quota"
+)
+
+// Guards against jobs beyond the limit, against a job that is counted twice when
+// it comes again, and against one that fits and is rejected.
+func TestReserve(t *testing.T) {
+	a := quota.New(nil)
+	g := []bool{
+		a.Reserve("a", 60, 100), a.Reserve("b", 41, 100), a.Reserve("a", 60, 100),
+		a.Reserve("c", 40, 100), a.Reserve("d", 1, 100),
+	}
+	if d := cmp.Diff([]bool{true, false, true, true, false}, g); d != "" {
+		t.Error(d)
+	}
+	a.Lower("a", 20)
+	g = []bool{a.Reserve("d", 41, 100), a.Reserve("d", 40, 100)}
+	if d := cmp.Diff([]bool{false, true}, g); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(int64(100), quota.New(a.Value()).Used()); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a front that was suspended and tells of an old state: what has
+// been given back must not be taken again.
+func TestLowerOnlyLowers(t *testing.T) {
+	a := quota.New(nil)
+	a.Hold("a", 50)
+	a.Lower("a", 10)
+	a.Lower("a", 40)
+	a.Lower("b", 40)
+	g := []int64{a.Used()}
+	a.Lower("a", 0)
+	a.Lower("a", 10)
+	g = append(g, a.Used(), int64(len(a.Jobs())))
+	if d := cmp.Diff([]int64{10, 0, 0}, g); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against callers that are sent away for longer than it takes until there
+// is room, and against ones that come back at once for nothing.
+func TestWait(t *testing.T) {
+	a := quota.New(nil)
+	a.Hold("a", 900)
+	a.Hold("b", 100)
+	const due = 18 * time.Second
+	g := []time.Duration{a.Wait(100, 1000, due), a.Wait(1, 1000, due), a.Wait(5000, 1000, due)}
+	if d := cmp.Diff([]time.Duration{1800 * time.Millisecond, 200 * time.Millisecond, due}, g); d != "" {
+		t.Error(d)
+	}
+}
--- a/store.go
+++ b/store.go
@@ -36,7 +36,8 @@
 	List(c context.Context, kind string) ([]object.Object, int64, error)
 	// Create stores a new object and returns it with its version.
 	Create(c context.Context, o object.Object) (object.Object, error)
-	// Update replaces the object if the platform's version is still o's.
+	// Update replaces the object if the platform's version is still o's. With
+	// ErrConflict it returns the present object if the platform has told it.
 	Update(c context.Context, o object.Object) (object.Object, error)
 	// Delete removes the object if the platform's version is still o's.
 	Delete(c context.Context, o object.Object) error
--- a/upstream.go
+++ b/upstream.go
@@ -91,4 +91,16 @@
 	Lost()
 	// Wake is called when the load of another front has changed.
 	Wake()
+	// Pressed says whether this front has seen lately that a route's quota of
+	// waiting tokens is nearly used up.
+	Pressed() bool
+	// Press is called while another front sees so.
+	Press()
+}
+
+// JobStates tells which batch jobs still have items without a result.
+type JobStates interface {
+	// States returns whether a job is open, by id, for all jobs that were kept
+	// some seconds ago. A job that has ended stays so.
+	States(c context.Context) (map[string]bool, error)
 }
