ledger: claims name their route by its rule

Cause: a claim repeated five values of the route in a struct with exported fields, against the house rules. Change: Reserve, Hold and Lower take the rule of the route. No change of behaviour; tests of ledger, quota, batch and fleet pass with -race. Ruled out: nothing measured, since no call differs.

--- a/internal/coordination/batch/quota.go
+++ b/internal/coordination/batch/quota.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
-	"bulrushtrail.example/trail/internal/coordination/ledger"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -18,10 +16,7 @@
 	if u.GetWaitingTokens() <= 0 {
 		return false, nil
 	}
-	e := s.ledger.Reserve(c, ledger.Claim{
-		Route: u.GetName(), Job: id, Tokens: tokens(items), Limit: u.GetWaitingTokens(),
-		Due: time.Duration(u.GetDueMs()) * time.Millisecond,
-	})
+	e := s.ledger.Reserve(c, u, id, tokens(items))
 	if trail.CodeOf(e) != "quota-exceeded" {
 		return false, e
 	}
@@ -42,20 +37,15 @@
 	return true, nil
 }
 
-// hold tells the ledger of a job that this front runs and has not accepted, or
-// whose route has got a quota since; the caller holds the lock.
-func (s *Jobs) hold(o *owned) {
-	u := s.route(o.k)
-	if u.GetWaitingTokens() > 0 {
-		s.ledger.Hold(u.GetName(), o.id, o.tokens, u.GetWaitingTokens())
-	}
-}
+// hold tells the ledger of a job that this front runs; the caller holds the
+// lock.
+func (s *Jobs) hold(o *owned) { s.ledger.Hold(s.route(o.k), o.id, o.tokens) }
 
 // lower tells the ledger how much of a job still waits; the caller holds the
 // lock.
 func (s *Jobs) lower(o *owned, tokens int64) {
 	o.tokens = tokens
-	s.ledger.Lower(s.route(o.k).GetName(), o.id, tokens)
+	s.ledger.Lower(s.route(o.k), o.id, tokens)
 }
 
 // Reroute is called when another configuration has come into force. Jobs that
--- a/internal/coordination/ledger/ledger.go
+++ b/internal/coordination/ledger/ledger.go
@@ -12,6 +12,7 @@
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/quota"
+	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
 // Kind of the platform objects that hold the accounts, by name of the route.
@@ -37,18 +38,6 @@
 	spread = 0.5
 )
 
-// Claim is a job that asks for room on a route.
-type Claim struct {
-	Route string
-	Job   string
-	// Tokens of its items.
-	Tokens int64
-	// Most tokens that may wait on the route.
-	Limit int64
-	// Time from acceptance until the results are due.
-	Due time.Duration
-}
-
 // Ledger is the accounts as this front knows them. Its methods may be called
 // from any goroutine.
 type Ledger struct {
@@ -77,14 +66,15 @@
 	}
 }
 
-// Reserve makes room for a job, and returns nil once that is kept. The errors
-// have the verdict not-run: "quota-exceeded" with the time at which there is
-// room, and that of a platform that does not answer.
-func (s *Ledger) Reserve(c context.Context, q Claim) error {
-	w := &waiting{Claim: q, done: make(chan error, 1)}
+// Reserve makes room for a job with so many tokens on a route, and returns nil
+// once that is kept. The errors have the verdict not-run: "quota-exceeded" with
+// the time at which there is room, "quota-unsettled" when c ends first, and that
+// of a platform that does not answer.
+func (s *Ledger) Reserve(c context.Context, u *wire.RouteRule, job string, tokens int64) error {
+	w := &claim{u: u, job: job, tokens: tokens, done: make(chan error, 1)}
 	s.m.Lock()
-	b := s.book(q.Route)
-	b.limit = q.Limit
+	b := s.book(u.GetName())
+	b.limit = u.GetWaitingTokens()
 	b.claims = append(b.claims, w)
 	s.start(b)
 	s.m.Unlock()
@@ -92,27 +82,30 @@
 	case e := <-w.done:
 		return e
 	case <-c.Done():
-		return trail.WrapError(c.Err(), "quota-unsettled", trail.NotRun, "room for the job was not made in time").At(q.Job).RetryAfter(unansweredWait)
+		return trail.WrapError(c.Err(), "quota-unsettled", trail.NotRun, "room for the job was not made in time").At(job).RetryAfter(unansweredWait)
 	}
 }
 
 // Hold records that a job which this front runs from now on has so many tokens
-// waiting, on a route with a limit.
-func (s *Ledger) Hold(route, job string, tokens, limit int64) {
+// waiting, if its route has a limit.
+func (s *Ledger) Hold(u *wire.RouteRule, job string, tokens int64) {
+	if u.GetWaitingTokens() <= 0 {
+		return
+	}
 	s.m.Lock()
 	defer s.m.Unlock()
-	b := s.book(route)
-	b.limit = limit
+	b := s.book(u.GetName())
+	b.limit = u.GetWaitingTokens()
 	b.changes[job] = change{tokens: tokens, hold: true}
 	s.schedule(b)
 }
 
 // Lower records that a job has only so many tokens waiting any more. It does
 // nothing for a route on which this front has never reserved or held any.
-func (s *Ledger) Lower(route, job string, tokens int64) {
+func (s *Ledger) Lower(u *wire.RouteRule, job string, tokens int64) {
 	s.m.Lock()
 	defer s.m.Unlock()
-	b := s.books[route]
+	b := s.books[u.GetName()]
 	if b == nil {
 		return
 	}
@@ -184,12 +177,13 @@
 }
 
 // rejected is the error of a job for which there is no room.
-func (s *Ledger) rejected(b *book, a *quota.Account, w *waiting) error {
-	d := a.Wait(w.Tokens, w.Limit, w.Due)
+func (s *Ledger) rejected(b *book, w *claim) error {
+	n, l := b.account.Used(), w.u.GetWaitingTokens()
+	d := b.account.Wait(w.tokens, l, time.Duration(w.u.GetDueMs())*time.Millisecond)
 	d += time.Duration(spread * rand.Float64() * float64(d))
 	s.l.WithFields(log.Fields{
-		"route": w.Route, "job-id": w.Job, "tokens": w.Tokens, "waiting-tokens": a.Used(), "limit": w.Limit,
+		"route": b.route, "job-id": w.job, "tokens": w.tokens, "waiting-tokens": n, "limit": l,
 		"age-ms": time.Since(b.read).Milliseconds(), "retry-ms": d.Milliseconds(),
 	}).Warn("ledger: job rejected, too many tokens wait on its route")
-	return trail.NewError("quota-exceeded", trail.NotRun, "%d of %d tokens wait on route %s, %d more don't fit", a.Used(), w.Limit, w.Route, w.Tokens).At(w.Job).RetryAfter(d)
+	return trail.NewError("quota-exceeded", trail.NotRun, "%d of %d tokens wait on route %s, %d more don't fit", n, l, b.route, w.tokens).At(w.job).RetryAfter(d)
 }
--- a/internal/coordination/ledger/write.go
+++ b/internal/coordination/ledger/write.go
@@ -26,7 +26,7 @@
 	// Most tokens that may wait, as last told.
 	limit int64
 	// Claims that wait for an answer.
-	claims []*waiting
+	claims []*claim
 	// Changes that are not written yet, by job.
 	changes map[string]change
 	// When the changes are written, zero when that is not planned.
@@ -45,9 +45,12 @@
 	seen map[string]time.Time
 }
 
-// waiting is a claim whose caller waits.
-type waiting struct {
-	Claim
+// claim is a job that asks for room on a route.
+type claim struct {
+	u   *wire.RouteRule
+	job string
+	// Tokens of its items.
+	tokens int64
 	// Holds one result.
 	done chan error
 }
@@ -61,10 +64,10 @@
 
 // batch is what one update of an account has to carry.
 type batch struct {
-	claims  []*waiting
+	claims  []*claim
 	changes map[string]change
 	// Claims without room, as of the last look.
-	refused []*waiting
+	refused []*claim
 	limit   int64
 	began   time.Time
 }
@@ -228,7 +231,7 @@
 	}
 	w.refused = nil
 	for _, q := range w.claims {
-		if !a.Reserve(q.Job, q.Tokens, q.Limit) {
+		if !a.Reserve(q.job, q.tokens, q.u.GetWaitingTokens()) {
 			w.refused = append(w.refused, q)
 		}
 	}
@@ -255,8 +258,8 @@
 	}
 	d := false
 	for _, j := range a.Jobs() {
-		open, known := m[j]
-		if open || !known && o.Sub(b.seen[j]) < acceptTime {
+		w, k := m[j]
+		if w || !k && o.Sub(b.seen[j]) < acceptTime {
 			continue
 		}
 		s.l.WithField("route", b.route).WithField("job-id", j).Info("ledger: entry of a job that does not wait any more removed")
@@ -272,9 +275,9 @@
 	for _, q := range w.claims {
 		switch {
 		case cause != nil:
-			q.done <- trail.WrapError(cause, trail.CodeOf(cause), trail.NotRun, "room for the job was not made").At(q.Job).RetryAfter(unansweredWait)
+			q.done <- trail.WrapError(cause, trail.CodeOf(cause), trail.NotRun, "room for the job was not made").At(q.job).RetryAfter(unansweredWait)
 		case w.refuses(q):
-			q.done <- s.rejected(b, b.account, q)
+			q.done <- s.rejected(b, q)
 		default:
 			q.done <- nil
 		}
@@ -293,7 +296,7 @@
 	s.schedule(b)
 }
 
-func (w *batch) refuses(q *waiting) bool {
+func (w *batch) refuses(q *claim) bool {
 	for _, r := range w.refused {
 		if r == q {
 			return true
