pool, event, direct, batch: a server's bytes are bounded, late copies belong to nobody

Cause: the head of an answer was read without a limit, interim answers without a count, and a body as long as the request had time; a server that sends without end took the memory of each front that asked it. An answer without an id was taken for the request in progress, so a late second copy of a failure reached the next caller, and a "not run" in it could be untrue. A connection stayed in use after an answer to another request. An item's run was kept alive by comment lines, and its output had no bound. A log line of a run read what the item's next run writes (a data race, found by the new tests).

Change: 64 KB for a head with its interim answers (8 at most, none that switches protocols), 64 MB for a body, 256 KB for an event, half an object for an item's output; a server that oversteps is left alone at once and by all fronts. An answer without an id counts on a fresh connection only. A connection with a stray answer is closed.

Ruled out: slow but sound streams are not cut (TestSlowStreamIsNotCut passed before).

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -197,6 +197,29 @@
 	runs map[string]int
 	// Items that fail at each run.
 	fails map[string]bool
+	// Bodies of the answers to the runs of an item, in order; the later ones are
+	// sound.
+	bodies map[string][]io.ReadCloser
+}
+
+// script sets the bodies of the answers to the first runs of an item.
+func (g *engine) script(item string, l ...io.ReadCloser) {
+	g.m.Lock()
+	defer g.m.Unlock()
+	g.bodies = map[string][]io.ReadCloser{item: l}
+}
+
+// scripted returns the body of the next answer to a run of an item, nil if it is
+// sound.
+func (g *engine) scripted(item string) io.ReadCloser {
+	g.m.Lock()
+	defer g.m.Unlock()
+	l := g.bodies[item]
+	if len(l) == 0 {
+		return nil
+	}
+	g.bodies[item] = l[1:]
+	return l[0]
 }
 
 // ran returns how often an item has run.
@@ -228,6 +251,10 @@
 	if f {
 		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
 	}
+	if b := g.scripted(r.ID()); b != nil {
+		context.AfterFunc(c, func() { _ = b.Close() })
+		return &http.Response{StatusCode: http.StatusOK, Body: b}, nil
+	}
 	select {
 	case <-time.After(time.Second):
 	case <-c.Done():
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -30,6 +30,8 @@
 	errYielded = errors.New("slot given up for an online request")
 	errSilent  = errors.New("backend server is silent")
 	errOrder   = errors.New("stream lacks an event or repeats one")
+	// errRunaway is the end of a run whose stream had no end in sight.
+	errRunaway = errors.New("backend server sends more than an answer")
 )
 
 // run is one run of an item at a backend server.
@@ -130,11 +132,13 @@
 	}
 	r.end(nil)
 	s.finish(r, a && e == nil)
+	// The next run of the item may begin as soon as this one is accounted for.
+	x := p.last
 	n := s.outcome(r, p, a, v, e, time.Since(b))
 	s.items.WithLabelValues(n).Inc()
 	l := s.l.WithFields(log.Fields{
 		"job-id": r.o.id, "item-id": r.item.GetId(), "server": r.server.GetId(), "outcome": n,
-		"last-event": p.last, "ms": time.Since(b).Milliseconds(),
+		"last-event": x, "ms": time.Since(b).Milliseconds(),
 	})
 	if e != nil {
 		l = l.WithField("cause", e.Error())
@@ -175,11 +179,16 @@
 		}
 		return "failed"
 	}
-	if errors.Is(e, errOrder) {
+	if errors.Is(e, errOrder) || errors.Is(e, errRunaway) {
 		*p = progress{}
 	}
 	s.agenda.Broken(w, r.o.id, r.n, p.last == r.after && trail.VerdictOf(e) != trail.NotRun)
-	s.f.Failed(w, r.server.GetId(), trail.CodeOf(e) == "backend-unreachable")
+	if errors.Is(e, errRunaway) {
+		s.f.FailedAnswer(w, r.server.GetId())
+		s.changed()
+	} else {
+		s.f.Failed(w, r.server.GetId(), trail.CodeOf(e) == "backend-unreachable")
+	}
 	return "broken"
 }
 
@@ -219,7 +228,7 @@
 	defer t.Stop()
 	a, e := s.up.Send(c, r.server, q, p.last)
 	if e != nil {
-		return false, e
+		return false, runaway(e)
 	}
 	defer func() { _ = a.Body.Close() }()
 	switch {
@@ -241,13 +250,28 @@
 			return p.begun, nil
 		}
 		if e != nil {
-			return false, e
+			return false, runaway(e)
+		}
+		if r.Empty() {
+			// Bytes that only keep the connection open are no progress.
+			continue
 		}
 		t.Reset(silence)
 		if !p.add(r) {
 			return false, errOrder
 		}
+		if len(p.text) > s.valueBytes {
+			return false, errRunaway
+		}
+	}
+}
+
+// runaway marks the error of a server that sends bytes without end.
+func runaway(e error) error {
+	if trail.CodeOf(e) == "answer-unbounded" || errors.Is(e, event.ErrTooLong) {
+		return errors.Mark(e, errRunaway)
 	}
+	return e
 }
 
 // add takes in the next event. It returns false when it does not follow the
--- /dev/null
+++ b/internal/coordination/batch/sick_test.go
@@ -0,0 +1,89 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// drip is a body that repeats a text a pause apart until it is closed.
+func drip(pause time.Duration, text func(n int) string) io.ReadCloser {
+	r, w := io.Pipe()
+	go func() {
+		for n := 1; ; n++ {
+			time.Sleep(pause)
+			_, e := io.WriteString(w, text(n))
+			if e != nil {
+				return
+			}
+		}
+	}()
+	return r
+}
+
+// Guards against a server that holds an item for ever, because it sends a byte
+// now and then, or bytes without end: the item runs again elsewhere, and nothing
+// of the sick answer is in its result.
+func TestSickServerDoesNotHoldItems(t *testing.T) {
+	l := []struct {
+		name string
+		body func() io.ReadCloser
+	}{
+		{"comments now and then", func() io.ReadCloser { return drip(time.Second, func(int) string { return ":\n\n" }) }},
+		{"half an event, byte by byte", func() io.ReadCloser { return drip(time.Second, func(int) string { return "d" }) }},
+		{"events without an id, without end", func() io.ReadCloser {
+			return drip(time.Microsecond, func(int) string { return "data: " + strings.Repeat("x", 1000) + "\n\n" })
+		}},
+		{"one event without end", func() io.ReadCloser {
+			return drip(time.Microsecond, func(int) string { return strings.Repeat("x", 1000) })
+		}},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+				g.script("i0", k.body())
+				j := newJobs(t, c, "a", s, g, valueBytes)
+				accept(t, c, j, "j1", 1)
+				time.Sleep(15 * time.Second)
+				synctest.Wait()
+				if d := cmp.Diff([]string{"i0 " + output("i0")}, list(t, c, j, "j1")); d != "" {
+					t.Error(d)
+				}
+				if d := cmp.Diff(2, g.ran("i0")); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a slow but sound stream that is cut: one event each 2.9 s is
+// waited for.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		r, w := io.Pipe()
+		go func() {
+			for n := 1; n <= 5; n++ {
+				time.Sleep(2900 * time.Millisecond)
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", n, n)
+			}
+			_ = w.Close()
+		}()
+		g.script("i0", r)
+		j := newJobs(t, c, "a", s, g, valueBytes)
+		accept(t, c, j, "j1", 1)
+		time.Sleep(17 * time.Second)
+		if d := cmp.Diff([]string{"i0 e1\ne2\ne3\ne4\ne5"}, list(t, c, j, "j1")); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(1, g.ran("i0")); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -19,6 +19,9 @@
 // that another attempt can take its place.
 const maxWhole = 1 << 20
 
+// Code of the error of a server that sends bytes without end.
+const codeUnbounded = "answer-unbounded"
+
 var (
 	errSilent   = errors.New("backend server is silent")
 	errSequence = errors.New("stream lacks an event or repeats one")
@@ -73,6 +76,7 @@
 		r.unreachable = true
 	default:
 		r.unreachable = trail.CodeOf(e) == "backend-unreachable"
+		r.failed = trail.CodeOf(e) == codeUnbounded
 		r.lost = trail.CodeOf(e) == "backend-lost" && r.verdict != trail.NotRun && x.c.Err() == nil
 	}
 	return r
@@ -83,7 +87,11 @@
 
 // broken is an attempt whose answer ended early.
 func (x *call) broken(c context.Context, e error) result {
-	return x.unanswered(c, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "answer broke off"))
+	n := "backend-lost"
+	if trail.CodeOf(e) == codeUnbounded || errors.Is(e, event.ErrTooLong) {
+		n = codeUnbounded
+	}
+	return x.unanswered(c, trail.WrapError(e, n, trail.MayHaveRun, "answer broke off"))
 }
 
 // whole passes on an answer that is not a stream of events.
@@ -170,7 +178,9 @@
 		if e != nil {
 			return x.broken(c, e)
 		}
-		t.Stop()
+		if !r.Empty() {
+			t.Stop()
+		}
 		if !event.Follows(x.lastEvent, r.ID()) {
 			return x.broken(c, errSequence)
 		}
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -54,7 +54,8 @@
 	verdict trail.Verdict
 	// The backend server was not reached at all.
 	unreachable bool
-	// The backend server answered with a failure of its own.
+	// The backend server answered with a failure of its own, or with more bytes
+	// than an answer has.
 	failed bool
 	// The connection was lost after the request had been sent.
 	lost bool
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -46,6 +46,8 @@
 		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
 	case "unreachable":
 		return nil, trail.NewError("backend-unreachable", trail.NotRun, "unreachable")
+	case "endless":
+		return nil, trail.NewError("answer-unbounded", trail.MayHaveRun, "endless")
 	case "lost":
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
 	case "silent":
@@ -154,6 +156,10 @@
 		{"lost at all attempts", s, []string{"lost", "lost", "200 a"}, "backend-lost may-have-run", 2},
 		{"failed at all attempts", s, []string{"500 a", "500 b"}, "500 b", 2},
 		{"lost and then refused everywhere", s, []string{"lost", "busy", "busy"}, "backend-busy may-have-run", 3},
+		{"no end in sight and run again", s, []string{"endless", "200 a"}, "200 a", 2},
+		{"no end in sight", o, []string{"endless", "200 a"}, "answer-unbounded may-have-run", 1},
+		{"event without end, resumed elsewhere", r, []string{"200 " + event(1) + "data: " + strings.Repeat("x", 300<<10), "200 " + event(2)}, "200 " + event(1) + event(2), 2},
+		{"event without end", c, []string{"200 " + event(1) + "data: " + strings.Repeat("x", 300<<10)}, "200 " + event(1) + "(cut)", 1},
 		{"silent and run again", s, []string{"silent", "200 a"}, "200 a", 2},
 		{"silent to the end", o, []string{"silent"}, "deadline-exceeded may-have-run", 1},
 		{"stream", c, []string{"200 " + event(1) + event(2)}, "200 " + event(1) + event(2), 1},
--- a/internal/protocol/event/reader.go
+++ b/internal/protocol/event/reader.go
@@ -9,10 +9,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Largest event in bytes. A longer one is an error.
-const maxEvent = 1 << 20
+// Largest event in bytes.
+const maxEvent = 256 << 10
 
-var errTooLong = errors.New("event is too long")
+// ErrTooLong means that an event has more bytes than any sound one.
+var ErrTooLong = errors.New("event is too long")
 
 // Reader reads events one by one.
 type Reader struct {
@@ -40,7 +41,7 @@
 		l, e := s.r.ReadSlice('\n')
 		s.raw = append(s.raw, l...)
 		if len(s.raw) > maxEvent {
-			return errTooLong
+			return ErrTooLong
 		}
 		if errors.Is(e, bufio.ErrBufferFull) {
 			// The line goes on; it is parsed once it is whole.
@@ -70,7 +71,7 @@
 		l, e := s.r.ReadSlice('\n')
 		s.raw = append(s.raw, l...)
 		if len(s.raw) > maxEvent {
-			return errTooLong
+			return ErrTooLong
 		}
 		if !errors.Is(e, bufio.ErrBufferFull) {
 			return e
@@ -109,6 +110,10 @@
 // Data returns the event's data. It is valid until the next call of Next.
 func (s *Reader) Data() []byte { return s.data }
 
+// Empty says whether the event has neither an id nor data, as a comment that
+// only keeps the connection open.
+func (s *Reader) Empty() bool { return s.id == "" && !s.hasData }
+
 // HasData says whether the event has data, which may be empty.
 func (s *Reader) HasData() bool { return s.hasData }
 
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -13,14 +13,34 @@
 // connection is one kept connection to a backend server.
 type connection struct {
 	n       net.Conn
+	in      *bounded
 	r       *bufio.Reader
 	address string
+	// A request has been sent before.
+	used bool
 	// When the connection may no longer be used; zero while it is in use.
 	expires time.Time
 }
 
 func newConnection(n net.Conn, address string) *connection {
-	return &connection{n: n, r: bufio.NewReaderSize(n, 2<<10), address: address}
+	b := &bounded{n: n}
+	return &connection{n: n, in: b, r: bufio.NewReaderSize(b, 2<<10), address: address}
+}
+
+// bounded reads a connection up to a number of bytes.
+type bounded struct {
+	n    net.Conn
+	left int64
+}
+
+// Read fails with errUnbounded once the bytes are used up.
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errUnbounded
+	}
+	n, e := b.n.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, e
 }
 
 func (n *connection) close() { _ = n.n.Close() }
--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -20,12 +20,22 @@
 	maxSkipped = 2
 	// Largest body of a skipped answer in bytes.
 	maxSkippedBytes = 1 << 20
+	// Largest head of an answer in bytes, with all interim answers before it.
+	maxHead = 64 << 10
+	// Interim answers before the answer itself.
+	maxInterim = 8
+	// Largest body of an answer in bytes.
+	maxBody = 64 << 20
 	// A longer body is written while the answer is awaited, because the
 	// backend server may answer before it has read everything.
 	inlineBody = 32 << 10
 )
 
-var errForeign = errors.New("answer belongs to another request")
+var (
+	errForeign = errors.New("answer belongs to another request")
+	// errUnbounded is the end of an answer in which there was none in sight.
+	errUnbounded = errors.New("answer has no end")
+)
 
 // exchange is one request and its answer on a connection.
 type exchange struct {
@@ -35,6 +45,8 @@
 	stop func() bool
 	// Receives the result of a body that is written meanwhile; nil otherwise.
 	wrote chan error
+	// An answer to another request came on the connection.
+	strayed bool
 	ended sync.Once
 }
 
@@ -80,38 +92,64 @@
 }
 
 // answer reads until the head of an answer that belongs to the request.
-func (x *exchange) answer(q *http.Request, belongs func(*http.Response) bool) (*http.Response, error) {
-	for k := 0; k <= maxSkipped; {
-		a, e := http.ReadResponse(x.n.r, q)
+func (x *exchange) answer(q *http.Request, belongs func(a *http.Response, fresh bool) bool) (*http.Response, error) {
+	f := !x.n.used
+	x.n.used = true
+	for k := 0; k <= maxSkipped; k++ {
+		a, e := x.head(q)
 		if e != nil {
 			return nil, e
 		}
-		if a.StatusCode < http.StatusOK {
-			continue
-		}
-		if belongs(a) {
+		if belongs(a, f) {
 			x.n.expires = time.Now().Add(idleTime(a))
+			x.n.in.left = maxBody
 			a.Body = &body{x: x, r: a.Body, last: a.Close}
 			return a, nil
 		}
-		k++
-		w, e := io.Copy(io.Discard, io.LimitReader(a.Body, maxSkippedBytes))
+		x.strayed = true
+		e = skip(a, x.n.in)
 		if e != nil {
 			return nil, e
 		}
-		if w == maxSkippedBytes || a.Close {
-			return nil, errForeign
-		}
 	}
 	return nil, errForeign
 }
 
+// head reads the head of an answer, after the interim ones.
+func (x *exchange) head(q *http.Request) (*http.Response, error) {
+	x.n.in.left = maxHead
+	for range maxInterim {
+		a, e := http.ReadResponse(x.n.r, q)
+		if e != nil {
+			return nil, e
+		}
+		if a.StatusCode == http.StatusSwitchingProtocols {
+			// Nobody has asked for another protocol.
+			return nil, errUnbounded
+		}
+		if a.StatusCode >= http.StatusOK {
+			return a, nil
+		}
+	}
+	return nil, errUnbounded
+}
+
+// skip reads an answer to another request to its end.
+func skip(a *http.Response, in *bounded) error {
+	in.left = maxSkippedBytes
+	_, e := io.Copy(io.Discard, a.Body)
+	if e == nil && a.Close {
+		return errForeign
+	}
+	return e
+}
+
 // end gives the connection back, or closes it.
 func (x *exchange) end(reusable bool) {
 	x.ended.Do(func() {
 		// A context that has ended already has closed the connection.
 		d := x.stop()
-		if d && reusable && x.written() && x.n.r.Buffered() == 0 {
+		if d && reusable && !x.strayed && x.written() && x.n.r.Buffered() == 0 {
 			x.s.keep(x.n)
 			return
 		}
@@ -142,6 +180,9 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, e := b.r.Read(p)
+	if errors.Is(e, errUnbounded) {
+		e = unbounded(e, b.x.n.address)
+	}
 	if e != nil {
 		b.x.end(errors.Is(e, io.EOF) && !b.last)
 	}
@@ -152,3 +193,8 @@
 	b.x.end(false)
 	return nil
 }
+
+// unbounded is the error of a server that sends bytes without end.
+func unbounded(cause error, address string) error {
+	return trail.WrapError(cause, "answer-unbounded", trail.MayHaveRun, "backend server sends more than an answer").At(address)
+}
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -49,9 +50,11 @@
 // Do writes the request and returns the first answer that belongs to it. The
 // target is path and query as they stand in the request line. An error has a
 // verdict and one of the codes backend-unreachable, backend-lost and
-// backend-garbled. Ending c closes the connection, also while the body is
+// answer-unbounded; the last also ends a body that is too long. Belongs is told
+// whether the connection had no request before: an answer that does not say to
+// which request it belongs can be a late copy otherwise. Ending c closes the connection, also while the body is
 // read; the caller closes the body.
-func (s *Pool) Do(c context.Context, address, target string, q *http.Request, body []byte, belongs func(*http.Response) bool) (*http.Response, error) {
+func (s *Pool) Do(c context.Context, address, target string, q *http.Request, body []byte, belongs func(a *http.Response, fresh bool) bool) (*http.Response, error) {
 	n, e := s.take(c, address)
 	if e != nil {
 		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "no connection to backend server").At(address)
@@ -65,6 +68,9 @@
 	a, e := x.answer(q, belongs)
 	if e != nil {
 		x.end(false)
+		if errors.Is(e, errUnbounded) || n.in.left <= 0 {
+			return nil, unbounded(e, address)
+		}
 		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").At(address)
 	}
 	return a, nil
--- a/internal/transport/pool/pool_test.go
+++ b/internal/transport/pool/pool_test.go
@@ -84,7 +84,9 @@
 
 func send(c context.Context, p *pool.Pool, id string) string {
 	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
-	a, e := p.Do(c, address, "/p?q=1", q, []byte("body"), func(a *http.Response) bool { return a.Header.Get("Id") == id })
+	a, e := p.Do(c, address, "/p?q=1", q, []byte("body"), func(a *http.Response, fresh bool) bool {
+		return a.Header.Get("Id") == id || a.Header.Get("Id") == "" && fresh
+	})
 	if e != nil {
 		return trail.CodeOf(e) + " " + trail.VerdictOf(e).String()
 	}
