--- a/internal/transport/pool/sick_test.go
+++ b/internal/transport/pool/sick_test.go
@@ -56,7 +56,7 @@
 // each process that asks it, in every part of an answer's head.
 func TestEndlessHead(t *testing.T) {
 	// What the buffers of the sockets hold, and the limit itself.
-	const most = 16 << 20
+	const x = 16 << 20
 	l := []struct{ name, begin, repeat string }{
 		{"status line", "HTTP/1.1 200 ", "a"},
 		{"header line", "HTTP/1.1 200 OK\r\nX: ", "a"},
@@ -79,7 +79,7 @@
 			if c.Err() != nil {
 				t.Error("answer was read until the end of the request's time")
 			}
-			if n.Load() > most {
+			if n.Load() > x {
 				t.Error("server could send", n.Load(), "bytes")
 			}
 		})
