batch, notice: the progress of items goes with a job that is left to another front

Fronts stop in turn, 2 s apart. Its job was done after 19 s.

Ruled out: the online requests that take slots back (a yielded item goes on after its last event at the same front); engines (none failed).

Change: the notice that leaves a job carries the last event and the text of each begun item, up to 512 KB, and the next front goes on from there.

TestLeftItemsGoOn fails without the progress.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -60,7 +60,7 @@
 	s.l.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
 	if v {
 		s.remember(o, j)
-		s.leave(c, id)
+		s.leave(c, id, nil)
 		return nil
 	}
 	s.own(o, j, items, true)
--- a/internal/coordination/batch/end.go
+++ b/internal/coordination/batch/end.go
@@ -47,7 +47,7 @@
 	if w == "" || w == s.self.GetName() || s.settled() && !s.f.Present(time.Now(), w) {
 		return nil
 	}
-	e := s.peers.Tell(c, w, o)
+	e := s.peers.Tell(c, w, notice(o, nil))
 	if e == nil {
 		return nil
 	}
@@ -70,20 +70,28 @@
 	return k.object, k.job.GetOwner()
 }
 
+// notice is what another front is told of a job's object, with the progress of
+// its items.
+func notice(o object.Object, p []*wire.ItemProgress) *wire.JobNotice {
+	n, v := o.Name(), o.Version()
+	return wire.JobNotice_builder{Name: &n, Version: &v, Value: o.Value(), Progress: p}.Build()
+}
+
 // Noticed takes in a job's object that another front has changed.
-func (s *Jobs) Noticed(name string, version int64, value []byte) {
-	o := object.New(kindJobs, name, version, value)
+func (s *Jobs) Noticed(n *wire.JobNotice) {
+	d := n.GetName()
+	o := object.New(kindJobs, d, n.GetVersion(), n.GetValue())
 	j := &wire.BatchJob{}
 	e := o.Decode(j)
 	if e != nil {
-		s.l.WithError(e).WithField("job-id", name).Warn("batch: notice of a job is not readable")
+		s.l.WithError(e).WithField("job-id", d).Warn("batch: notice of a job is not readable")
 		return
 	}
 	s.remember(o, j)
 	switch {
 	case j.GetEnded():
-		s.drop(name, "ended by its caller")
+		s.drop(d, "ended by its caller")
 	case j.GetOwner() == "" && !j.GetComplete():
-		go s.inherit(name)
+		go s.inherit(d, n.GetProgress())
 	}
 }
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -197,6 +197,8 @@
 	runs map[string]int
 	// Items that fail at each run.
 	fails map[string]bool
+	// Event after which each run of an item goes on.
+	resumes map[string][]string
 	// Bodies of the answers to the runs of an item, in order; the later ones are
 	// sound.
 	bodies map[string][]io.ReadCloser
@@ -246,6 +248,10 @@
 func (g *engine) Send(c context.Context, _ *wire.BackendServer, r *trail.Request, resume string) (*http.Response, error) {
 	g.m.Lock()
 	g.runs[r.ID()]++
+	if g.resumes == nil {
+		g.resumes = map[string][]string{}
+	}
+	g.resumes[r.ID()] = append(g.resumes[r.ID()], resume)
 	f := g.fails[r.ID()]
 	g.m.Unlock()
 	if f {
@@ -260,7 +266,10 @@
 	case <-c.Done():
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
 	}
-	b := fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", r.ID(), strings.Repeat("x", 100))
+	b := fmt.Sprintf("id: 2\ndata: %s\n\n", strings.Repeat("x", 100))
+	if resume == "" {
+		b = fmt.Sprintf("id: 1\ndata: %s\n\n", r.ID()) + b
+	}
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewBufferString(b))}, nil
 }
 
@@ -272,7 +281,7 @@
 	cut bool
 }
 
-func (n *notices) Tell(_ context.Context, front string, o object.Object) error {
+func (n *notices) Tell(_ context.Context, front string, o *wire.JobNotice) error {
 	n.m.Lock()
 	j := n.fronts[front]
 	c := n.cut
@@ -280,7 +289,7 @@
 	if j == nil || c {
 		return trail.NewError("peer-unreachable", trail.NotRun, "cut")
 	}
-	j.Noticed(o.Name(), o.Version(), o.Value())
+	j.Noticed(o)
 	return nil
 }
 
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -76,9 +76,11 @@
 
 	m sync.Mutex
 	// By job id, all jobs that this process has seen.
-	known  map[string]*known
-	owned  map[string]*owned
-	agenda *agenda.Agenda
+	known map[string]*known
+	owned map[string]*owned
+	// Progress of the items of jobs that are being taken over, by job id.
+	inherited map[string][]*wire.ItemProgress
+	agenda    *agenda.Agenda
 	// Runs in progress by backend server, oldest first.
 	runs map[string][]*run
 	// No new items are started.
@@ -94,7 +96,7 @@
 	s := &Jobs{
 		self: self, store: store, peers: p, f: f, up: up, table: table, l: l, changed: changed,
 		valueBytes: int(float64(valueBytes) * valueShare), wake: make(chan struct{}, 1), asked: make(chan struct{}, 1), lost: make(chan struct{}, 1), born: time.Now(),
-		known: map[string]*known{}, owned: map[string]*owned{}, agenda: agenda.New(), runs: map[string][]*run{},
+		known: map[string]*known{}, owned: map[string]*owned{}, inherited: map[string][]*wire.ItemProgress{}, agenda: agenda.New(), runs: map[string][]*run{},
 		items: promauto.With(r).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_batch_runs_total",
 			Help: "Runs of batch items by outcome.",
--- a/internal/coordination/batch/leave.go
+++ b/internal/coordination/batch/leave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -15,6 +16,12 @@
 	releaseTimeout = 1200 * time.Millisecond
 	// Bound of the takeover of a job that another front has left to this one.
 	inheritTimeout = 3 * time.Second
+	// Runs that have been ended are over after this time.
+	endedTime  = 100 * time.Millisecond
+	endedPause = 5 * time.Millisecond
+	// Bytes of the output of begun items that go with a job; a slow link takes
+	// them within the bound of a notice.
+	maxProgress = 512 << 10
 )
 
 // Drain starts no new runs and leaves each job to the other fronts once its runs
@@ -64,6 +71,7 @@
 		s.l.WithError(e).WithField("job-id", o.id).Warn("batch: results of a stopping front are lost, the items run again")
 	}
 	s.drop(o.id, "front is stopping")
+	p := s.progressOf(c, o)
 	r := false
 	e = s.change(c, o.id, func(j *wire.BatchJob) bool {
 		r = s.mine(j) && !j.GetComplete() && !j.GetEnded()
@@ -77,19 +85,67 @@
 		return
 	}
 	if r {
-		s.leave(c, o.id)
+		s.leave(c, o.id, p)
 	}
 }
 
+// progressOf returns how far the items of a job that was dropped have come. It
+// waits a moment for the runs that have been ended.
+func (s *Jobs) progressOf(c context.Context, o *owned) []*wire.ItemProgress {
+	for b := time.Now(); s.running(o) && time.Since(b) < endedTime; {
+		if !wait(c, endedPause) {
+			break
+		}
+	}
+	s.m.Lock()
+	defer s.m.Unlock()
+	r := map[int]bool{}
+	for _, l := range s.runs {
+		for _, x := range l {
+			if x.o == o {
+				r[x.n] = true
+			}
+		}
+	}
+	var l []*wire.ItemProgress
+	n := 0
+	for i, p := range o.progress {
+		// What comes without ids can't be resumed.
+		if r[i] || p.last == "" {
+			continue
+		}
+		n += len(p.text)
+		if n > maxProgress {
+			break
+		}
+		l = append(l, wire.ItemProgress_builder{Item: proto.String(o.k.input[i].GetId()), Last: &p.last, Text: p.text}.Build())
+	}
+	return l
+}
+
+// running says whether any item of a job runs.
+func (s *Jobs) running(o *owned) bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	for _, l := range s.runs {
+		for _, r := range l {
+			if r.o == o {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // leave tells the front that comes next for a job that it has no owner. If that
 // one can't be told, all fronts look for it.
-func (s *Jobs) leave(c context.Context, id string) {
+func (s *Jobs) leave(c context.Context, id string, p []*wire.ItemProgress) {
 	n := s.first(id, "")
 	o, _ := s.owner(id)
 	if n != "" {
-		e := s.peers.Tell(c, n, o)
+		e := s.peers.Tell(c, n, notice(o, p))
 		if e == nil {
-			s.l.WithFields(log.Fields{"job-id": id, "front": n}).Info("batch: job left to another front")
+			s.l.WithFields(log.Fields{"job-id": id, "front": n, "begun-items": len(p)}).Info("batch: job left to another front")
 			return
 		}
 		s.l.WithError(e).WithFields(log.Fields{"job-id": id, "front": n}).Warn("batch: front that comes next for a job was not told")
@@ -100,7 +156,7 @@
 
 // inherit takes over a job that another front has left to this one. If this one
 // stops too, or has just started, all look for it.
-func (s *Jobs) inherit(id string) {
+func (s *Jobs) inherit(id string, p []*wire.ItemProgress) {
 	if s.stopping() || !s.settled() {
 		s.released.Add(1)
 		s.changed()
@@ -108,7 +164,30 @@
 	}
 	c, f := context.WithTimeout(context.Background(), inheritTimeout)
 	defer f()
+	s.m.Lock()
+	s.inherited[id] = p
+	s.m.Unlock()
 	s.adopt(c, id)
+	s.m.Lock()
+	delete(s.inherited, id)
+	s.m.Unlock()
+}
+
+// resume returns the progress that another front has left with a job, by index
+// of the item; the caller holds the lock.
+func (s *Jobs) resume(id string, items []*wire.BatchItem, listed map[string]bool) map[int]*progress {
+	m := map[int]*progress{}
+	l := map[string]*wire.ItemProgress{}
+	for _, p := range s.inherited[id] {
+		l[p.GetItem()] = p
+	}
+	for n, i := range items {
+		p := l[i.GetId()]
+		if p != nil && !listed[i.GetId()] {
+			m[n] = &progress{last: p.GetLast(), text: p.GetText(), begun: true}
+		}
+	}
+	return m
 }
 
 // Released returns how many jobs this front has left to no one in particular.
--- a/internal/coordination/batch/leave_test.go
+++ b/internal/coordination/batch/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -117,3 +118,30 @@
 		})
 	}
 }
+
+// Guards against items that run from their beginning each time that their job is
+// left to another front: in a restart of all fronts in turn a job would never get
+// done.
+// Pattern: the planned stops of inc-d539, 2 s apart, for jobs due in 18 s.
+func TestLeftItemsGoOn(t *testing.T) {
+	play(t, func(t *testing.T, c context.Context, s *store, g *engine) {
+		r := newCrowd(c, s, g, "front-1", "front-2")
+		r.run(5*time.Second, "")
+		w, x := io.Pipe()
+		g.script("i0", w)
+		accept(t, c, r.jobs["front-1"], "job", 1)
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(x, "id: 1\ndata: i0\n\n")
+		time.Sleep(100 * time.Millisecond)
+		d, f := context.WithTimeout(c, 100*time.Millisecond)
+		defer f()
+		r.jobs["front-1"].Drain(d)
+		r.run(5*time.Second, "front-1")
+		if d := cmp.Diff([]string{"i0 " + output("i0")}, list(t, c, r.jobs["front-2"], "job")); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff([]string{"", "1"}, g.resumes["i0"]); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -61,11 +61,11 @@
 		return
 	}
 	k.input = items
-	o := &owned{id: d, k: k, progress: map[int]*progress{}, first: first, settled: first}
+	h := k.listed()
+	o := &owned{id: d, k: k, progress: s.resume(d, items, h), first: first, settled: first}
 	o.c, o.stop = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	u := time.Duration(s.route(k).GetDueMs()) * time.Millisecond
-	h := k.listed()
 	l := make([]string, 0, len(items))
 	for _, i := range items {
 		l = append(l, i.GetId())
--- a/internal/coordination/notice/sender.go
+++ b/internal/coordination/notice/sender.go
@@ -8,7 +8,6 @@
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/mesh"
 )
@@ -34,14 +33,12 @@
 	return &Sender{m: m, address: address}
 }
 
-// Tell sends the object to a front and waits for its answer. Codes of errors:
+// Tell sends a notice to a front and waits for its answer. Codes of errors:
 // peer-unknown and peer-unreachable (not run), peer-lost.
-func (s *Sender) Tell(c context.Context, front string, o object.Object) error {
+func (s *Sender) Tell(c context.Context, front string, j *wire.JobNotice) error {
 	c, f := context.WithTimeout(c, timeout)
 	defer f()
-	return s.call(c, front, wire.Open_builder{Job: wire.JobNotice_builder{
-		Name: proto.String(o.Name()), Version: proto.Int64(o.Version()), Value: o.Value(),
-	}.Build()}.Build(), &wire.JobNoticed{})
+	return s.call(c, front, wire.Open_builder{Job: j}.Build(), &wire.JobNoticed{})
 }
 
 // Results returns what the front knows of a job's results. The codes of errors
@@ -77,8 +74,8 @@
 }
 
 // Serve answers a notice of another front once take has taken it in.
-func Serve(n *frame.Stream, j *wire.JobNotice, take func(name string, version int64, value []byte)) error {
-	take(j.GetName(), j.GetVersion(), j.GetValue())
+func Serve(n *frame.Stream, j *wire.JobNotice, take func(j *wire.JobNotice)) error {
+	take(j)
 	return n.Send(&wire.JobNoticed{})
 }
 
--- a/internal/coordination/notice/sender_test.go
+++ b/internal/coordination/notice/sender_test.go
@@ -8,13 +8,13 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/notice"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/standin/golden"
 	"bulrushtrail.example/trail/internal/standin/memnet"
-	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/mesh"
 )
@@ -31,8 +31,8 @@
 				if o.GetJob().GetName() == "ignored" {
 					return
 				}
-				_ = notice.Serve(s, o.GetJob(), func(name string, version int64, value []byte) {
-					g = append(g, name, version, string(value))
+				_ = notice.Serve(s, o.GetJob(), func(j *wire.JobNotice) {
+					g = append(g, j.GetName(), j.GetVersion(), string(j.GetValue()), string(j.GetProgress()[0].GetText()))
 				})
 			})
 		}()
@@ -46,12 +46,15 @@
 			{"gone", "job", "peer-unreachable"},
 			{"unknown", "job", "peer-unknown"},
 		} {
-			e := s.Tell(c, k.front, object.New("jobs", k.job, 7, []byte("{}")))
+			e := s.Tell(c, k.front, wire.JobNotice_builder{
+				Name: &k.job, Version: proto.Int64(7), Value: []byte("{}"),
+				Progress: []*wire.ItemProgress{wire.ItemProgress_builder{Text: []byte("so far")}.Build()},
+			}.Build())
 			if d := cmp.Diff(k.code, trail.CodeOf(e)); e == nil && k.code != "" || e != nil && d != "" {
 				t.Errorf("%s at %s: %v %s", k.job, k.front, e, d)
 			}
 		}
-		if d := cmp.Diff([]any{"job", int64(7), "{}"}, g); d != "" {
+		if d := cmp.Diff([]any{"job", int64(7), "{}", "so far"}, g); d != "" {
 			t.Error(d)
 		}
 	})
--- a/upstream.go
+++ b/upstream.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/object"
 )
 
 // Upstream runs one attempt of a request at a backend server.
@@ -73,7 +72,7 @@
 type PeerJobs interface {
 	// Tell returns nil once the front heeds the changed object of a job. The
 	// error's verdict is MayHaveRun when the front may do so.
-	Tell(c context.Context, front string, o object.Object) error
+	Tell(c context.Context, front string, j *wire.JobNotice) error
 	// Results returns the results of a job from a position on that are listed,
 	// as the front knows, and whether there can be no others. The front waits
 	// for so long until there is one.
