fleet, gossip: the fronts of a large fleet tell other data centres of all together

Cause: each front sent a datagram to each other one four times a second, and its own loads reached other data centres that late.

Weighed: totals told by one or two fronts of a data centre (fewest datagrams, but their loss or a cut to them hides a data centre); a longer heartbeat (older loads, later takeovers). Chosen: each datagram to another data centre has the loads of the sender's whole data centre and which of its fronts are heard, and each front sends it to a quarter of the far fronts in turn. What is known of a data centre is then as new as the last word of any of its fronts (33 a second there in place of 4 from each), and who lives is known as surely as before: a front hears another directly each second, and of it through its neighbours in between. Fronts that are not heard are told at each heartbeat, changes of state go to all at the next. Near fronts get no heartbeat just after a change.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -203,7 +203,8 @@
 
 // Excess returns how many batch items this front must take away from a backend
 // server, because more requests are there than slots. The fronts with batch
-// items there give them up in an order that all compute alike.
+// items there give them up in an order that all compute alike: by data centre,
+// where these tell their loads together, and by name.
 func (f *Fleet) Excess(id string) int {
 	f.m.Lock()
 	defer f.m.Unlock()
@@ -212,19 +213,24 @@
 		return 0
 	}
 	x := s.total() - s.slots()
+	for n, t := range f.totals {
+		if n < f.dataCentre {
+			x -= batchAt(t.servers, s.hash)
+		}
+	}
 	for n, p := range f.peers {
 		if x <= 0 {
 			return 0
 		}
-		if n < f.self {
-			x -= batchAt(p.load, s.hash)
+		if n < f.self && f.counted(p) {
+			x -= batchAt(p.load.GetServers(), s.hash)
 		}
 	}
 	return max(min(x, s.batch), 0)
 }
 
-func batchAt(l *wire.Load, hash uint64) int {
-	for _, s := range l.GetServers() {
+func batchAt(l []*wire.ServerLoad, hash uint64) int {
+	for _, s := range l {
 		if s.GetServer() == hash {
 			return int(s.GetBatch())
 		}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -62,6 +62,10 @@
 	services map[string]*service
 	// By name, without this front.
 	peers map[string]*peer
+	// The same by the hash of the name.
+	peerHashes map[uint64]*peer
+	// Loads of other data centres in a large fleet, by name.
+	totals map[string]*total
 	// Of these, those that hear of a change of the loads at once.
 	near int
 	// When another front may last have counted this one as gone.
@@ -119,7 +123,7 @@
 	return &Fleet{
 		self: self, dataCentre: dataCentre,
 		servers: map[string]*server{}, hashes: map[uint64]*server{},
-		services: map[string]*service{}, peers: map[string]*peer{}, lost: map[string]time.Time{},
+		services: map[string]*service{}, peers: map[string]*peer{}, peerHashes: map[uint64]*peer{}, totals: map[string]*total{}, lost: map[string]time.Time{},
 	}
 }
 
@@ -211,7 +215,7 @@
 func (f *Fleet) set(b *wire.BackendServer) {
 	s := f.servers[b.GetId()]
 	if s == nil {
-		s = &server{hash: xxhash.Sum64String(b.GetId()), order: xxhash.Sum64String(f.self + "/" + b.GetId())}
+		s = &server{hash: hashOf(b.GetId()), order: xxhash.Sum64String(f.self + "/" + b.GetId())}
 		f.servers[b.GetId()] = s
 		f.hashes[s.hash] = s
 	} else if s.b.GetAddress() != b.GetAddress() {
@@ -249,6 +253,10 @@
 func (f *Fleet) Loads(now time.Time) []*wire.ServerLoad {
 	f.m.Lock()
 	defer f.m.Unlock()
+	return f.loads(now)
+}
+
+func (f *Fleet) loads(now time.Time) []*wire.ServerLoad {
 	var l []*wire.ServerLoad
 	for _, s := range f.servers {
 		a := s.failing && now.Before(s.avoided)
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -9,6 +9,7 @@
 
 // peer is what another front last said.
 type peer struct {
+	hash uint64
 	load *wire.Load
 	seen time.Time
 }
@@ -22,17 +23,25 @@
 	if p != nil && !newer(l, p.load) {
 		return false
 	}
-	if p != nil {
-		f.add(p.load, -1)
-	}
-	f.add(l, 1)
-	f.peers[l.GetName()] = &peer{load: l, seen: now}
-	delete(f.lost, l.GetName())
+	d := p == nil || p.load.GetIncarnation() != l.GetIncarnation()
 	if p == nil {
+		p = &peer{hash: hashOf(l.GetName()), load: l}
+		f.peers[l.GetName()] = p
+		f.peerHashes[p.hash] = p
 		f.countNear()
+	} else if f.counted(p) {
+		f.add(p.load.GetServers(), -1)
+	}
+	p.load = l
+	p.seen = now
+	if l.HasAll() {
+		f.setTotal(now, l.GetDataCentre(), l.GetAll())
+	} else if f.counted(p) {
+		f.add(l.GetServers(), 1)
 	}
+	delete(f.lost, l.GetName())
 	f.hears(now, l.GetUnheard())
-	return p == nil || p.load.GetIncarnation() != l.GetIncarnation()
+	return d
 }
 
 // newer says whether datagram a was sent after b. A datagram that was delayed
@@ -54,13 +63,15 @@
 	for n, p := range f.peers {
 		if now.Sub(p.seen) > peerTimeout {
 			delete(f.peers, n)
+			delete(f.peerHashes, p.hash)
 			if !p.load.GetLeaving() {
 				f.lost[n] = now
 			}
 			l = append(l, n)
 		}
 	}
-	if len(l) > 0 {
+	t := f.expireTotals(now)
+	if len(l) > 0 || t {
 		f.sumPeers()
 		f.countNear()
 	}
@@ -96,14 +107,18 @@
 		s.othersFailing = 0
 	}
 	for _, p := range f.peers {
-		f.add(p.load, 1)
+		if f.counted(p) {
+			f.add(p.load.GetServers(), 1)
+		}
+	}
+	for _, t := range f.totals {
+		f.add(t.servers, 1)
 	}
 }
 
-// add counts the requests of another front, or with the sign -1 takes them
-// away.
-func (f *Fleet) add(l *wire.Load, sign int) {
-	for _, x := range l.GetServers() {
+// add counts the requests of other fronts, or with the sign -1 takes them away.
+func (f *Fleet) add(l []*wire.ServerLoad, sign int) {
+	for _, x := range l {
 		s := f.hashes[x.GetServer()]
 		if s != nil {
 			s.othersOnline += sign * int(x.GetOnline())
--- /dev/null
+++ b/internal/coordination/fleet/totals_test.go
@@ -0,0 +1,114 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// from returns a datagram of a front of a data centre.
+func from(front, dataCentre string, sequence uint64, batch int32) *wire.Load {
+	l := load(front, sequence, nil, map[string]int32{"s": batch})
+	l.SetDataCentre(dataCentre)
+	return l
+}
+
+// telling returns a datagram of a front that tells of all of its data centre.
+func telling(front, dataCentre string, sequence uint64, batch int32, heard ...*wire.HeardFront) *wire.Load {
+	l := from(front, dataCentre, sequence, batch)
+	l.SetAll(wire.DataCentreLoad_builder{Servers: l.GetServers(), Heard: heard}.Build())
+	l.SetServers(nil)
+	return l
+}
+
+// Guards against requests of another data centre that count twice, once for
+// their front and once in what its neighbours tell, and against ones that count
+// for ever after nobody tells of them any more.
+func TestTotalsReplaceLoads(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	w := func(o time.Time) int {
+		n := 0
+		for b := f.TakeBatch(o, service); b != nil; b = f.TakeBatch(o, service) {
+			n++
+		}
+		for range n {
+			f.DoneBatch("s", false)
+		}
+		return n
+	}
+	f.SetPeer(start, from("c1", "c", 1, 3))
+	g := []int{w(start)}
+	f.SetPeer(start, telling("c2", "c", 1, 5))
+	g = append(g, w(start))
+	f.SetPeer(start, telling("c1", "c", 2, 2))
+	g = append(g, w(start))
+	o := start.Add(3 * time.Second)
+	f.Expire(o)
+	g = append(g, w(o))
+	if d := cmp.Diff([]int{5, 3, 6, 8}, g); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against what a front tells of its data centre that lacks itself or a
+// neighbour, or has another data centre's requests.
+func TestAll(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	f.SetPeer(start, from("front-a", "a", 1, 3))
+	f.SetPeer(start, from("c1", "c", 1, 1))
+	f.TakeBatch(start, service)
+	a := f.All(start.Add(100 * time.Millisecond))
+	n := int32(0)
+	for _, s := range a.GetServers() {
+		n += s.GetBatch()
+	}
+	if d := cmp.Diff([]any{int32(4), 1, uint32(100)}, []any{n, len(a.GetHeard()), a.GetHeard()[0].GetAgeMs()}); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a front that counts as gone though its neighbours hear it, and
+// against one that lives on in what they tell.
+func TestNeighboursTellWhoLives(t *testing.T) {
+	f := newFleet(server("s", "a", 8))
+	f.SetPeer(start, telling("c1", "c", 1, 0))
+	h := func(age uint32) *wire.HeardFront {
+		return wire.HeardFront_builder{Front: proto.Uint64(xxhash.Sum64String("c1")), AgeMs: &age}.Build()
+	}
+	o := start.Add(1900 * time.Millisecond)
+	f.SetPeer(o, telling("c2", "c", 1, 0, h(200)))
+	g := []bool{f.Present(start.Add(3*time.Second), "c1")}
+	f.SetPeer(start.Add(3*time.Second), telling("c2", "c", 2, 0, h(1300)))
+	g = append(g, f.Present(start.Add(3800*time.Millisecond), "c1"))
+	if d := cmp.Diff([]bool{true, false}, g); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against fronts of different data centres that all give up batch items
+// for the same excess, or none of them: by data centre and then by name, the
+// first ones do.
+func TestExcessOverDataCentres(t *testing.T) {
+	// One request too many at a server, with three batch items of each of two
+	// data centres and two online requests besides.
+	x := func(dataCentre, other string) int {
+		f := fleet.New(dataCentre+"1", dataCentre)
+		f.SetServers(start, []*wire.BackendServer{server("s", "a", 7)}, start, start)
+		for range 3 {
+			f.TakeBatch(start, service)
+		}
+		f.SetPeer(start, telling(other+"1", other, 1, 3))
+		f.Take(start, service, target, left, nil, 0)
+		f.Take(start, service, target, left, nil, 0)
+		return f.Excess("s")
+	}
+	if d := cmp.Diff([]int{1, 0}, []int{x("a", "c"), x("c", "a")}); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +32,10 @@
 	crashAge = 30 * time.Second
 	// A front that was not heard for so long gets heartbeats only.
 	quiet = 5 * time.Second
+	// So many fronts of a data centre share the heartbeats to another one, up to
+	// a rotation at which each still hears each directly once a second.
+	neighbours  = 6
+	maxRotation = 4
 )
 
 // Task sends and receives the datagrams of one front.
@@ -49,8 +55,24 @@
 	// Used by the sending goroutine only.
 	sequence  uint64
 	addresses []target
+	// By address as it stands in the fronts' entries.
+	resolved map[string]*net.UDPAddr
 	// Fronts with an entry that had been silent at the last heartbeat.
 	unheard []string
+	// Fronts with a name before this one's.
+	place int
+	// Heartbeats so far.
+	beats int
+	// When all near fronts were last told.
+	told time.Time
+	// What all fronts were last told.
+	state state
+}
+
+// state is what all fronts hear of at the next heartbeat when it changes.
+type state struct {
+	leaving, troubled bool
+	released, missed  uint32
 }
 
 // target is another front to which datagrams go.
@@ -67,6 +89,7 @@
 func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts *roster.Roster, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
 	t := &Task{
 		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1),
+		resolved: map[string]*net.UDPAddr{},
 		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -127,13 +150,18 @@
 		t.jobs.Lost()
 	}
 	t.addresses = t.targets()
+	t.place, _ = slices.BinarySearchFunc(t.addresses, t.self.GetName(), func(a target, n string) int { return cmp.Compare(a.name, n) })
 	t.unheard = t.silent()
 }
 
 // direct says whether a front hears of changes at once. In a large fleet those
 // of other data centres hear of them by the heartbeat, since what all tell all
 // grows with the square of their number.
-func (t *Task) direct(a target) bool { return a.near || len(t.addresses) <= fleet.SmallFleet }
+func (t *Task) direct(a target) bool { return a.near || !t.large() }
+
+// large says whether the fronts of a data centre tell the others of all their
+// loads together.
+func (t *Task) large() bool { return len(t.addresses) > fleet.SmallFleet }
 
 // gatherTime is the least time between datagrams with changes.
 func (t *Task) gatherTime() time.Duration {
@@ -146,53 +174,136 @@
 	return fleet.GatherTime(n)
 }
 
+// targets returns the other fronts in the order of their names.
 func (t *Task) targets() []target {
 	var l []target
 	for n, f := range t.fronts.All() {
 		if n == t.self.GetName() {
 			continue
 		}
-		a, e := net.ResolveUDPAddr("udp", f.GetPeerAddress())
+		a, e := t.resolve(f.GetPeerAddress())
 		if e != nil {
 			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front has no address")
 			continue
 		}
 		l = append(l, target{name: n, address: a, near: f.GetDataCentre() == t.self.GetDataCentre()})
 	}
+	slices.SortFunc(l, func(a, b target) int { return cmp.Compare(a.name, b.name) })
 	return l
 }
 
-func (t *Task) broadcast(c context.Context, heartbeat bool) {
-	t.sequence++
+// resolve returns the address that a text stands for, and remembers it.
+func (t *Task) resolve(address string) (*net.UDPAddr, error) {
+	a := t.resolved[address]
+	if a != nil {
+		return a, nil
+	}
+	a, e := net.ResolveUDPAddr("udp", address)
+	if e != nil {
+		return nil, e
+	}
+	t.resolved[address] = a
+	return a, nil
+}
+
+// broadcast sends the loads to the fronts that are due: with a change to those
+// that hear of it at once, with a heartbeat to all whose turn it is.
+func (t *Task) broadcast(c context.Context, beat bool) {
 	o := time.Now()
+	// All hear of this, whoever's turn it is.
+	u := beat && t.changed()
+	// The last change has told the near ones.
+	q := beat && !u && o.Sub(t.told) < heartbeat/2
+	// The datagrams to near fronts and to far ones.
+	var n, f []byte
+	for i, x := range t.addresses {
+		k := t.f.Heard(o, x.name, quiet)
+		switch {
+		case !t.direct(x):
+			if beat && (u || t.turn(i) || slices.Contains(t.unheard, x.name)) {
+				f = t.write(c, f, x, true)
+			}
+		case k && !q, !k && beat:
+			n = t.write(c, n, x, false)
+		}
+	}
+	if !q {
+		t.told = o
+	}
+	if beat {
+		t.beats++
+	}
+}
+
+// write sends a datagram to a front, which is encoded for the first one. It
+// returns the datagram. All says that it has the loads of the whole data centre.
+func (t *Task) write(c context.Context, b []byte, a target, all bool) []byte {
+	if b == nil {
+		b = t.encode(time.Now(), all)
+	}
+	t.sent.Inc()
+	_, e := t.n.WriteTo(b, a.address)
+	if e != nil && c.Err() == nil {
+		t.l.WithError(e).WithField("front", a.name).Debug("gossip: datagram not sent")
+	}
+	return b
+}
+
+// changed says whether something has changed that all fronts must hear of.
+func (t *Task) changed() bool {
+	s := t.present()
+	d := s != t.state
+	t.state = s
+	return d
+}
+
+func (t *Task) present() state {
+	return state{
+		leaving: t.leaving.Load(), troubled: t.configs.Troubled() || t.hosts.Troubled(),
+		released: t.jobs.Released(), missed: t.configs.Missed() + t.hosts.Missed(),
+	}
+}
+
+// turn says whether the front at an index gets this heartbeat. The more fronts a
+// data centre has, the less often each of them tells those of other ones, which
+// hear of it from its neighbours too.
+func (t *Task) turn(index int) bool {
+	n := 1
+	for _, a := range t.addresses {
+		if a.near {
+			n++
+		}
+	}
+	// Neighbours have places in a row, so that their turns differ.
+	r := min(1+n/neighbours, maxRotation)
+	return (index+t.place+t.beats)%r == 0
+}
+
+// encode returns a datagram, to fronts of other data centres in a large fleet
+// with the loads of the whole data centre.
+func (t *Task) encode(now time.Time, all bool) []byte {
+	t.sequence++
+	s := t.present()
 	m := wire.Load_builder{
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
 		DataCentre: proto.String(t.self.GetDataCentre()),
-		Sequence:   &t.sequence, Servers: t.f.Loads(o), Crashes: t.p.Crashes(o.Add(-crashAge)),
-		Leaving: proto.Bool(t.leaving.Load()),
+		Sequence:   proto.Uint64(t.sequence), Crashes: t.p.Crashes(now.Add(-crashAge)),
+		Leaving: &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled,
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
-		Released:     proto.Uint32(t.jobs.Released()),
-		Unheard:      t.unheard,
-		Missed:       proto.Uint32(t.configs.Missed() + t.hosts.Missed()),
-		Troubled:     proto.Bool(t.configs.Troubled() || t.hosts.Troubled()),
 		ConfigsAgeMs: age(t.configs), HostsAgeMs: age(t.hosts),
+		Unheard:      t.unheard,
 		QuotaPressed: proto.Bool(t.jobs.Pressed()),
-	}.Build()
-	b, e := proto.Marshal(m)
+	}
+	if all {
+		m.All = t.f.All(now)
+	} else {
+		m.Servers = t.f.Loads(now)
+	}
+	b, e := proto.Marshal(m.Build())
 	if e != nil {
 		t.l.WithError(e).Error("gossip: loads not encoded")
-		return
-	}
-	for _, a := range t.addresses {
-		if !heartbeat && (!t.direct(a) || !t.f.Heard(o, a.name, quiet)) {
-			continue
-		}
-		t.sent.Inc()
-		_, e = t.n.WriteTo(b, a.address)
-		if e != nil && c.Err() == nil {
-			t.l.WithError(e).WithField("front", a.name).Debug("gossip: datagram not sent")
-		}
 	}
+	return b
 }
 
 // age returns the age of a copy in milliseconds, nil before the first list.
