fleet, gossip, roster: smaller and fewer datagrams in a large fleet

Change: totals are lists of numbers, whom a front hears is told without ages, and a data centre of 33 fronts sends each to a sixth of the far ones. While more slots are free than taken, changes are gathered for 80 ms. A process that has just started does not name all others as unheard: it takes nobody for lost yet. The list of addresses is made anew only when the fronts' entries have changed.

--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -68,7 +68,7 @@
 	if len(l) == 0 {
 		return nil, ReasonNone, wait(left, earliestRecovery, draw)
 	}
-	n := v.contenders(f.near)
+	n := v.contenders(f.near, f.tellDelay())
 	c := first(l)
 	if c.p.tier < tierQueue {
 		c = spread(l, n, draw)
@@ -107,8 +107,8 @@
 // contenders returns how many requests, this one among them, the fronts that
 // hear of each other at once place by the same loads: as many as arrive while a
 // change of the loads is on its way, if all of them get as many as this one.
-func (v *service) contenders(peers int) float64 {
-	return 1 + v.rate*float64(peers)*tellDelay(peers).Seconds()
+func (v *service) contenders(peers int, tellDelay time.Duration) float64 {
+	return 1 + v.rate*float64(peers)*tellDelay.Seconds()
 }
 
 const (
@@ -215,7 +215,7 @@
 	x := s.total() - s.slots()
 	for n, t := range f.totals {
 		if n < f.dataCentre {
-			x -= batchAt(t.servers, s.hash)
+			x -= t.servers[s.hash].batch
 		}
 	}
 	for n, p := range f.peers {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -26,6 +26,9 @@
 	// Time added to gather for each front beyond SmallFleet that hears of
 	// changes at once.
 	gatherPerFront = time.Millisecond
+	// The same in a large fleet while more slots are free than taken: what the
+	// others know matters little then, and each datagram goes to many.
+	roomyGather = 80 * time.Millisecond
 	// Time from a datagram to the decisions that heed it.
 	tellTime = 8 * time.Millisecond
 	// Average before the first answer.
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -89,14 +89,39 @@
 }
 
 // tellDelay is the time after which fronts know of a change of another one's
-// loads, when so many hear of it at once.
-func tellDelay(fronts int) time.Duration { return tellTime + GatherTime(fronts)/4 }
+// loads.
+func (f *Fleet) tellDelay() time.Duration { return tellTime + f.gatherTime()/4 }
 
 // GatherTime is the least time between datagrams with changes of the loads. It
 // grows with the number of fronts that hear of them at once, so that the rate
 // of datagrams does not.
-func GatherTime(fronts int) time.Duration {
-	return gather + gatherPerFront*time.Duration(max(fronts-SmallFleet, 0))
+func (f *Fleet) GatherTime() time.Duration {
+	f.m.Lock()
+	defer f.m.Unlock()
+	return f.gatherTime()
+}
+
+func (f *Fleet) gatherTime() time.Duration {
+	d := gather + gatherPerFront*time.Duration(max(f.near-SmallFleet, 0))
+	if f.near > SmallFleet && f.roomy() {
+		return max(d, roomyGather)
+	}
+	return d
+}
+
+// roomy says whether the servers of each service have more free slots than taken
+// ones, so that a request finds one wherever it goes.
+func (f *Fleet) roomy() bool {
+	for _, v := range f.services {
+		n := 0
+		for _, s := range v.servers {
+			n += s.slots() - 2*s.total()
+		}
+		if n < 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // sumPeers counts the requests of all other fronts anew.
@@ -112,21 +137,27 @@
 		}
 	}
 	for _, t := range f.totals {
-		f.add(t.servers, 1)
+		f.addTotal(t, 1)
 	}
 }
 
 // add counts the requests of other fronts, or with the sign -1 takes them away.
 func (f *Fleet) add(l []*wire.ServerLoad, sign int) {
 	for _, x := range l {
-		s := f.hashes[x.GetServer()]
-		if s != nil {
-			s.othersOnline += sign * int(x.GetOnline())
-			s.othersBatch += sign * int(x.GetBatch())
-			if x.GetFailing() {
-				s.othersFailing += sign
-			}
-		}
+		f.count(x.GetServer(), count{online: int(x.GetOnline()), batch: int(x.GetBatch()), failing: x.GetFailing()}, sign)
+	}
+}
+
+// count adds requests at the server with a hash.
+func (f *Fleet) count(hash uint64, n count, sign int) {
+	s := f.hashes[hash]
+	if s == nil {
+		return
+	}
+	s.othersOnline += sign * n.online
+	s.othersBatch += sign * n.batch
+	if n.failing {
+		s.othersFailing += sign
 	}
 }
 
--- a/internal/coordination/fleet/totals.go
+++ b/internal/coordination/fleet/totals.go
@@ -8,11 +8,22 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
+// A front that was heard within this time is told to other data centres.
+const heardTime = 500 * time.Millisecond
+
+// count is the requests at a backend server.
+type count struct {
+	online, batch int
+	// Some front leaves the server alone because it fails what it takes.
+	failing bool
+}
+
 // total is what the fronts of another data centre have in flight together, as
 // one of them last told. Any of them tells of all, so each needs to send only
 // now and then, and what is known is no older than the last word of any.
 type total struct {
-	servers []*wire.ServerLoad
+	// By hash of the backend server's id.
+	servers map[uint64]count
 	seen    time.Time
 }
 
@@ -21,47 +32,62 @@
 func (f *Fleet) All(now time.Time) *wire.DataCentreLoad {
 	f.m.Lock()
 	defer f.m.Unlock()
-	t := wire.DataCentreLoad_builder{Servers: f.nearLoads(now)}
+	t := wire.DataCentreLoad_builder{}
+	for h, n := range f.nearLoads(now) {
+		t.Servers = append(t.Servers, h)
+		t.Online = append(t.Online, int32(n.online))
+		t.Batch = append(t.Batch, int32(n.batch))
+		if n.failing {
+			t.Failing = append(t.Failing, h)
+		}
+	}
 	for _, p := range f.peers {
-		a := now.Sub(p.seen)
-		if p.load.GetDataCentre() != f.dataCentre || a > HearTime {
-			continue
+		if p.load.GetDataCentre() == f.dataCentre && now.Sub(p.seen) <= heardTime {
+			t.Heard = append(t.Heard, p.hash)
 		}
-		m := uint32(a.Milliseconds())
-		t.Heard = append(t.Heard, wire.HeardFront_builder{Front: &p.hash, AgeMs: &m}.Build())
 	}
 	return t.Build()
 }
 
 // nearLoads returns the requests in flight of all fronts of this data centre.
-func (f *Fleet) nearLoads(now time.Time) []*wire.ServerLoad {
-	m := map[uint64]*wire.ServerLoad{}
-	for _, x := range f.loads(now) {
-		m[x.GetServer()] = x
-	}
+func (f *Fleet) nearLoads(now time.Time) map[uint64]count {
+	m := map[uint64]count{}
+	addTo(m, f.loads(now))
 	for _, p := range f.peers {
-		if p.load.GetDataCentre() != f.dataCentre {
-			continue
-		}
-		for _, x := range p.load.GetServers() {
-			h := x.GetServer()
-			s := m[h]
-			if s == nil {
-				s = wire.ServerLoad_builder{Server: &h}.Build()
-				m[h] = s
-			}
-			s.SetOnline(s.GetOnline() + x.GetOnline())
-			s.SetBatch(s.GetBatch() + x.GetBatch())
-			if x.GetFailing() {
-				s.SetFailing(true)
-			}
+		if p.load.GetDataCentre() == f.dataCentre {
+			addTo(m, p.load.GetServers())
 		}
 	}
-	l := make([]*wire.ServerLoad, 0, len(m))
-	for _, x := range m {
-		l = append(l, x)
+	return m
+}
+
+func addTo(m map[uint64]count, l []*wire.ServerLoad) {
+	for _, x := range l {
+		n := m[x.GetServer()]
+		n.online += int(x.GetOnline())
+		n.batch += int(x.GetBatch())
+		n.failing = n.failing || x.GetFailing()
+		m[x.GetServer()] = n
 	}
-	return l
+}
+
+// counts returns the requests that a datagram tells of. One whose lists don't
+// belong together tells nothing.
+func counts(a *wire.DataCentreLoad) map[uint64]count {
+	l, o, b := a.GetServers(), a.GetOnline(), a.GetBatch()
+	if len(o) != len(l) || len(b) != len(l) {
+		return nil
+	}
+	m := make(map[uint64]count, len(l))
+	for i, h := range l {
+		m[h] = count{online: int(o[i]), batch: int(b[i])}
+	}
+	for _, h := range a.GetFailing() {
+		n := m[h]
+		n.failing = true
+		m[h] = n
+	}
+	return m
 }
 
 // setTotal takes in what a front tells of all fronts of its data centre; the
@@ -74,19 +100,27 @@
 		// Its fronts are not counted one by one any more.
 		f.sumPeers()
 	}
-	f.add(t.servers, -1)
-	t.servers = a.GetServers()
+	f.addTotal(t, -1)
+	t.servers = counts(a)
 	t.seen = now
-	f.add(t.servers, 1)
+	f.addTotal(t, 1)
+	s := now.Add(-heardTime)
 	for _, h := range a.GetHeard() {
-		p := f.peerHashes[h.GetFront()]
-		s := now.Add(-time.Duration(h.GetAgeMs()) * time.Millisecond)
+		p := f.peerHashes[h]
 		if p != nil && s.After(p.seen) {
 			p.seen = s
 		}
 	}
 }
 
+// addTotal counts the requests of a data centre, or with the sign -1 takes them
+// away.
+func (f *Fleet) addTotal(t *total, sign int) {
+	for h, n := range t.servers {
+		f.count(h, n, sign)
+	}
+}
+
 // expireTotals forgets data centres of which nobody tells any more. It returns
 // whether there are any; the caller holds the lock.
 func (f *Fleet) expireTotals(now time.Time) bool {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -33,9 +33,9 @@
 	// A front that was not heard for so long gets heartbeats only.
 	quiet = 5 * time.Second
 	// So many fronts of a data centre share the heartbeats to another one, up to
-	// a rotation at which each still hears each directly once a second.
+	// a rotation at which each still hears each directly in 1.5 s.
 	neighbours  = 6
-	maxRotation = 4
+	maxRotation = 6
 )
 
 // Task sends and receives the datagrams of one front.
@@ -52,11 +52,12 @@
 	wake           chan struct{}
 	leaving        atomic.Bool
 	sent           prometheus.Counter
+	born           time.Time
 	// Used by the sending goroutine only.
 	sequence  uint64
 	addresses []target
-	// By address as it stands in the fronts' entries.
-	resolved map[string]*net.UDPAddr
+	// The version of the roster that they are from.
+	rosterVersion uint64
 	// Fronts with an entry that had been silent at the last heartbeat.
 	unheard []string
 	// Fronts with a name before this one's.
@@ -88,8 +89,7 @@
 // and hosts for a while, they are asked for a new list.
 func New(c context.Context, n net.PacketConn, self *wire.Front, f *fleet.Fleet, p *poison.Record, fronts *roster.Roster, configs, hosts *inform.Informer, l log.Interface, r prometheus.Registerer, jobs trail.Sharer) *Task {
 	t := &Task{
-		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1),
-		resolved: map[string]*net.UDPAddr{},
+		n: n, self: self, f: f, p: p, fronts: fronts, configs: configs, hosts: hosts, l: l, jobs: jobs, wake: make(chan struct{}, 1), born: time.Now(),
 		sent: promauto.With(r).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -128,7 +128,7 @@
 			b = true
 		case <-t.wake:
 			// A change after a while is told at once.
-			time.Sleep(t.gatherTime() - time.Since(o))
+			time.Sleep(t.f.GatherTime() - time.Since(o))
 		}
 		t.expire(b)
 		t.broadcast(c, b)
@@ -149,9 +149,19 @@
 		t.jobs.Wake()
 		t.jobs.Lost()
 	}
+	t.aim()
+	t.unheard = t.silent()
+}
+
+// aim takes in the other fronts, if they have changed.
+func (t *Task) aim() {
+	v := t.fronts.Version()
+	if v == t.rosterVersion && t.addresses != nil {
+		return
+	}
+	t.rosterVersion = v
 	t.addresses = t.targets()
 	t.place, _ = slices.BinarySearchFunc(t.addresses, t.self.GetName(), func(a target, n string) int { return cmp.Compare(a.name, n) })
-	t.unheard = t.silent()
 }
 
 // direct says whether a front hears of changes at once. In a large fleet those
@@ -163,17 +173,6 @@
 // loads together.
 func (t *Task) large() bool { return len(t.addresses) > fleet.SmallFleet }
 
-// gatherTime is the least time between datagrams with changes.
-func (t *Task) gatherTime() time.Duration {
-	n := 0
-	for _, a := range t.addresses {
-		if t.direct(a) {
-			n++
-		}
-	}
-	return fleet.GatherTime(n)
-}
-
 // targets returns the other fronts in the order of their names.
 func (t *Task) targets() []target {
 	var l []target
@@ -181,7 +180,7 @@
 		if n == t.self.GetName() {
 			continue
 		}
-		a, e := t.resolve(f.GetPeerAddress())
+		a, e := net.ResolveUDPAddr("udp", f.GetPeerAddress())
 		if e != nil {
 			t.l.WithError(e).WithField("front", n).Warn("gossip: entry of a front has no address")
 			continue
@@ -192,20 +191,6 @@
 	return l
 }
 
-// resolve returns the address that a text stands for, and remembers it.
-func (t *Task) resolve(address string) (*net.UDPAddr, error) {
-	a := t.resolved[address]
-	if a != nil {
-		return a, nil
-	}
-	a, e := net.ResolveUDPAddr("udp", address)
-	if e != nil {
-		return nil, e
-	}
-	t.resolved[address] = a
-	return a, nil
-}
-
 // broadcast sends the loads to the fronts that are due: with a change to those
 // that hear of it at once, with a heartbeat to all whose turn it is.
 func (t *Task) broadcast(c context.Context, beat bool) {
@@ -291,9 +276,12 @@
 		Leaving: &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled,
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		ConfigsAgeMs: age(t.configs), HostsAgeMs: age(t.hosts),
-		Unheard:      t.unheard,
 		QuotaPressed: proto.Bool(t.jobs.Pressed()),
 	}
+	if now.Sub(t.born) >= fleet.HearTime {
+		// Before, all are unheard, and nobody is taken for lost by this one.
+		m.Unheard = t.unheard
+	}
 	if all {
 		m.All = t.f.All(now)
 	} else {
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -29,6 +29,8 @@
 	changed <-chan struct{}
 	// By name, as decoded last.
 	all map[string]*wire.Front
+	// Grows each time that the list is decoded.
+	version uint64
 }
 
 // New returns the roster that the copy of the fronts' entries holds.
@@ -49,9 +51,18 @@
 	}
 	r.changed = r.fronts.Changed()
 	r.all = r.decode()
+	r.version++
 	return r.all
 }
 
+// Version returns a number that grows when the list may have changed.
+func (r *Roster) Version() uint64 {
+	r.All()
+	r.m.Lock()
+	defer r.m.Unlock()
+	return r.version
+}
+
 func (r *Roster) decode() map[string]*wire.Front {
 	m := map[string]*wire.Front{}
 	for n, o := range r.fronts.All() {
--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -47,7 +47,7 @@
 	wrote chan error
 	// An answer to another request came on the connection.
 	strayed bool
-	ended sync.Once
+	ended   sync.Once
 }
 
 // send writes the request.
