inform, ledger, batch: what a last read found

Cause, by reading the change: (1) a list that ends an outage told its listeners before the outage was recorded, so a front could drop entries that had lapsed in it; (2) entries made in the same write were taken for left-over ones, removed and made again; (3) a claim whose entry stands in an old copy was granted without a look at the present one; (4) the search for running items stood twice, and one type had the name of another package.

Change: a list, the time that it confirms and the outage are taken in together; only entries seen before can be left over; a claim that needs no write needs a fresh read; one function for running items.

Tests of inform (TestOutage now asks a listener), ledger, quota, batch, gossip and fleet pass with -race.

--- a/internal/coordination/batch/leave.go
+++ b/internal/coordination/batch/leave.go
@@ -92,21 +92,14 @@
 // progressOf returns how far the items of a job that was dropped have come. It
 // waits a moment for the runs that have been ended.
 func (s *Jobs) progressOf(c context.Context, o *owned) []*wire.ItemProgress {
-	for b := time.Now(); s.running(o) && time.Since(b) < endedTime; {
+	for b := time.Now(); s.anyRuns(o) && time.Since(b) < endedTime; {
 		if !wait(c, endedPause) {
 			break
 		}
 	}
 	s.m.Lock()
 	defer s.m.Unlock()
-	r := map[int]bool{}
-	for _, l := range s.runs {
-		for _, x := range l {
-			if x.o == o {
-				r[x.n] = true
-			}
-		}
-	}
+	r := s.running(o)
 	var l []*wire.ItemProgress
 	n := 0
 	for i, p := range o.progress {
@@ -123,18 +116,25 @@
 	return l
 }
 
-// running says whether any item of a job runs.
-func (s *Jobs) running(o *owned) bool {
+// anyRuns says whether any item of a job runs.
+func (s *Jobs) anyRuns(o *owned) bool {
 	s.m.Lock()
 	defer s.m.Unlock()
+	return len(s.running(o)) > 0
+}
+
+// running returns the indexes of the items of a job that run; the caller holds
+// the lock.
+func (s *Jobs) running(o *owned) map[int]bool {
+	m := map[int]bool{}
 	for _, l := range s.runs {
 		for _, r := range l {
 			if r.o == o {
-				return true
+				m[r.n] = true
 			}
 		}
 	}
-	return false
+	return m
 }
 
 // leave tells the front that comes next for a job that it has no owner. If that
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -32,8 +32,9 @@
 	crashAge = 30 * time.Second
 	// A front that was not heard for so long gets heartbeats only.
 	quiet = 5 * time.Second
-	// So many fronts of a data centre share the heartbeats to another one, up to
-	// a rotation at which each still hears each directly in 1.5 s.
+	// For each so many fronts of a data centre, a front sends one heartbeat less
+	// in turn to a far one, down to one in six: each then still hears each other
+	// directly in 1.5 s.
 	neighbours  = 6
 	maxRotation = 6
 )
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -106,8 +106,7 @@
 	if e != nil {
 		return e
 	}
-	s.replace(l, v, false)
-	s.confirm(b)
+	s.replace(l, v, false, b)
 	w, e := s.store.Watch(c, s.kind, v)
 	if e != nil {
 		return e
@@ -117,7 +116,7 @@
 			return x.Cause()
 		}
 		if l, v, o := x.List(); o {
-			s.replace(l, v, true)
+			s.replace(l, v, true, time.Time{})
 			continue
 		}
 		s.apply(x)
@@ -141,8 +140,9 @@
 
 // replace takes in a list of the platform, or one that another front relays.
 // Objects that it lacks are deleted. An older list than the last one tells
-// nothing new.
-func (s *Informer) replace(l []object.Object, version int64, relayed bool) {
+// nothing new. The list has all changes up to the time at, which is zero when
+// that is not known.
+func (s *Informer) replace(l []object.Object, version int64, relayed bool, at time.Time) {
 	s.m.Lock()
 	defer s.m.Unlock()
 	s.relayed = relayed
@@ -170,7 +170,10 @@
 		s.recovered = time.Now()
 		s.l.WithField("away", s.recovered.Sub(s.failed).String()).Info("inform: watch of the platform regained")
 	}
+	b := s.confirmed
+	s.confirm(at)
 	s.notify()
+	s.before = b
 }
 
 func (s *Informer) apply(x trail.Change) {
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -261,10 +261,18 @@
 		s.end()
 		time.Sleep(4 * time.Second)
 		o, _ = i.Outage()
+		// Whoever hears of the list that ends the outage knows of it.
+		k := make(chan bool, 1)
+		w := i.Changed()
+		go func() {
+			<-w
+			_, e := i.Outage()
+			k <- !e.IsZero() && time.Since(i.Before()) > 2*time.Second
+		}()
 		s.fail(nil)
 		time.Sleep(2 * time.Second)
 		p, e := i.Outage()
-		if d := cmp.Diff([]bool{true, false, false}, []bool{o, p, e.IsZero()}); d != "" {
+		if d := cmp.Diff([]bool{true, false, false, true}, []bool{o, p, e.IsZero(), <-k}); d != "" {
 			t.Error(d)
 		}
 	})
--- a/internal/coordination/inform/verify.go
+++ b/internal/coordination/inform/verify.go
@@ -86,8 +86,7 @@
 		}
 		return false
 	}
-	s.replace(l, v, s.Relayed())
-	s.confirm(b)
+	s.replace(l, v, s.Relayed(), b)
 	if d == s.Digest() {
 		return false
 	}
@@ -133,13 +132,14 @@
 	if digest == 0 || digest != s.Digest() {
 		return
 	}
+	s.m.Lock()
+	defer s.m.Unlock()
 	s.confirm(at)
 }
 
-// confirm takes in that the copy has all changes up to a time.
+// confirm takes in that the copy has all changes up to a time; the caller holds
+// the lock.
 func (s *Informer) confirm(at time.Time) {
-	s.m.Lock()
-	defer s.m.Unlock()
 	if !at.After(s.confirmed) {
 		return
 	}
--- a/internal/coordination/ledger/write.go
+++ b/internal/coordination/ledger/write.go
@@ -64,8 +64,8 @@
 	hold bool
 }
 
-// batch is what one update of an account has to carry.
-type batch struct {
+// pending is what one update of an account has to carry.
+type pending struct {
 	claims  []*claim
 	changes map[string]change
 	// Claims without room, as of the last look.
@@ -89,14 +89,14 @@
 }
 
 // next takes the claims and changes at hand, nil when there are none.
-func (s *Ledger) next(b *book) *batch {
+func (s *Ledger) next(b *book) *pending {
 	s.m.Lock()
 	defer s.m.Unlock()
 	if len(b.claims) == 0 && (len(b.changes) == 0 || time.Now().Before(b.due)) {
 		b.writing = false
 		return nil
 	}
-	w := &batch{claims: b.claims, changes: b.changes, limit: b.limit, began: time.Now()}
+	w := &pending{claims: b.claims, changes: b.changes, limit: b.limit, began: time.Now()}
 	b.claims = nil
 	b.changes = map[string]change{}
 	b.due = time.Time{}
@@ -104,7 +104,7 @@
 }
 
 // settle makes the account hold the changes and the claims that fit.
-func (s *Ledger) settle(c context.Context, b *book, w *batch) error {
+func (s *Ledger) settle(c context.Context, b *book, w *pending) error {
 	for {
 		e := s.load(c, b)
 		if e == nil {
@@ -189,11 +189,12 @@
 }
 
 // update decides by the account and makes the decision good.
-func (s *Ledger) update(c context.Context, b *book, w *batch) error {
+func (s *Ledger) update(c context.Context, b *book, w *pending) error {
 	a := quota.New(b.account.Value())
 	w.apply(a)
-	if len(w.refused) > 0 && b.read.Before(w.began) {
-		// Others may have made room since.
+	if b.read.Before(w.began) && (len(w.refused) > 0 || len(w.claims) > 0 && !a.Changed()) {
+		// Others may have made room since, or removed the entry of a claim that
+		// has one here.
 		b.known = false
 		return errAgain
 	}
@@ -239,7 +240,7 @@
 }
 
 // apply changes the account.
-func (w *batch) apply(a *quota.Account) {
+func (w *pending) apply(a *quota.Account) {
 	for j, x := range w.changes {
 		if x.hold {
 			a.Hold(j, x.tokens)
@@ -256,7 +257,7 @@
 }
 
 // short says whether room is short after a decision.
-func (s *Ledger) short(w *batch, a *quota.Account) bool {
+func (s *Ledger) short(w *pending, a *quota.Account) bool {
 	return len(w.refused) > 0 || w.limit > 0 && float64(a.Used()) > pressedShare*float64(w.limit)
 }
 
@@ -276,7 +277,8 @@
 	d := false
 	for _, j := range a.Jobs() {
 		w, k := m[j]
-		if w || !k && o.Sub(b.seen[j]) < acceptTime {
+		t, h := b.seen[j]
+		if w || !h || !k && o.Sub(t) < acceptTime {
 			continue
 		}
 		s.l.WithField("route", b.route).WithField("job-id", j).Info("ledger: entry of a job that does not wait any more removed")
@@ -288,7 +290,7 @@
 
 // conclude answers the claims. Changes that were not written wait for another
 // time, unless newer ones have come.
-func (s *Ledger) conclude(b *book, w *batch, cause error) {
+func (s *Ledger) conclude(b *book, w *pending, cause error) {
 	for _, q := range w.claims {
 		switch {
 		case cause != nil:
@@ -313,7 +315,7 @@
 	s.schedule(b)
 }
 
-func (w *batch) refuses(q *claim) bool {
+func (w *pending) refuses(q *claim) bool {
 	for _, r := range w.refused {
 		if r == q {
 			return true
@@ -323,7 +325,7 @@
 }
 
 // report tells how full the account is; the caller holds the lock.
-func (s *Ledger) report(b *book, w *batch) {
+func (s *Ledger) report(b *book, w *pending) {
 	s.used.WithLabelValues(b.route).Set(float64(b.account.Used()))
 	s.limit.WithLabelValues(b.route).Set(float64(w.limit))
 	if s.short(w, b.account) {
