--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -43,6 +43,8 @@
 	complete int64
 	// The present watch is another front's.
 	relayed bool
+	// A watch is open.
+	watching bool
 	// Digest of the objects, 0 while it is not computed since the last change.
 	digest uint64
 	// When the last trouble with the platform began and ended; the end is
@@ -111,6 +113,8 @@
 	if e != nil {
 		return e
 	}
+	s.watches(true)
+	defer s.watches(false)
 	for x := range w {
 		if x.Cause() != nil {
 			return x.Cause()
@@ -124,6 +128,12 @@
 	return errors.New("watch ended")
 }
 
+func (s *Informer) watches(open bool) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.watching = open
+}
+
 // lost records the start of trouble with the platform.
 func (s *Informer) lost(cause error) {
 	s.m.Lock()
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -278,6 +278,25 @@
 	})
 }
 
+// Guards against a trouble that never ends, and against a front that lists no
+// more, because one list at the interval failed while the watch stayed open.
+func TestFailedListIsRepeated(t *testing.T) {
+	play(t, func(c context.Context, s *store, i *inform.Informer) {
+		go i.Verify(c, rank(0), func() {})
+		s.fail(trail.ErrUnavailable)
+		time.Sleep(1500 * time.Millisecond)
+		g := []bool{i.Troubled()}
+		s.fail(nil)
+		s.set(2, "b")
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		g = append(g, i.Troubled(), names(i) == "b")
+		if d := cmp.Diff([]bool{true, false, true}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a front that does not list when it is asked to, and against
 // finds that are told on and on.
 func TestRefresh(t *testing.T) {
--- a/internal/coordination/inform/verify.go
+++ b/internal/coordination/inform/verify.go
@@ -56,8 +56,7 @@
 func (s *Informer) verifyDue(c context.Context, rank func() int, found func()) time.Duration {
 	w := verifyAt(rank())
 	a, k := s.Age()
-	if !k || s.Troubled() {
-		// The list that ends the trouble is on its way.
+	if !k || s.relisting() {
 		return verifyAge
 	}
 	if a < w {
@@ -70,6 +69,15 @@
 	return verifyAge
 }
 
+// relisting says whether the list that ends a trouble is on its way. While a
+// watch is open none is: a list at the interval has failed, and the next one must
+// end the trouble.
+func (s *Informer) relisting() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return !s.watching && !s.failed.IsZero() && s.recovered.IsZero()
+}
+
 // verify lists the kind. It returns whether the list has changes that the watch
 // has not told.
 func (s *Informer) verify(c context.Context) bool {
--- a/internal/coordination/ledger/ledger_test.go
+++ b/internal/coordination/ledger/ledger_test.go
@@ -229,8 +229,8 @@
 }
 
 // Guards against a job that is accepted without an entry, since another one of the
-// same size gives its room back with the same write. Found by TestHistories, which
-// ran into it once in some ten runs.
+// same size gives its room back with the same write. Found by TestHistories, in
+// some of its runs.
 func TestJobTakesTheRoomOfAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlatform()
