direct: a request that loses its backend server says what it shares with others

What callers saw: sound streams cut and refused while engines ended one after the other. Cause: the logs could not tell whether crashes are counted for nothing in common (hypothesis 1), counted but not shared between fronts (2), or not recognised (3). Change: a line and a counter for each attempt that loses its server, with the shared parts of the prompt, whether the answer had begun, and the crashes known for equal requests. No decision changes.

--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -45,6 +45,9 @@
 	lastEventID string
 }
 
+// begun returns whether a backend server has begun to answer.
+func (x *call) begun() bool { return x.status != 0 }
+
 // result is the result of one attempt.
 type result struct {
 	// The whole response was relayed to the caller.
@@ -123,6 +126,9 @@
 		return
 	}
 	x.server.recordFailure(backendServer, outcome)
+	if outcome.connectionLost {
+		x.server.logLost(x, backendServer)
+	}
 	if outcome.connectionLost && x.server.crashes.AddCrash(time.Now(), x.fingerprint, backendServer.GetId()) {
 		x.server.logger.WithField("request-id", x.request.ID()).Warn("direct: request crashed several backend servers and is rejected from now on")
 	}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,7 @@
 	retryBudgets map[string]*retry.Budget
 
 	requestsTotal    *prometheus.CounterVec
+	lostTotal        *prometheus.CounterVec
 	firstByteSeconds *prometheus.HistogramVec
 	requestSeconds   *prometheus.HistogramVec
 }
@@ -65,6 +67,10 @@
 			Name: "bulrushtrail_requests_total",
 			Help: "Online requests by route kind and outcome (ok or error code).",
 		}, []string{"service", "outcome"}),
+		lostTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_backend_losses_total",
+			Help: "Attempts whose backend server was lost, by whether an answer had begun.",
+		}, []string{"service", "begun"}),
 		firstByteSeconds: promauto.With(registry).NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bulrushtrail_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: b,
 		}, []string{"service"}),
@@ -146,6 +152,18 @@
 	}).Warn("direct: backend server left alone for a while")
 }
 
+// logLost logs what a request that lost its backend server has in common with
+// others: its prompt, and the backend servers that crashed under equal requests
+// as far as this front knows.
+func (s *Server) logLost(call *call, backendServer *wire.BackendServer) {
+	s.lostTotal.WithLabelValues(call.service, strconv.FormatBool(call.begun())).Inc()
+	s.logger.WithFields(log.Fields{
+		"request-id": call.request.ID(), "server": backendServer.GetId(), "begun": call.begun(),
+		"shared-parts": call.request.SharedParts(), "fingerprint": strconv.FormatUint(call.fingerprint, 16),
+		"crashes-of-equal-requests": s.crashes.CrashedHosts(call.fingerprint),
+	}).Warn("direct: backend server lost under a request")
+}
+
 // takeRetry takes a retry from the budget of a service. It returns false when
 // none is left.
 func (s *Server) takeRetry(service string) bool {
--- a/upstream.go
+++ b/upstream.go
@@ -34,6 +34,8 @@
 	body []byte
 	// Zero for an item of a batch job.
 	deadline time.Time
+	// Ids of the parts of the prompt that other requests may share, in order.
+	sharedParts []string
 }
 
 // NewRequest returns a request without a deadline.
@@ -71,6 +73,19 @@
 // is none.
 func (r *Request) Deadline() time.Time { return r.deadline }
 
+// WithSharedParts returns a copy with the ids of the parts of the prompt that
+// other requests may share, in the order of the prompt.
+func (r *Request) WithSharedParts(ids []string) *Request {
+	q := *r
+	q.sharedParts = ids
+	return &q
+}
+
+// SharedParts returns the ids of the parts of the prompt that other requests may
+// share, in the order of the prompt. It is empty for a request without a prompt.
+// The result must not be modified.
+func (r *Request) SharedParts() []string { return r.sharedParts }
+
 // PeerJobs gives access to the batch jobs that other fronts run.
 type PeerJobs interface {
 	// Notify reports a changed object of a job to a front, and returns nil once
