--- a/internal/coordination/jobs/failure_test.go
+++ b/internal/coordination/jobs/failure_test.go
@@ -125,6 +125,25 @@
 	})
 }
 
+// Guards against a sound item that is given up because backend servers were lost
+// under it in a burst of crashes: afterwards all is calm and it must run.
+func TestUnluckyItemIsGivenUp(t *testing.T) {
+	run(t, 3, func(w *fixture) {
+		w.caller.answer = func(d string, n int) (*wire.Head, *wire.End) {
+			switch {
+			case d == "i0" && n < 8:
+				return nil, end("backend-lost", wire.Verdict_VERDICT_MAY_HAVE_RUN)
+			case d == "i1" && n < 3:
+				return nil, end("request-rejected", wire.Verdict_VERDICT_NOT_RUN)
+			}
+			return head(200), end("", wire.Verdict_VERDICT_RAN)
+		}
+		w.start("a", newViews("a"), nil)
+		time.Sleep(30 * time.Minute)
+		w.expectCounts(map[string]int{"completed": 1, "success 200": 3})
+	})
+}
+
 // Guards against a job that loads a service which refuses all calls. It must not
 // send more calls than the retry-after allows, and must resume afterwards.
 func TestRefusedJobRespectsRetryAfter(t *testing.T) {
