crash, direct, gossip: a request is stopped by evidence that ends, not for good

Cause: a front counted each lost connection, also of answers well under way, never cleared the count when the request was answered, and never forgot a decision. Evidence: TestSoundRequestIs- RefusedAfterLosses failed before, with request-poisoned after three bursts. Change: package crash counts losses before an answer began; they count in a row only (each sent after the loss before), an answer clears them, and a decision holds for 30 s, twice as long with each further loss. Fronts exchange the losses with their ages, and those that support a decision are sent on by all, so a front that has just started hears of it from any other. One line states the evidence of a decision, one its end. Measured: the test passes.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
 	"bulrushtrail.example/trail/internal/coordination/fanout"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
@@ -17,7 +18,6 @@
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/jobrpc"
 	"bulrushtrail.example/trail/internal/coordination/member"
-	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/coordination/relay"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -32,10 +32,6 @@
 )
 
 const (
-	// Number of different backend servers that must crash while running a
-	// request before it is rejected. Up to eight requests run on a server when
-	// it crashes, and seven of them did not cause the crash.
-	poisonCrashLimit = 3
 	// Time during which requests are still accepted after readiness fails. The
 	// load balancer removes a host after two failed checks one second apart.
 	drainDelay = 2400 * time.Millisecond
@@ -118,7 +114,7 @@
 	s.fleet = fleet.New(process.settings.GetName(), process.settings.GetDataCentre())
 	s.pool = pool.New(process.dialer, process.registry)
 	u := server.New(s.pool)
-	q := poison.New(poisonCrashLimit)
+	q := crash.New(process.settings.GetName())
 	// The components refer to each other. The callbacks read the fields of s
 	// when they are called, and all fields are set before the first request.
 	s.direct = direct.New(s.fleet, q, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -33,7 +33,7 @@
 	defer f(nil)
 	t := x.startAttemptTimer(f)
 	defer t.Stop()
-	n := time.Now()
+	x.sentAt = time.Now()
 	a, e := x.server.upstream.Send(c, backendServer, x.request, x.lastEventID)
 	if e != nil {
 		x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
@@ -46,7 +46,7 @@
 	} else {
 		r = x.relayBody(c, a, t)
 	}
-	h := time.Since(n)
+	h := time.Since(x.sentAt)
 	if !r.complete || r.serverFailed {
 		h = 0
 	}
@@ -109,6 +109,7 @@
 		// cannot continue with a response of another kind.
 		return result{verdict: trail.MayHaveRun, serverFailed: f, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", response.StatusCode)}
 	}
+	x.recordBegun(response.StatusCode)
 	if len(b) <= maxBufferedBody {
 		response.Header.Set("Content-Length", strconv.Itoa(len(b)))
 	}
@@ -186,6 +187,7 @@
 		}
 		if !r.Empty() {
 			timer.Stop()
+			x.recordBegun(response.StatusCode)
 		}
 		if !event.Follows(x.lastEventID, r.ID()) {
 			return x.brokenResult(ctx, errEventSequence)
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -9,20 +9,26 @@
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
 // call is the state of one request over all its attempts.
 type call struct {
-	server      *Server
-	ctx         context.Context
-	route       *wire.RouteRule
-	request     *trail.Request
-	writer      http.ResponseWriter
-	service     string
+	server  *Server
+	ctx     context.Context
+	route   *wire.RouteRule
+	request *trail.Request
+	writer  http.ResponseWriter
+	service string
+	// Hash of the request, by which equal ones are recognised.
 	fingerprint uint64
-	startTime   time.Time
+	// What it has in common with other requests.
+	identity  crash.Request
+	startTime time.Time
+	// When the last attempt was sent.
+	sentAt time.Time
 
 	// Ids of backend servers that were tried; none is tried twice.
 	triedServers []string
@@ -41,13 +47,12 @@
 	status int
 	// 0 before the header is written.
 	timeToFirstByte time.Duration
+	// A backend server has begun to answer: with an event, or a whole body.
+	begun bool
 	// Id of the last event that was relayed to the caller.
 	lastEventID string
 }
 
-// begun returns whether a backend server has begun to answer.
-func (x *call) begun() bool { return x.status != 0 }
-
 // result is the result of one attempt.
 type result struct {
 	// The whole response was relayed to the caller.
@@ -71,11 +76,11 @@
 
 // run makes attempts until one is complete or no further one is allowed.
 func (x *call) run() error {
-	if x.server.crashes.IsRejected(x.fingerprint) {
-		return trail.NewError("request-poisoned", trail.NotRun, "request has crashed several backend servers").WithRetryAfter(time.Second)
-	}
 	x.server.recordFirstAttempt(x.service)
 	for {
+		if e := x.stopError(); e != nil {
+			return e
+		}
 		t := time.Duration(x.route.GetTargetMs()) * time.Millisecond
 		b, n, w := x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), x.triedServers, rand.Float64())
 		x.selectionReason = n
@@ -113,7 +118,7 @@
 	return trail.NewError(c, trail.NotRun, "no backend server of service %s is available for the request: %s", x.service, reason).WithRetryAfter(retryAfter)
 }
 
-// recordAttempt reports the result of an attempt to the fleet, and a crash of
+// recordAttempt reports the result of an attempt to the fleet, and the loss of
 // the backend server to the crash record.
 func (x *call) recordAttempt(backendServer *wire.BackendServer, outcome result) {
 	x.server.onLoadChange()
@@ -127,10 +132,7 @@
 	}
 	x.server.recordFailure(backendServer, outcome)
 	if outcome.connectionLost {
-		x.server.logLost(x, backendServer)
-	}
-	if outcome.connectionLost && x.server.crashes.AddCrash(time.Now(), x.fingerprint, backendServer.GetId()) {
-		x.server.logger.WithField("request-id", x.request.ID()).Warn("direct: request crashed several backend servers and is rejected from now on")
+		x.recordLoss(backendServer)
 	}
 }
 
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +14,8 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
-	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/coordination/retry"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/rules"
@@ -37,7 +36,7 @@
 // Server serves online requests.
 type Server struct {
 	fleet    *fleet.Fleet
-	crashes  *poison.Tracker
+	crashes  *crash.Record
 	upstream trail.Upstream
 	logger   log.Interface
 	// Called when the requests in flight of this front, or the backend servers
@@ -51,6 +50,8 @@
 	mu sync.Mutex
 	// By service.
 	retryBudgets map[string]*retry.Budget
+	// What is stopped, as logged: the shared part or the fingerprint.
+	stopped map[string]bool
 
 	requestsTotal    *prometheus.CounterVec
 	lostTotal        *prometheus.CounterVec
@@ -59,10 +60,10 @@
 }
 
 // New returns a server without a configuration.
-func New(fleet *fleet.Fleet, crashes *poison.Tracker, upstream trail.Upstream, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
+func New(fleet *fleet.Fleet, crashes *crash.Record, upstream trail.Upstream, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
 	b := prometheus.ExponentialBuckets(0.005, 2, 12)
 	return &Server{
-		fleet: fleet, crashes: crashes, upstream: upstream, logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{},
+		fleet: fleet, crashes: crashes, upstream: upstream, logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{}, stopped: map[string]bool{},
 		requestsTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_requests_total",
 			Help: "Online requests by route kind and outcome (ok or error code).",
@@ -108,11 +109,11 @@
 	// The context that ends at the request's deadline.
 	c, f := context.WithDeadline(ctx, request.Deadline())
 	defer f()
+	n := fingerprint(request)
 	x := &call{
 		server: s, ctx: c, route: route, request: request, writer: w, startTime: b,
-		service:     rules.PickService(route, rand.Float64()),
-		fingerprint: fingerprint(request),
-		lastResult:  result{verdict: trail.NotRun},
+		service: rules.PickService(route, rand.Float64()), fingerprint: n, identity: crash.NewRequest(n, nil),
+		lastResult: result{verdict: trail.NotRun},
 	}
 	e := x.run()
 	x.reportOutcome(version, e)
@@ -152,18 +153,6 @@
 	}).Warn("direct: backend server left alone for a while")
 }
 
-// logLost logs what a request that lost its backend server has in common with
-// others: its prompt, and the backend servers that crashed under equal requests
-// as far as this front knows.
-func (s *Server) logLost(call *call, backendServer *wire.BackendServer) {
-	s.lostTotal.WithLabelValues(call.service, strconv.FormatBool(call.begun())).Inc()
-	s.logger.WithFields(log.Fields{
-		"request-id": call.request.ID(), "server": backendServer.GetId(), "begun": call.begun(),
-		"shared-parts": call.request.SharedParts(), "fingerprint": strconv.FormatUint(call.fingerprint, 16),
-		"crashes-of-equal-requests": s.crashes.CrashedHosts(call.fingerprint),
-	}).Warn("direct: backend server lost under a request")
-}
-
 // takeRetry takes a retry from the budget of a service. It returns false when
 // none is left.
 func (s *Server) takeRetry(service string) bool {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -16,9 +16,9 @@
 	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/inform"
-	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -28,9 +28,6 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// Size of the receive buffer. Longer datagrams are truncated.
 	maxDatagramBytes = 60 << 10
-	// Datagrams include the crashes that this front has recorded within this
-	// period.
-	crashReportPeriod = 30 * time.Second
 	// A front from which nothing was received for this long is sent heartbeats
 	// only.
 	heartbeatOnlyAfter = 5 * time.Second
@@ -47,7 +44,7 @@
 	conn    net.PacketConn
 	self    *wire.Front
 	fleet   *fleet.Fleet
-	crashes *poison.Tracker
+	crashes *crash.Record
 	fronts  *roster.Roster
 	// Copies whose digests are compared with those of the other fronts.
 	configs, hosts *inform.Informer
@@ -76,6 +73,10 @@
 	lastBroadcast time.Time
 	// Status as of the last heartbeat.
 	sentStatus status
+	// Time of the last crash evidence sent to the fronts that receive changes,
+	// and the changes that it contained.
+	crashesSentAt      time.Time
+	sentCrashesChanges uint64
 }
 
 // status is the part of the state of which a change is sent to all fronts with
@@ -83,6 +84,7 @@
 type status struct {
 	leaving, troubled bool
 	released, missed  uint32
+	crashes           uint64
 }
 
 // peer is another front that datagrams are sent to.
@@ -97,7 +99,7 @@
 // jobs after each datagram received. It asks the informers of configs and hosts
 // for a new list when their digest and that of another front differ for longer
 // than a change takes to propagate.
-func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *poison.Tracker, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer) *Task {
+func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer) *Task {
 	t := &Task{
 		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, wake: make(chan struct{}, 1), startTime: time.Now(),
 		sentDatagrams: promauto.With(registry).NewCounter(prometheus.CounterOpts{
@@ -262,6 +264,7 @@
 	return status{
 		leaving: t.leaving.Load(), troubled: t.configs.Unavailable() || t.hosts.Unavailable(),
 		released: t.jobs.ReleaseCount(), missed: t.configs.MissedLists() + t.hosts.MissedLists(),
+		crashes: t.crashes.Changes(),
 	}
 }
 
@@ -290,8 +293,8 @@
 	m := wire.Load_builder{
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
 		DataCentre: proto.String(t.self.GetDataCentre()),
-		Sequence:   proto.Uint64(t.sequence), Crashes: t.crashes.LocalCrashes(now.Add(-crashReportPeriod)),
-		Leaving: &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled,
+		Sequence:   proto.Uint64(t.sequence),
+		Leaving:    &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled,
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		ConfigsAgeMs: ageMillis(t.configs), HostsAgeMs: ageMillis(t.hosts),
 		QuotaPressed: proto.Bool(t.jobs.QuotaNearLimit()),
@@ -306,6 +309,9 @@
 	} else {
 		m.Servers = t.fleet.LocalLoads(now)
 	}
+	if totals || t.crashesDue(now) {
+		m.Crashes = t.crashes.Report(now)
+	}
 	b, e := proto.Marshal(m.Build())
 	if e != nil {
 		t.logger.WithError(e).Error("gossip: loads not encoded")
@@ -313,6 +319,18 @@
 	return b
 }
 
+// crashesDue returns whether the next datagram to the fronts that receive
+// changes has the crash evidence: with each heartbeat, and after each change.
+func (t *Task) crashesDue(now time.Time) bool {
+	n := t.crashes.Changes()
+	if n == t.sentCrashesChanges && now.Sub(t.crashesSentAt) < heartbeatInterval {
+		return false
+	}
+	t.sentCrashesChanges = n
+	t.crashesSentAt = now
+	return true
+}
+
 // ageMillis returns the age of a copy in milliseconds, or nil before its first
 // list.
 func ageMillis(informer *inform.Informer) *uint32 {
@@ -376,7 +394,7 @@
 			t.logger.WithFields(log.Fields{"front": l.GetName(), "incarnation": l.GetIncarnation()}).Info("gossip: front heard")
 		}
 		t.confirmCopies(o, &l)
-		if len(l.GetCrashes()) > 0 {
+		if l.HasCrashes() {
 			t.crashes.Merge(o, l.GetCrashes())
 		}
 		if l.GetReleased() != r[l.GetName()] {
