direct, front, crash: requests are stopped by the part of the prompt that crashes servers

Cause: crashes were counted for equal requests only. Requests that share just the part of the prompt at fault have bodies of their own, so none ever reached the limit. Class of fault: the key by which a failure is attributed is finer than its cause. Sound requests of the same beginning are kept apart by what clears and explains a loss: an answer that begins clears its parts, a loss does not count against a part if one that the request at hand lacks explains it, and retries of a request count once.

--- a/internal/coordination/crash/evidence.go
+++ b/internal/coordination/crash/evidence.go
@@ -135,20 +135,30 @@
 	return false
 }
 
-// limit returns the number of losses in a row after which a key is stopped.
-func (e *evidence) limit(k key, counted []*loss) int {
+// knownBefore returns whether an answer began on a key shortly before a loss.
+func (e *evidence) knownBefore(k key, l *loss) bool {
 	b, o := e.begun[k]
-	if o && counted[0].at.Sub(b) < knownPartPeriod && counted[0].request != k {
+	return o && l.at.Sub(b) < knownPartPeriod
+}
+
+// limit returns the number of losses in a row after which a key is stopped, by
+// the first of them.
+func (e *evidence) limit(k key, first *loss) int {
+	if first.request != k && e.knownBefore(k, first) {
 		return stopLossesOfKnownPart
 	}
 	return stopLosses
 }
 
-// hold returns how long a decision holds after its last loss.
-func hold(losses, limit int) time.Duration {
-	return min(minHold<<min(losses-limit, 8), maxHold)
+// enough returns whether a key is stopped by the losses in a row against it.
+func (e *evidence) enough(k key, counted []*loss) bool {
+	return len(counted) > 0 && len(counted) >= e.limit(k, counted[0])
 }
 
+// hold returns how long a decision holds after its last loss, by the number of
+// losses in a row beyond those that it takes.
+func hold(further int) time.Duration { return min(minHold<<min(further, 8), maxHold) }
+
 // add adds a loss unless it is known already, and returns whether it was added.
 func (e *evidence) add(l *loss) bool {
 	for _, o := range e.byKey[l.request] {
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -44,16 +44,17 @@
 // ones of this front.
 func (c *Record) reportedLosses(now time.Time) []*wire.RequestLoss {
 	s := c.supporting()
-	var l []*wire.RequestLoss
-	for _, only := range []bool{true, false} {
-		for i := len(c.losses) - 1; i >= 0 && len(l) < maxReportedLosses; i-- {
-			o := c.losses[i]
-			if s[o] == only && (only || o.local && now.Sub(o.at) <= reportPeriod) {
-				l = append(l, encodeLoss(now, o))
-			}
+	var l, o []*wire.RequestLoss
+	for i := len(c.losses) - 1; i >= 0; i-- {
+		switch x := c.losses[i]; {
+		case s[x]:
+			l = append(l, encodeLoss(now, x))
+		case x.local && now.Sub(x.at) <= reportPeriod:
+			o = append(o, encodeLoss(now, x))
 		}
 	}
-	return l
+	l = append(l, o...)
+	return l[:min(len(l), maxReportedLosses)]
 }
 
 // supporting returns the losses that count against a stopped key.
@@ -64,8 +65,7 @@
 			continue
 		}
 		n := c.against(k, nil)
-		_, o := c.decide(k, n)
-		if !o {
+		if !c.enough(k, n) {
 			continue
 		}
 		for _, a := range n {
--- a/internal/coordination/crash/history_test.go
+++ b/internal/coordination/crash/history_test.go
@@ -83,7 +83,6 @@
 	parts       []string
 	sentAt      time.Time
 	bad         *badPart
-	lost        bool
 	retries     int
 }
 
@@ -291,7 +290,7 @@
 		return
 	}
 	e.waiting = slices.DeleteFunc(e.waiting, func(o *simRequest) bool { return o == r })
-	r.front.record.AddBegun(h.now, crash.NewRequest(r.fingerprint, r.parts))
+	r.front.record.AddBegun(h.now, r.fingerprint, r.parts)
 }
 
 func (h *history) crash(e *simEngine) {
@@ -302,7 +301,7 @@
 	for _, r := range l {
 		f := r.front
 		h.after(h.millis(1, 10), func() {
-			f.record.AddLoss(h.now, crash.NewRequest(r.fingerprint, r.parts), e.name, r.sentAt)
+			f.record.AddLoss(h.now, r.fingerprint, r.parts, e.name, r.sentAt)
 		})
 		if r.retries > 0 {
 			q := *r
--- a/internal/coordination/crash/record.go
+++ b/internal/coordination/crash/record.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bulrushtrail.example/trail/internal/coordination/stop"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// other, so that one of them sends the first request and the others hear of
 	// its end.
 	holdSpread = 0.5
+	// Keeps the hashes of parts apart from those of requests.
+	partSeed = 1
 )
 
 // Record holds what one front knows of crashes. It is safe for concurrent use.
@@ -36,111 +40,86 @@
 // New returns a record without evidence for the named front.
 func New(front string) *Record { return &Record{front: front, evidence: newEvidence()} }
 
-// Request identifies a request by what it may have in common with others.
-type Request struct {
-	keys []key
-}
-
-// NewRequest returns the identity of a request from its fingerprint, by which
-// equal requests are recognised, and the ids of the shared parts of its prompt.
-func NewRequest(fingerprint uint64, sharedParts []string) Request {
-	// A hash of the fingerprint keeps it apart from those of parts.
+// keysOf returns the keys of a request: that of the request itself and those of
+// the shared parts of its prompt.
+func keysOf(fingerprint uint64, sharedParts []string) []key {
 	l := []key{key(fingerprint)}
 	for _, p := range sharedParts {
 		l = append(l, partKey(p))
 	}
-	return Request{keys: l}
+	return l
 }
 
 func partKey(id string) key {
 	var d xxhash.Digest
-	d.ResetWithSeed(1)
+	d.ResetWithSeed(partSeed)
 	_, _ = d.WriteString(id)
 	return key(d.Sum64())
 }
 
-func (r Request) request() key { return r.keys[0] }
-
-func (r Request) parts() []key { return r.keys[1:] }
-
 // AddLoss records that a server was lost while it had a request that was sent at
-// sentAt and whose answer had not begun.
-func (c *Record) AddLoss(now time.Time, request Request, server string, sentAt time.Time) {
+// sentAt and whose answer had not begun. Equal requests have the same
+// fingerprint; sharedParts are the ids of the parts of its prompt that other
+// requests may share.
+func (c *Record) AddLoss(now time.Time, fingerprint uint64, sharedParts []string, server string, sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := &loss{server: xxhash.Sum64String(server), request: request.request(), parts: request.parts(), sentAt: sentAt, at: now, local: true}
-	if c.add(l) {
+	k := keysOf(fingerprint, sharedParts)
+	if c.add(&loss{server: xxhash.Sum64String(server), request: k[0], parts: k[1:], sentAt: sentAt, at: now, local: true}) {
 		c.localLosses++
 	}
 	c.sweep(now)
 }
 
 // AddBegun records that an answer to a request has begun.
-func (c *Record) AddBegun(now time.Time, request Request) {
+func (c *Record) AddBegun(now time.Time, fingerprint uint64, sharedParts []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.byKey[request.request()]) > 0 {
-		c.begun[request.request()] = now
+	k := keysOf(fingerprint, sharedParts)
+	if len(c.byKey[k[0]]) > 0 {
+		c.begun[k[0]] = now
 	}
-	for _, p := range request.parts() {
+	for _, p := range k[1:] {
 		c.begun[p] = now
 	}
 	c.sweep(now)
 }
 
-// Decision tells why a request is stopped.
-type Decision struct {
-	// Index of the shared part that the decision is about, or -1 if it is about
-	// the request itself.
-	Part int
-	// Number of losses in a row.
-	Losses int
-	// Times of the first and the last of them.
-	First, Last time.Time
-	// Number of different servers that were lost.
-	Servers int
-	// Whether an answer had begun on the part shortly before the first loss.
-	Known bool
-	// When the decision ends, unless an answer begins before.
-	Until time.Time
-}
-
 // Stopped returns whether a request is stopped, and why.
-func (c *Record) Stopped(now time.Time, request Request) (Decision, bool) {
+func (c *Record) Stopped(now time.Time, fingerprint uint64, sharedParts []string) (stop.Decision, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	l := keysOf(fingerprint, sharedParts)
 	// The later parts are shared by fewer requests.
-	for i := len(request.keys) - 1; i >= 0; i-- {
-		k := request.keys[i]
-		if len(c.byKey[k]) < stopLosses {
+	for i := len(l) - 1; i >= 0; i-- {
+		if len(c.byKey[l[i]]) < stopLosses {
+			continue
+		}
+		n := c.against(l[i], l)
+		if !c.enough(l[i], n) {
 			continue
 		}
-		d, s := c.decide(k, c.against(k, request.keys))
-		if s && now.Before(d.Until) {
-			d.Part = i - 1
+		d := c.decide(l[i], n)
+		if i > 0 {
+			d = d.WithPart(i-1, c.knownBefore(l[i], n[0]))
+		}
+		if now.Before(d.Until()) {
 			return d, true
 		}
 	}
-	return Decision{}, false
+	return stop.Decision{}, false
 }
 
-// decide returns the decision on a key by the losses against it, and whether
-// they are enough for one.
-func (c *Record) decide(k key, counted []*loss) (Decision, bool) {
-	if len(counted) == 0 || len(counted) < c.limit(k, counted) {
-		return Decision{}, false
-	}
-	n := c.limit(k, counted)
+// decide returns the decision on a key with enough losses in a row.
+func (c *Record) decide(k key, counted []*loss) stop.Decision {
 	z := counted[len(counted)-1].at
-	h := hold(len(counted), n)
+	h := hold(len(counted) - c.limit(k, counted[0]))
 	s := map[uint64]bool{}
 	for _, l := range counted {
 		s[l.server] = true
 	}
-	return Decision{
-		Losses: len(counted), First: counted[0].at, Last: z, Servers: len(s), Known: n > stopLosses,
-		Until: z.Add(h + time.Duration(c.spread(k, len(counted))*holdSpread*float64(h))),
-	}, true
+	u := z.Add(h + time.Duration(c.spread(k, len(counted))*holdSpread*float64(h)))
+	return stop.New(len(counted), len(s), counted[0].at, z, u)
 }
 
 // spread returns a number from 0 to 1 that differs between fronts.
--- a/internal/coordination/crash/record_test.go
+++ b/internal/coordination/crash/record_test.go
@@ -36,13 +36,13 @@
 
 // loseAgain does the same for a request with a given fingerprint.
 func (b *bed) loseAgain(fingerprint uint64, server string, parts ...string) {
-	b.record.AddLoss(b.now.Add(lossDelay), crash.NewRequest(fingerprint, parts), server, b.now)
+	b.record.AddLoss(b.now.Add(lossDelay), fingerprint, parts, server, b.now)
 	b.wait(2 * lossDelay)
 }
 
 func (b *bed) begin(parts ...string) {
 	b.requests++
-	b.record.AddBegun(b.now, crash.NewRequest(b.requests, parts))
+	b.record.AddBegun(b.now, b.requests, parts)
 	b.wait(lossDelay)
 }
 
@@ -55,16 +55,19 @@
 }
 
 func stoppedBy(record *crash.Record, now time.Time, fingerprint uint64, parts []string) string {
-	d, o := record.Stopped(now, crash.NewRequest(fingerprint, parts))
+	d, o := record.Stopped(now, fingerprint, parts)
 	switch {
 	case !o:
 		return ""
-	case d.Part < 0:
+	case d.Part() < 0:
 		return "request"
 	}
-	return parts[d.Part]
+	return parts[d.Part()]
 }
 
+// merge passes what one front knows to another one.
+func (b *bed) merge(to, from *crash.Record) { to.Merge(b.now, from.Report(b.now)) }
+
 func (b *bed) expect(want, got string) {
 	b.t.Helper()
 	if d := cmp.Diff(want, got); d != "" {
@@ -108,7 +111,7 @@
 func TestBurstOfLossesStopsSoundRequests(t *testing.T) {
 	b := newBed(t)
 	for n := range uint64(50) {
-		b.record.AddLoss(b.now.Add(time.Duration(n)*time.Millisecond), crash.NewRequest(n, []string{"shared", fmt.Sprint("middle-", n%2)}), fmt.Sprint("s", n%10), b.now.Add(-lossDelay))
+		b.record.AddLoss(b.now.Add(time.Duration(n)*time.Millisecond), n, []string{"shared", fmt.Sprint("middle-", n%2)}, fmt.Sprint("s", n%10), b.now.Add(-lossDelay))
 	}
 	b.wait(time.Second)
 	b.expect("", b.stopped("shared", "middle-0"))
@@ -121,8 +124,8 @@
 	b := newBed(t)
 	for n := range uint64(4) {
 		s := fmt.Sprint("s", n)
-		b.record.AddLoss(b.now.Add(lossDelay), crash.NewRequest(1000, []string{"sound"}), s, b.now)
-		b.record.AddLoss(b.now.Add(lossDelay), crash.NewRequest(2000+n, []string{"shared", "bad"}), s, b.now)
+		b.record.AddLoss(b.now.Add(lossDelay), 1000, []string{"sound"}, s, b.now)
+		b.record.AddLoss(b.now.Add(lossDelay), 2000+n, []string{"shared", "bad"}, s, b.now)
 		b.wait(2 * lossDelay)
 	}
 	// Either could be the cause, until one of them comes alone.
@@ -218,28 +221,27 @@
 func TestDecisionIsUnknownToOtherFronts(t *testing.T) {
 	b := newBed(t)
 	c, d := crash.New("front-2"), crash.New("front-3")
-	merge := func(to, from *crash.Record) { to.Merge(b.now, from.Report(b.now)) }
 	b.lose("s1", "bad")
 	b.lose("s2", "bad")
 	for range 5 {
-		merge(c, b.record)
-		merge(d, c)
-		merge(d, b.record)
+		b.merge(c, b.record)
+		b.merge(d, c)
+		b.merge(d, b.record)
 	}
 	if g := stoppedBy(d, b.now, 99, []string{"bad"}); g != "" {
 		t.Error("stopped after two losses")
 	}
 	b.lose("s3", "bad")
-	merge(c, b.record)
+	b.merge(c, b.record)
 	b.wait(20 * time.Second)
 	// The front that saw the losses is gone.
-	merge(d, c)
+	b.merge(d, c)
 	if g := stoppedBy(d, b.now, 99, []string{"bad"}); g != "bad" {
 		t.Error("not stopped by the evidence of others")
 	}
-	d.AddBegun(b.now, crash.NewRequest(100, []string{"bad"}))
+	d.AddBegun(b.now, 100, []string{"bad"})
 	b.wait(time.Second)
-	merge(b.record, d)
+	b.merge(b.record, d)
 	b.expect("", b.stopped("bad"))
 }
 
@@ -252,7 +254,7 @@
 	}
 	b.wait(time.Second)
 	for n := range uint64(5000) {
-		b.record.AddLoss(b.now, crash.NewRequest(n+1000, []string{"shared"}), fmt.Sprint("t", n), b.now)
+		b.record.AddLoss(b.now, n+1000, []string{"shared"}, fmt.Sprint("t", n), b.now)
 		if n%100 == 99 {
 			b.wait(time.Millisecond)
 			b.begin("shared")
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
-	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -24,9 +23,7 @@
 	service string
 	// Hash of the request, by which equal ones are recognised.
 	fingerprint uint64
-	// What it has in common with other requests.
-	identity  crash.Request
-	startTime time.Time
+	startTime   time.Time
 	// When the last attempt was sent.
 	sentAt time.Time
 
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -109,11 +109,11 @@
 	// The context that ends at the request's deadline.
 	c, f := context.WithDeadline(ctx, request.Deadline())
 	defer f()
-	n := fingerprint(request)
 	x := &call{
 		server: s, ctx: c, route: route, request: request, writer: w, startTime: b,
-		service: rules.PickService(route, rand.Float64()), fingerprint: n, identity: crash.NewRequest(n, nil),
-		lastResult: result{verdict: trail.NotRun},
+		service:     rules.PickService(route, rand.Float64()),
+		fingerprint: fingerprint(request),
+		lastResult:  result{verdict: trail.NotRun},
 	}
 	e := x.run()
 	x.reportOutcome(version, e)
--- a/internal/coordination/direct/stop.go
+++ b/internal/coordination/direct/stop.go
@@ -8,7 +8,7 @@
 	"github.com/apex/log"
 
 	trail "bulrushtrail.example/trail"
-	"bulrushtrail.example/trail/internal/coordination/crash"
+	"bulrushtrail.example/trail/internal/coordination/stop"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -19,7 +19,7 @@
 		return
 	}
 	x.begun = true
-	x.server.crashes.AddBegun(time.Now(), x.identity)
+	x.server.crashes.AddBegun(time.Now(), x.fingerprint, x.request.SharedParts())
 }
 
 // recordLoss logs that the backend server was lost under the request, with what
@@ -33,7 +33,7 @@
 		"shared-parts": x.request.SharedParts(), "fingerprint": x.fingerprintText(),
 	}).Warn("direct: backend server lost under a request")
 	if !x.begun {
-		s.crashes.AddLoss(time.Now(), x.identity, backendServer.GetId(), x.sentAt)
+		s.crashes.AddLoss(time.Now(), x.fingerprint, x.request.SharedParts(), backendServer.GetId(), x.sentAt)
 		s.onLoadChange()
 	}
 }
@@ -43,7 +43,7 @@
 // stopError returns the error with which the call ends now because such requests
 // crash backend servers, or nil.
 func (x *call) stopError() error {
-	d, o := x.server.crashes.Stopped(time.Now(), x.identity)
+	d, o := x.server.crashes.Stopped(time.Now(), x.fingerprint, x.request.SharedParts())
 	if !o {
 		x.logResumed()
 		return nil
@@ -53,15 +53,15 @@
 		// A rejection would promise that the request has not run.
 		return x.finalError(x.lastResult)
 	}
-	return trail.NewError("request-poisoned", trail.NotRun, "%d backend servers were lost when they began to answer such requests", d.Losses).WithRetryAfter(time.Until(d.Until))
+	return trail.NewError("request-poisoned", trail.NotRun, "%d backend servers were lost when they began to answer such requests", d.Losses()).WithRetryAfter(time.Until(d.Until()))
 }
 
 // logStopped logs the evidence of a decision when it is first applied.
-func (x *call) logStopped(decision crash.Decision) {
+func (x *call) logStopped(decision stop.Decision) {
 	s := x.server
 	n, k := x.fingerprintText(), "request"
-	if decision.Part >= 0 {
-		n, k = x.request.SharedParts()[decision.Part], "prompt-part"
+	if decision.Part() >= 0 {
+		n, k = x.request.SharedParts()[decision.Part()], "prompt-part"
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,9 +71,9 @@
 	s.stopped[n] = true
 	o := time.Now()
 	s.logger.WithFields(log.Fields{
-		"request-id": x.request.ID(), "key": n, "kind": k, "losses": decision.Losses, "servers": decision.Servers,
-		"first-ms-ago": o.Sub(decision.First).Milliseconds(), "last-ms-ago": o.Sub(decision.Last).Milliseconds(),
-		"answers-begun-before": decision.Known, "for-ms": decision.Until.Sub(o).Milliseconds(),
+		"request-id": x.request.ID(), "key": n, "kind": k, "losses": decision.Losses(), "servers": decision.Servers(),
+		"first-ms-ago": o.Sub(decision.First()).Milliseconds(), "last-ms-ago": o.Sub(decision.Last()).Milliseconds(),
+		"answers-begun-before": decision.KnownPart(), "for-ms": decision.Until().Sub(o).Milliseconds(),
 	}).Warn("direct: requests are stopped, backend servers were lost when they began to answer them and none has answered since")
 }
 
--- a/internal/coordination/gossip/task_test.go
+++ b/internal/coordination/gossip/task_test.go
@@ -106,6 +106,7 @@
 	name, address string
 	fleet         *fleet.Fleet
 	hosts         *inform.Informer
+	crashes       *crash.Record
 	gossip        *gossip.Task
 }
 
@@ -163,7 +164,8 @@
 	f.fleet.SetServers(time.Now(), b, time.Now(), time.Now())
 	x := inform.New(ctx, platform, "fronts", l)
 	f.hosts = inform.New(ctx, platform, "hosts", l)
-	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, crash.New("front"), roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{})
+	f.crashes = crash.New(f.name)
+	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{})
 }
 
 // startRequests counts online requests as started by a front, and schedules a
@@ -245,3 +247,40 @@
 		}
 	})
 }
+
+// Guards against a front that does not learn which requests are stopped: losses
+// that three fronts of different data centres saw must stop the requests at all
+// fronts of a large fleet, soon, and also at one that heard nothing until later.
+func TestCrashEvidenceReachesFewFronts(t *testing.T) {
+	runFleet(t, 12, func(e *network, l []*front) {
+		time.Sleep(5 * time.Second)
+		e.mu.Lock()
+		e.muted[l[1].address] = true
+		e.mu.Unlock()
+		for n := range 3 {
+			o := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			l[12*n].crashes.AddLoss(time.Now(), uint64(n), []string{"bad"}, fmt.Sprint("s-", n), o)
+			l[12*n].gossip.TriggerSend()
+		}
+		time.Sleep(600 * time.Millisecond)
+		for _, f := range l {
+			if _, k := f.crashes.Stopped(time.Now(), 9, []string{"bad"}); !k {
+				t.Errorf("%s does not stop the requests", f.name)
+			}
+		}
+		n := crash.New("late")
+		l[20].crashes.AddBegun(time.Now(), 10, []string{"other"})
+		n.Merge(time.Now(), l[20].crashes.Report(time.Now()))
+		if _, k := n.Stopped(time.Now(), 9, []string{"bad"}); !k {
+			t.Error("a front that hears one other front does not stop the requests")
+		}
+		l[20].crashes.AddBegun(time.Now(), 11, []string{"bad"})
+		time.Sleep(1600 * time.Millisecond)
+		for _, f := range l {
+			if _, k := f.crashes.Stopped(time.Now(), 9, []string{"bad"}); k {
+				t.Errorf("%s stops the requests although an answer began", f.name)
+			}
+		}
+	})
+}
