batch: output of an item that goes on is not complete when its server is lost

What callers saw: a result of a batch job that is done and lacks the end of its text. Cause: a run that goes on with an item and whose stream has neither a length nor chunks counted as complete when its connection ended before the first event. Evidence: TestUnframedItemOutput- IsTruncated failed before, with one of two events in the result. Change: such a run counts as broken off, and the item goes on with another one.

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -201,9 +201,26 @@
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
-	// Response bodies of the first runs of an item, in order. Later runs get
-	// the usual response.
+	// Response bodies of the first runs of an item, in order, without a length
+	// or chunks. Later runs get the usual response.
 	bodies map[string][]io.ReadCloser
+	// Number of next runs that lose their backend server.
+	losses int
+}
+
+// loseNext makes a number of next runs lose their backend server.
+func (g *fakeEngine) loseNext(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses = count
+}
+
+// takeLoss returns whether the current run loses its backend server.
+func (g *fakeEngine) takeLoss() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses--
+	return g.losses >= 0
 }
 
 // setBodies sets the response bodies of the first runs of an item.
@@ -259,9 +276,12 @@
 	if f {
 		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
 	}
+	if g.takeLoss() {
+		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
+	}
 	if b := g.nextBody(request.ID()); b != nil {
 		context.AfterFunc(ctx, func() { _ = b.Close() })
-		return &http.Response{StatusCode: http.StatusOK, Body: b}, nil
+		return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: b}, nil
 	}
 	select {
 	case <-time.After(time.Second):
--- a/internal/coordination/batch/faulty_test.go
+++ b/internal/coordination/batch/faulty_test.go
@@ -88,3 +88,41 @@
 		}
 	})
 }
+
+// Guards against an item that is never placed again because backend servers were
+// lost under it in a burst of crashes. Afterwards it must run within seconds.
+func TestUnluckyItemIsNeverPlacedAgain(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		engine.loseNext(20)
+		j := newJobs(t, ctx, "a", store, engine, valueBytes)
+		accept(t, ctx, j, "j1", 1)
+		for engine.runCount("i0") < 20 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		if d := cmp.Diff([]string{"i0 " + wantOutput("i0")}, listResults(t, ctx, j, "j1")); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against an item whose output is cut off: its streams have no length and
+// end with their connections, within an event or before the first one.
+func TestUnframedItemOutputIsTruncated(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		engine.setBodies("i0",
+			io.NopCloser(strings.NewReader("")),
+			io.NopCloser(strings.NewReader("id: 1\ndata: i0\n\nid: 2\nda")),
+			io.NopCloser(strings.NewReader("")),
+		)
+		j := newJobs(t, ctx, "a", store, engine, valueBytes)
+		accept(t, ctx, j, "j1", 1)
+		time.Sleep(15 * time.Second)
+		if d := cmp.Diff([]string{"i0 " + wantOutput("i0")}, listResults(t, ctx, j, "j1")); d != "" {
+			t.Error(d)
+		}
+		if d := cmp.Diff(4, engine.runCount("i0")); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -254,10 +254,12 @@
 
 func (s *Jobs) readEvents(response *http.Response, progress *itemProgress, timer *time.Timer) (bool, error) {
 	r := event.New(response.Body)
+	// Whether this run has had an event.
+	o := false
 	for {
 		e := r.Next()
 		if errors.Is(e, io.EOF) {
-			return progress.hasData, nil
+			return progress.hasData && (o || !event.IsUnframed(response)), nil
 		}
 		if e != nil {
 			return false, markUnbounded(e)
@@ -266,6 +268,7 @@
 			// Keep-alive comments do not count as progress.
 			continue
 		}
+		o = true
 		timer.Reset(eventTimeout)
 		if !progress.addEvent(r) {
 			return false, errEventOrder
