poison, place, sched, entry: a rejection ends when its evidence is old

What callers saw, on the product's own interface: a question under which two servers were lost is refused for good, by all processes, also when the servers were lost for another reason. Change: a rejection holds for 30 s after the last crash, twice as long with each further server, and is answered with that time as Retry-After, unless a repetition could do harm. Then the request is a suspect again and runs alone. The object at the platform is replaced after a further crash, and old ones, or reports of other schedulers, no longer count.

--- a/internal/coordination/entry/exchange.go
+++ b/internal/coordination/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -47,8 +48,8 @@
 		timeout = defaultDeadline
 	}
 	call.SetFingerprint(fingerprint(service, call))
-	if s.isRejected(call.GetFingerprint()) {
-		return nil, trail.NewError("request-rejected", trail.NotRun, "backend servers were lost while they ran this request")
+	if w := s.rejectionLeft(call.GetFingerprint()); w > 0 {
+		return nil, trail.NewError("request-rejected", trail.NotRun, "backend servers were lost while they ran this request").WithRetryAfter(w)
 	}
 	x := &exchange{entry: s, service: service, call: call, digest: digest(call), deadline: time.Now().Add(timeout)}
 	call.SetAttemptId(uuid.NewString())
@@ -67,15 +68,15 @@
 	return s.maxBodyBytes
 }
 
-// isRejected reports whether the request has crashed so many backend servers
-// that it is rejected.
-func (s *Entry) isRejected(fingerprint uint64) bool {
+// rejectionLeft returns for how long the request is still rejected because it has
+// crashed several backend servers, 0 if it is not.
+func (s *Entry) rejectionLeft(fingerprint uint64) time.Duration {
 	for _, k := range s.views.Latest().GetCrashes() {
-		if k.GetFingerprint() == fingerprint && k.GetRejected() {
-			return true
+		if k.GetFingerprint() == fingerprint {
+			return poison.RejectionLeft(time.Now(), k)
 		}
 	}
-	return false
+	return 0
 }
 
 // hashInput joins method, path and body, separated by zero bytes, so that
--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -64,7 +64,7 @@
 	}
 	k := a.call
 	a.server.recordCompletion(now)
-	p.crashTracker.ClearSuspect(k.fingerprint)
+	p.crashTracker.ClearSuspect(now, k.fingerprint)
 	if k.online() {
 		k.service.recordDuration(now.Sub(a.startedAt), k.request.GetCostTokens())
 	}
@@ -129,8 +129,8 @@
 	a.call.suspect = true
 	if p.crashTracker.AddCrash(now, f, a.server.name) {
 		a.call.verdict = trail.MayHaveRun
-		p.reject(a.call, codePoisoned, 0)
-		p.rejectPoisoned(f)
+		p.rejectIfPoisoned(now, a.call)
+		p.rejectPoisoned(now, f)
 		p.schedule(now, a.call.service)
 		return p.takeDecisions()
 	}
@@ -161,11 +161,27 @@
 	}
 }
 
+// rejectIfPoisoned rejects a call that is not in flight if its request is
+// rejected for its crashes, and returns whether it is.
+func (p *Placer) rejectIfPoisoned(now time.Time, call *call) bool {
+	u, o := p.crashTracker.RejectedUntil(now, call.fingerprint)
+	if !o {
+		return false
+	}
+	w := u.Sub(now)
+	if call.request.GetNonIdempotent() && call.verdict != trail.NotRun {
+		// Repeating it could do harm.
+		w = 0
+	}
+	p.reject(call, codePoisoned, w)
+	return true
+}
+
 // rejectPoisoned rejects the waiting calls with the given fingerprint.
-func (p *Placer) rejectPoisoned(fingerprint uint64) {
+func (p *Placer) rejectPoisoned(now time.Time, fingerprint uint64) {
 	for _, k := range p.waitingCalls() {
 		if k.fingerprint == fingerprint {
-			p.reject(k, codePoisoned, 0)
+			p.rejectIfPoisoned(now, k)
 		}
 	}
 }
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -97,9 +97,9 @@
 	if k.online() {
 		v.onlineBurst.recordArrival(now)
 	}
-	k.suspect = p.crashTracker.IsSuspect(k.fingerprint)
+	k.suspect = p.crashTracker.IsSuspect(now, k.fingerprint)
 	if k.suspect {
-		k.failedHosts = slices.Clone(p.crashTracker.CrashedHosts(k.fingerprint))
+		k.failedHosts = slices.Clone(p.crashTracker.CrashedHosts(now, k.fingerprint))
 		v.suspects = append(v.suspects, k)
 	} else {
 		v.queueFor(k).Push(now, trail.NewQueued(key, request, now))
@@ -137,8 +137,8 @@
 	if v == nil || v.config == nil {
 		return codeUnknownService, 0
 	}
-	if p.crashTracker.IsRejected(call.fingerprint) {
-		return codePoisoned, 0
+	if u, o := p.crashTracker.RejectedUntil(now, call.fingerprint); o {
+		return codePoisoned, u.Sub(now)
 	}
 	s, w := v.available(now)
 	if !s && (call.online() || w == 0) {
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -78,9 +78,7 @@
 func (p *Placer) CrashesReported(now time.Time, crashes []*wire.Crash) []decide.Decision {
 	p.crashTracker.Merge(now, crashes)
 	for _, k := range p.waitingCalls() {
-		if p.crashTracker.IsRejected(k.fingerprint) {
-			p.reject(k, codePoisoned, 0)
-		}
+		p.rejectIfPoisoned(now, k)
 	}
 	return p.takeDecisions()
 }
--- a/internal/coordination/poison/tracker.go
+++ b/internal/coordination/poison/tracker.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -14,6 +16,10 @@
 const DefaultRejectThreshold = 2
 
 const (
+	// Time for which a request is rejected after its last crash. It doubles with
+	// each crash beyond the threshold.
+	minRejection = 30 * time.Second
+	maxRejection = 8 * time.Minute
 	// A suspect whose last crash is longer ago than this is evicted.
 	suspectRetention = 10 * time.Minute
 	// Bounds the memory used by suspects. The suspect with the oldest crash is
@@ -39,10 +45,10 @@
 	fingerprint uint64
 	// Names of the crashed backend servers, without duplicates.
 	hosts []string
-	// Last crash seen by this process or, in an entry created by Merge, the
-	// time of that merge.
+	// Last crash seen by this process or reported by another one.
 	lastCrash time.Time
-	rejected  bool
+	// Zero before the first rejection. It ends before if the request completes.
+	rejectedUntil time.Time
 	// Whether this process observed a crash itself, as opposed to having
 	// received all of them from other processes.
 	local bool
@@ -70,48 +76,63 @@
 	if !slices.Contains(k.hosts, host) {
 		k.hosts = append(k.hosts, host)
 	}
-	if len(k.hosts) >= t.rejectThreshold {
-		k.rejected = true
+	k.rejectedUntil = t.rejectionEnd(k.hosts, now)
+	return k.isRejected(now)
+}
+
+// rejectionEnd returns when the rejection of a request ends that has crashed
+// hosts, the last one at a given time; zero if these are too few.
+func (t *Tracker) rejectionEnd(hosts []string, lastCrash time.Time) time.Time {
+	n := len(hosts) - t.rejectThreshold
+	if n < 0 {
+		return time.Time{}
 	}
-	return k.rejected
+	return lastCrash.Add(rejection(n))
 }
 
-// ClearSuspect removes a suspect whose request has completed. A rejected
-// request stays rejected.
-func (t *Tracker) ClearSuspect(fingerprint uint64) {
+func (k *entry) isRejected(now time.Time) bool { return k != nil && now.Before(k.rejectedUntil) }
+
+// ClearSuspect removes a suspect whose request has completed. A request that is
+// rejected now stays rejected.
+func (t *Tracker) ClearSuspect(now time.Time, fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := t.entries[fingerprint]
-	if k == nil || k.rejected {
+	if k == nil || k.isRejected(now) {
 		return
 	}
 	delete(t.entries, fingerprint)
 }
 
-// IsRejected reports whether the request must not run again.
-func (t *Tracker) IsRejected(fingerprint uint64) bool {
+// RejectedUntil returns when the rejection of a request ends, and whether the
+// request is rejected now.
+func (t *Tracker) RejectedUntil(now time.Time, fingerprint uint64) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := t.entries[fingerprint]
-	return k != nil && k.rejected
+	if !k.isRejected(now) {
+		return time.Time{}, false
+	}
+	return k.rejectedUntil, true
 }
 
 // IsSuspect reports whether a host crashed while running the request, and the
-// request has neither completed since nor been rejected.
-func (t *Tracker) IsSuspect(fingerprint uint64) bool {
+// request has neither completed since nor is rejected now.
+func (t *Tracker) IsSuspect(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := t.entries[fingerprint]
-	return k != nil && !k.rejected
+	return k != nil && !k.isRejected(now)
 }
 
 // CrashedHosts returns the names of the hosts that crashed while running the
-// request.
-func (t *Tracker) CrashedHosts(fingerprint uint64) []string {
+// request. Once a rejection has ended, they have long started again and there
+// are none.
+func (t *Tracker) CrashedHosts(now time.Time, fingerprint uint64) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := t.entries[fingerprint]
-	if k == nil {
+	if k == nil || !k.rejectedUntil.IsZero() && !k.isRejected(now) {
 		return nil
 	}
 	return k.hosts
@@ -123,20 +144,51 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range remote {
+		c := lastCrash(now, w)
+		if now.Sub(c) > suspectRetention {
+			continue
+		}
 		k := t.entries[w.GetFingerprint()]
 		if k == nil {
-			k = &entry{fingerprint: w.GetFingerprint(), lastCrash: now}
+			k = &entry{fingerprint: w.GetFingerprint(), lastCrash: c}
 			t.entries[k.fingerprint] = k
 		}
+		if c.After(k.lastCrash) {
+			k.lastCrash = c
+		}
 		for _, h := range w.GetHosts() {
 			if !slices.Contains(k.hosts, h) {
 				k.hosts = append(k.hosts, h)
 			}
 		}
-		k.rejected = k.rejected || w.GetRejected() || len(k.hosts) >= t.rejectThreshold
+		k.rejectedUntil = t.rejectionEnd(k.hosts, k.lastCrash)
 	}
 }
 
+// lastCrash returns the time of the last crash that another process reports. It
+// is never later than now.
+func lastCrash(now time.Time, crash *wire.Crash) time.Time {
+	if crash.GetLastUnixMs() == 0 {
+		return now
+	}
+	return now.Add(-max(now.Sub(time.UnixMilli(crash.GetLastUnixMs())), 0))
+}
+
+// RejectionLeft returns for how long a rejection that the platform holds is still
+// in force, 0 if it has ended.
+func RejectionLeft(now time.Time, crash *wire.Crash) time.Duration {
+	if !crash.GetRejected() {
+		return 0
+	}
+	return max(rejection(len(crash.GetHosts())-DefaultRejectThreshold)-now.Sub(lastCrash(now, crash)), 0)
+}
+
+// rejection returns the duration of a rejection, by the number of crashes beyond
+// the threshold.
+func rejection(further int) time.Duration {
+	return min(minRejection<<min(max(further, 0), 8), maxRejection)
+}
+
 // LocalCrashes returns the fingerprints for which this process observed a crash
 // at or after since, sorted by fingerprint. Their hosts include those received
 // from other processes.
@@ -153,7 +205,7 @@
 			Fingerprint: &k.fingerprint,
 			Hosts:       slices.Clone(k.hosts),
 			LastUnixMs:  &m,
-			Rejected:    &k.rejected,
+			Rejected:    proto.Bool(!k.rejectedUntil.IsZero()),
 		}.Build())
 	}
 	slices.SortFunc(l, func(a, b *wire.Crash) int { return cmp.Compare(a.GetFingerprint(), b.GetFingerprint()) })
@@ -172,7 +224,7 @@
 	var o *entry
 	n := 0
 	for f, k := range t.entries {
-		if k.rejected {
+		if k.isRejected(now) {
 			continue
 		}
 		if now.Sub(k.lastCrash) > suspectRetention {
--- a/internal/coordination/sched/crash.go
+++ b/internal/coordination/sched/crash.go
@@ -25,8 +25,9 @@
 
 // PersistRejections sets the store for requests that are rejected because of
 // their crashes. Each is written by conditional create to the object
-// crashes/<fingerprint>, with the fingerprint in 16 hexadecimal digits. A
-// failed write is repeated until it succeeds or the scheduler stops.
+// crashes/<fingerprint>, with the fingerprint in 16 hexadecimal digits, and
+// replaced after a further crash. A failed write is repeated until it succeeds or
+// the scheduler stops.
 func (s *Scheduler) PersistRejections(store trail.Store) {
 	s.sendEvent(s.ctx, setRejectionStore{store})
 }
@@ -86,16 +87,17 @@
 		return
 	}
 	for _, k := range t.placer.RecentCrashes(now.Add(-crashReportPeriod)) {
-		if !k.GetRejected() || t.persistedFingerprints[k.GetFingerprint()] {
+		if !k.GetRejected() || t.persistedRejections[k.GetFingerprint()] == k.GetLastUnixMs() {
 			continue
 		}
-		t.persistedFingerprints[k.GetFingerprint()] = true
+		t.persistedRejections[k.GetFingerprint()] = k.GetLastUnixMs()
 		go persistRejection(t.ctx, t.rejectionStore, t.logger, k)
 	}
 }
 
 // persistRejection writes one rejection. The object may exist already, written
-// by another scheduler or by an earlier write whose response was lost.
+// by another scheduler, by an earlier write whose response was lost, or for an
+// earlier crash.
 func persistRejection(ctx context.Context, store trail.Store, logger log.Interface, rejection *wire.Crash) {
 	n := fmt.Sprintf("%016x", rejection.GetFingerprint())
 	logger = logger.WithField("fingerprint", n).WithField("backend-servers", rejection.GetHosts())
@@ -107,8 +109,11 @@
 	for {
 		d, f := context.WithTimeout(ctx, persistTimeout)
 		_, e = store.Create(d, o)
+		if errors.Is(e, trail.ErrExists) {
+			e = renewRejection(d, store, o.Name(), rejection)
+		}
 		f()
-		if e == nil || errors.Is(e, trail.ErrExists) {
+		if e == nil {
 			logger.Info("sched: rejection persisted")
 			return
 		}
@@ -120,3 +125,23 @@
 		}
 	}
 }
+
+// renewRejection replaces the object of a rejection unless it tells of a crash
+// that is as recent.
+func renewRejection(ctx context.Context, store trail.Store, name string, rejection *wire.Crash) error {
+	o, e := store.Get(ctx, kindCrashes, name)
+	if e != nil {
+		return e
+	}
+	var k wire.Crash
+	e = o.Decode(&k)
+	if e != nil || k.GetLastUnixMs() >= rejection.GetLastUnixMs() {
+		return e
+	}
+	n, e := object.Encode(kindCrashes, name, o.Version(), rejection)
+	if e != nil {
+		return e
+	}
+	_, e = store.Update(ctx, n)
+	return e
+}
--- a/internal/coordination/sched/scheduler.go
+++ b/internal/coordination/sched/scheduler.go
@@ -48,18 +48,18 @@
 		done:     make(chan struct{}),
 	}
 	t := &task{
-		ctx:                   ctx,
-		scheduler:             s,
-		member:                member,
-		placer:                place.New(policy, member.GetId()+"."+strconv.FormatUint(member.GetIncarnation(), 36)),
-		metrics:               metrics,
-		logger:                logger,
-		exchanges:             map[uint64]*exchange{},
-		cancelFuncs:           map[string]context.CancelFunc{},
-		hosts:                 map[string]*wire.Host{},
-		fetching:              map[string]bool{},
-		subscribers:           map[chan *wire.Report]sentReport{},
-		persistedFingerprints: map[uint64]bool{},
+		ctx:                 ctx,
+		scheduler:           s,
+		member:              member,
+		placer:              place.New(policy, member.GetId()+"."+strconv.FormatUint(member.GetIncarnation(), 36)),
+		metrics:             metrics,
+		logger:              logger,
+		exchanges:           map[uint64]*exchange{},
+		cancelFuncs:         map[string]context.CancelFunc{},
+		hosts:               map[string]*wire.Host{},
+		fetching:            map[string]bool{},
+		subscribers:         map[chan *wire.Report]sentReport{},
+		persistedRejections: map[uint64]int64{},
 	}
 	go t.run(views.Latest(), views.Subscribe(ctx))
 	return s
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -50,7 +50,7 @@
 	// Nil if rejections are not persisted.
 	rejectionStore trail.Store
 	// Fingerprints of the rejections whose write has been started.
-	persistedFingerprints map[uint64]bool
+	persistedRejections map[uint64]int64
 }
 
 func (t *task) run(latest *wire.View, views <-chan *wire.View) {
