jobs: an item under which servers were lost is still owed

What callers saw, on the product's own interface: a sound item of a batch is failed after servers were lost under it in a burst of crashes, and never placed again though all is calm. Class of fault: a crash is attributed to what ran at the time. Evidence: TestUnluckyItemIsGivenUp failed before (failed as backend-lost and as request-rejected).

--- a/internal/coordination/jobs/item.go
+++ b/internal/coordination/jobs/item.go
@@ -34,6 +34,8 @@
 	err *itemError
 	// Failed attempts that may have run. Preempted ones do not count.
 	attempts int
+	// Times that the item lost its backend server or was stopped because of it.
+	losses int
 	// Refusals since the last attempt that may have run but gave no answer.
 	refusals int
 	// Start of the last attempt.
--- a/internal/coordination/jobs/outcome.go
+++ b/internal/coordination/jobs/outcome.go
@@ -48,8 +48,6 @@
 		return p.handleAnswer(now, outcome)
 	}
 	switch {
-	case outcome.code == codeRejected:
-		return p.failItem(t, outcome)
 	case p.mode == modeExpired:
 		p.addResult(t, 0, nil, deadlineError())
 		return itemFailed
@@ -58,6 +56,8 @@
 	case outcome.code == codePreempted:
 		// Online work took the slot. This does not count as a failed attempt.
 		return p.requeue(t, now.Add(preemptedDelay))
+	case outcome.code == codeRejected || outcome.code == codeLost:
+		return p.handleLoss(now, outcome)
 	case outcome.verdict == trail.NotRun || outcome.complete:
 		return p.handleRefusal(now, outcome)
 	}
@@ -92,6 +92,17 @@
 	return p.requeue(t, now.Add(p.retryDelay(outcome, t.refusals)))
 }
 
+// handleLoss requeues an item under which a backend server was lost, or that is
+// stopped for a while because this happened several times. It is not the item's
+// fault as far as is known, so that it is owed until the job's deadline, but it
+// waits longer after each time.
+func (p *plan) handleLoss(now time.Time, outcome *callOutcome) decision {
+	t := outcome.item
+	t.losses++
+	d := min(minLossDelay<<min(t.losses-1, 8), maxLossDelay)
+	return p.requeue(t, now.Add(max(outcome.retryAfter, d)))
+}
+
 // handleMissingAnswer requeues or fails an item whose attempt may have run but
 // gave no complete answer.
 func (p *plan) handleMissingAnswer(now time.Time, outcome *callOutcome) decision {
