place, decide, sched: requests are rejected by the prefix of the prompt that crashes servers

What callers saw, on the product's own interface: the same cause as on the fronts. Each new request with a crashing prefix costs two backend servers, since only equal requests share their crashes. Change: the scheduler keeps the same crash evidence as the fronts, by the prefixes of prompts, and rejects waiting and new online calls by it; batch calls are never rejected for others' crashes. A rejection states its evidence in its line of the log. Schedulers do not exchange this evidence yet: each learns for itself.

--- a/internal/coordination/decide/decision.go
+++ b/internal/coordination/decide/decision.go
@@ -34,6 +34,8 @@
 	alternatives []string
 	verdict      trail.Verdict
 	retryAfter   time.Duration
+	// Why a call is rejected, where the code does not say it all.
+	evidence string
 }
 
 // Dispatch returns the decision to start an attempt of a call on a host. The
@@ -63,6 +65,15 @@
 	return Decision{kind: KindReject, key: key, call: call, reason: code, verdict: verdict, retryAfter: retryAfter}
 }
 
+// WithEvidence returns a copy of a rejection that states what it rests on.
+func (d Decision) WithEvidence(text string) Decision {
+	d.evidence = text
+	return d
+}
+
+// Evidence returns what a rejection rests on, or an empty string.
+func (d Decision) Evidence() string { return d.evidence }
+
 // Kind returns KindDispatch, KindCancel or KindReject.
 func (d Decision) Kind() string { return d.kind }
 
@@ -105,5 +116,9 @@
 	case KindCancel:
 		return fmt.Sprintf("cancel call=%d attempt=%s host=%s reason=%s", d.key, d.attempt, d.host, d.reason)
 	}
-	return fmt.Sprintf("reject call=%d code=%s verdict=%s retry-after=%s", d.key, d.reason, d.verdict, d.retryAfter)
+	t := fmt.Sprintf("reject call=%d code=%s verdict=%s retry-after=%s", d.key, d.reason, d.verdict, d.retryAfter)
+	if d.evidence != "" {
+		t += fmt.Sprintf(" evidence=%q", d.evidence)
+	}
+	return t
 }
--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -50,6 +50,7 @@
 		a.call.dataSent = true
 		a.call.verdict = trail.MayHaveRun
 		a.firstTokenAt = now
+		p.recordBegun(now, a.call)
 		a.server.lost = false
 	}
 	return nil
@@ -65,6 +66,7 @@
 	k := a.call
 	a.server.recordCompletion(now)
 	p.crashTracker.ClearSuspect(now, k.fingerprint)
+	p.recordBegun(now, k)
 	if k.online() {
 		k.service.recordDuration(now.Sub(a.startedAt), k.request.GetCostTokens())
 	}
@@ -125,16 +127,16 @@
 	a.server.recordFailure(now, true)
 	a.server.prefixes = prefixHistory{}
 	a.server.lost = a.call.service.isModel()
-	f := a.call.fingerprint
 	a.call.suspect = true
-	if p.crashTracker.AddCrash(now, f, a.server.name) {
+	p.recordLoss(now, a)
+	if p.crashTracker.AddCrash(now, a.call.fingerprint, a.server.name) {
 		a.call.verdict = trail.MayHaveRun
 		p.rejectIfPoisoned(now, a.call)
-		p.rejectPoisoned(now, f)
 		p.schedule(now, a.call.service)
-		return p.takeDecisions()
+	} else {
+		p.retryOrReject(now, a, trail.MayHaveRun, codeLost, false)
 	}
-	p.retryOrReject(now, a, trail.MayHaveRun, codeLost, false)
+	p.rejectPoisoned(now)
 	return p.takeDecisions()
 }
 
@@ -161,31 +163,6 @@
 	}
 }
 
-// rejectIfPoisoned rejects a call that is not in flight if its request is
-// rejected for its crashes, and returns whether it is.
-func (p *Placer) rejectIfPoisoned(now time.Time, call *call) bool {
-	u, o := p.crashTracker.RejectedUntil(now, call.fingerprint)
-	if !o {
-		return false
-	}
-	w := u.Sub(now)
-	if call.request.GetNonIdempotent() && call.verdict != trail.NotRun {
-		// Repeating it could do harm.
-		w = 0
-	}
-	p.reject(call, codePoisoned, w)
-	return true
-}
-
-// rejectPoisoned rejects the waiting calls with the given fingerprint.
-func (p *Placer) rejectPoisoned(now time.Time, fingerprint uint64) {
-	for _, k := range p.waitingCalls() {
-		if k.fingerprint == fingerprint {
-			p.rejectIfPoisoned(now, k)
-		}
-	}
-}
-
 // endAttempt removes the attempt from those in flight and frees its slot. It
 // returns nil if the attempt is not in flight.
 func (p *Placer) endAttempt(id string) *attempt {
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -83,6 +83,10 @@
 	}
 	v := p.services[request.GetService()]
 	k.service = v
+	if t, x := p.poisoned(now, k); t > 0 && p.serves(v) {
+		p.decisions = append(p.decisions, decide.Reject(key, request, codePoisoned, trail.NotRun, t).WithEvidence(x))
+		return p.takeDecisions()
+	}
 	e, w := p.admit(now, k)
 	if e != "" {
 		p.decisions = append(p.decisions, decide.Reject(key, request, e, trail.NotRun, w))
@@ -126,6 +130,11 @@
 	return d.Sum64()
 }
 
+// serves returns whether new calls to a service are admitted at all.
+func (p *Placer) serves(service *service) bool {
+	return !p.draining && service != nil && service.config != nil
+}
+
 // admit returns the code and the Retry-After with which a new call is rejected,
 // or an empty code if it is admitted. It may reject a queued call of another
 // caller to make room.
@@ -134,12 +143,9 @@
 	if p.draining {
 		return codeDraining, minRetryAfter
 	}
-	if v == nil || v.config == nil {
+	if !p.serves(v) {
 		return codeUnknownService, 0
 	}
-	if u, o := p.crashTracker.RejectedUntil(now, call.fingerprint); o {
-		return codePoisoned, u.Sub(now)
-	}
 	s, w := v.available(now)
 	if !s && (call.online() || w == 0) {
 		return codeNoServer, clampRetryAfter(w)
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/decide"
 	"bulrushtrail.example/trail/internal/coordination/poison"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -28,7 +29,10 @@
 	// By attempt id.
 	inFlight     map[string]*attempt
 	crashTracker *poison.Tracker
-	draining     bool
+	// Online calls that lost their backend server before an answer had begun, by
+	// the prefixes of their prompts.
+	prefixCrashes *crash.Record
+	draining      bool
 	// Decisions of the current event so far.
 	decisions []decide.Decision
 }
@@ -45,6 +49,7 @@
 		callsWithDeadline: map[uint64]*call{},
 		inFlight:          map[string]*attempt{},
 		crashTracker:      poison.New(poison.DefaultRejectThreshold),
+		prefixCrashes:     crash.New(attemptIDPrefix),
 	}
 }
 
@@ -77,9 +82,7 @@
 // the waiting calls whose fingerprint is rejected because of them.
 func (p *Placer) CrashesReported(now time.Time, crashes []*wire.Crash) []decide.Decision {
 	p.crashTracker.Merge(now, crashes)
-	for _, k := range p.waitingCalls() {
-		p.rejectIfPoisoned(now, k)
-	}
+	p.rejectPoisoned(now)
 	return p.takeDecisions()
 }
 
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -189,6 +189,9 @@
 	case decide.KindReject:
 		f["verdict"] = decision.Verdict().String()
 		f["retry-after-ms"] = decision.RetryAfter().Milliseconds()
+		if e := decision.Evidence(); e != "" {
+			f["evidence"] = e
+		}
 		t.logger.WithFields(f).Info("sched: call rejected")
 	}
 }
