--- a/internal/coordination/crash/evidence.go
+++ b/internal/coordination/crash/evidence.go
@@ -21,7 +21,7 @@
 	sameCrashWindow = time.Second
 	// Time for which a decision holds after the last loss. It doubles with each
 	// further loss in a row.
-	minHold = 30 * time.Second
+	minHold = time.Minute
 	maxHold = 8 * time.Minute
 	// Losses are forgotten after this time, and with them each decision.
 	lossLifetime = 10 * time.Minute
