crash: a front that starts late hears of decisions that rest on a common beginning

What callers would see: a front that starts, or comes back, more than 30 s after the losses lets requests through that the others stop. Cause: a front sends on the losses on which a decision rests, but tested them for no request at all, and then the parts that crashing requests always share explain each other's losses. Found by reading. Evidence: TestDecisionIsUnknownToOtherFronts with a beginning of three parts, and 40 s between, failed before. Change: the losses are tested for the last of these requests. Measured: the tests of crash (8 random histories), place and gossip pass.

--- a/internal/coordination/crash/evidence.go
+++ b/internal/coordination/crash/evidence.go
@@ -14,8 +14,6 @@
 	stopLossesOfKnownPart = 4
 	// How recently an answer must have begun before the first loss.
 	knownPartPeriod = time.Minute
-	// Losses of a part that make it an explanation for a crash.
-	explainingLosses = 2
 	// Losses of one server within this time belong to one crash. A server that
 	// crashed takes longer to start again.
 	sameCrashWindow = time.Second
@@ -44,6 +42,9 @@
 // has returns whether the request of the loss has a key.
 func (l *loss) has(k key) bool { return l.request == k || slices.Contains(l.parts, k) }
 
+// keys returns the keys of the request of the loss.
+func (l *loss) keys() []key { return append([]key{l.request}, l.parts...) }
+
 // sameCrash returns whether two losses belong to the same crash of a server.
 func (l *loss) sameCrash(other *loss) bool {
 	return l.server == other.server && l.at.Sub(other.at).Abs() < sameCrashWindow
@@ -117,7 +118,7 @@
 	return e.losses[b:n]
 }
 
-// repeated returns whether a key has several losses since an answer began. Those
+// repeated returns whether a key has had two crashes since an answer began. Those
 // of one request count once, unless the key is the request itself.
 func (e *evidence) repeated(k key) bool {
 	var f *loss
@@ -186,7 +187,7 @@
 // remove removes a loss.
 func (e *evidence) remove(l *loss) {
 	e.losses = without(e.losses, l)
-	for _, k := range append([]key{l.request}, l.parts...) {
+	for _, k := range l.keys() {
 		e.byKey[k] = without(e.byKey[k], l)
 		if len(e.byKey[k]) == 0 {
 			delete(e.byKey, k)
--- a/internal/coordination/crash/exchange.go
+++ b/internal/coordination/crash/exchange.go
@@ -16,6 +16,8 @@
 	// Bounds the size of a report: 64 losses take about 3 KB.
 	maxReportedLosses = 64
 	maxReportedBegun  = 64
+	// Losses of a key from which on the other fronts hear that answers began.
+	reportedBegunLosses = 2
 )
 
 // Changes returns a number that increases with each loss of this front, which the
@@ -64,7 +66,8 @@
 		if len(l) < stopLosses {
 			continue
 		}
-		n := c.against(k, nil)
+		// What the requests of the key share with each other explains nothing.
+		n := c.against(k, l[len(l)-1].keys())
 		if !c.enough(k, n) {
 			continue
 		}
@@ -92,7 +95,7 @@
 	var b []*wire.AnswerBegun
 	for k, l := range c.byKey {
 		t, o := c.begun[k]
-		if !o || len(l) < explainingLosses || now.Sub(t) > reportPeriod || len(b) == maxReportedBegun {
+		if !o || len(l) < reportedBegunLosses || now.Sub(t) > reportPeriod || len(b) == maxReportedBegun {
 			continue
 		}
 		b = append(b, wire.AnswerBegun_builder{Key: proto.Uint64(uint64(k)), MsAgo: millisSince(now, t)}.Build())
--- a/internal/coordination/crash/record_test.go
+++ b/internal/coordination/crash/record_test.go
@@ -221,28 +221,29 @@
 func TestDecisionIsUnknownToOtherFronts(t *testing.T) {
 	b := newBed(t)
 	c, d := crash.New("front-2"), crash.New("front-3")
-	b.lose("s1", "bad")
-	b.lose("s2", "bad")
+	l := []string{"shared", "middle", "bad"}
+	b.lose("s1", l...)
+	b.lose("s2", l...)
 	for range 5 {
 		b.merge(c, b.record)
 		b.merge(d, c)
 		b.merge(d, b.record)
 	}
-	if g := stoppedBy(d, b.now, 99, []string{"bad"}); g != "" {
+	if g := stoppedBy(d, b.now, 99, l); g != "" {
 		t.Error("stopped after two losses")
 	}
-	b.lose("s3", "bad")
+	b.lose("s3", l...)
 	b.merge(c, b.record)
-	b.wait(20 * time.Second)
+	b.wait(40 * time.Second)
 	// The front that saw the losses is gone.
 	b.merge(d, c)
-	if g := stoppedBy(d, b.now, 99, []string{"bad"}); g != "bad" {
+	if g := stoppedBy(d, b.now, 99, l); g != "bad" {
 		t.Error("not stopped by the evidence of others")
 	}
-	d.AddBegun(b.now, 100, []string{"bad"})
+	d.AddBegun(b.now, 100, l)
 	b.wait(time.Second)
 	b.merge(b.record, d)
-	b.expect("", b.stopped("bad"))
+	b.expect("", b.stopped(l...))
 }
 
 // Guards against a record that grows without limit, and against one that forgets
