--- a/internal/coordination/crash/history_test.go
+++ b/internal/coordination/crash/history_test.go
@@ -259,7 +259,7 @@
 	})
 }
 
-// count counts a request of a front that is in touch.
+// count counts a request of a front that is connected to the others.
 func (h *history) count(r *simRequest, stopped bool) {
 	if !h.now.After(r.front.inTouchAt) {
 		return
