place, sched: a lost model server gets no calls until it answers again

Callers saw sound items of a batch held up for up to a minute by servers that an item of the same batch had crashed.

Suspects were already kept from such servers.

Change: a model's server that was lost takes no call until it has answered a request for its metrics, which a scheduler sends each second, whatever status and content the answer has; a server without metrics is thereby not left out for good. Calls that wait at a scheduler with nothing but lost servers are rejected as not run and go elsewhere.

--- a/internal/coordination/place/dispatch.go
+++ b/internal/coordination/place/dispatch.go
@@ -79,7 +79,7 @@
 // call has not failed.
 func (v *service) hasUntriedServer(now time.Time, call *call) bool {
 	return slices.ContainsFunc(v.servers, func(s *server) bool {
-		return s.present(now) && !(call.suspect && s.lost) && !slices.Contains(call.failedHosts, s.name)
+		return s.present(now) && !s.lost && !slices.Contains(call.failedHosts, s.name)
 	})
 }
 
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -64,9 +64,9 @@
 	// call; 0 in full service.
 	rampLimit int
 	// Whether the process was lost and has shown no sign of life since. It
-	// takes no suspects then: a connection reset by the dead process would
-	// count as a crash of the request. Only set for model engines, whose load
-	// reports show that they are alive again.
+	// takes no calls then: a connection reset by the dead process would count
+	// as a crash of the request. Only set for model engines, which show on
+	// their metrics that they are alive again.
 	lost bool
 	// The suspect for which it takes no other work, or nil.
 	reservedFor *call
@@ -90,7 +90,7 @@
 
 // usable returns whether the backend server may be given work now.
 func (s *server) usable(now time.Time) bool {
-	return s.present(now) && !now.Before(s.ejectedUntil)
+	return s.present(now) && !s.lost && !now.Before(s.ejectedUntil)
 }
 
 // probing returns whether the next call is the probe after an ejection.
@@ -218,6 +218,18 @@
 	return p.takeDecisions()
 }
 
+// ServerAlive records that a backend server has answered a request for its load,
+// even if the answer contained none.
+func (p *Placer) ServerAlive(now time.Time, name string) []decide.Decision {
+	s := p.servers[name]
+	if s == nil || !s.lost {
+		return nil
+	}
+	s.lost = false
+	p.schedule(now, s.service)
+	return p.takeDecisions()
+}
+
 // expireExternalLoads discards external loads older than externalLoadLifetime.
 func (v *service) expireExternalLoads(now time.Time) {
 	for _, s := range v.servers {
--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -98,7 +98,7 @@
 func (v *service) available(now time.Time) (bool, time.Duration) {
 	var w time.Duration
 	for _, s := range v.servers {
-		if !s.present(now) {
+		if !s.present(now) || s.lost {
 			continue
 		}
 		d := s.ejectedUntil.Sub(now)
--- a/internal/coordination/place/session_test.go
+++ b/internal/coordination/place/session_test.go
@@ -98,6 +98,8 @@
 	case "load":
 		f := strings.Fields(w[3])
 		return placer.LoadReported(n, w[2], int(parseNumber(t, f[0])), int(parseNumber(t, f[1])), int(parseNumber(t, f[2])))
+	case "alive":
+		return placer.ServerAlive(n, w[2])
 	case "arrived":
 		r := parseMessage(t, w[3], &wire.Call{})
 		r.SetService("lm")
--- a/internal/coordination/place/suspect.go
+++ b/internal/coordination/place/suspect.go
@@ -44,7 +44,7 @@
 func (v *service) reserveServer(now time.Time, suspect *call) *server {
 	var m *server
 	for _, s := range v.servers {
-		if !s.usable(now) || s.lost || slices.Contains(suspect.failedHosts, s.name) {
+		if !s.usable(now) || slices.Contains(suspect.failedHosts, s.name) {
 			if s.reservedFor == suspect {
 				s.reservedFor = nil
 			}
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -109,15 +109,20 @@
 // loadFetched is the result of fetching a backend server's metrics.
 type loadFetched struct {
 	host string
-	// False if the fetch failed.
+	// Whether the backend server answered, with whatever status and content.
+	answered bool
+	// Whether the answer contained the load.
 	valid                   bool
 	running, waiting, slots int
 }
 
 func (e loadFetched) apply(t *task, now time.Time) []decide.Decision {
 	delete(t.fetching, e.host)
-	if !e.valid {
+	switch {
+	case !e.answered:
 		return nil
+	case !e.valid:
+		return t.placer.ServerAlive(now, e.host)
 	}
 	return t.placer.LoadReported(now, e.host, e.running, e.waiting, e.slots)
 }
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -157,6 +158,27 @@
 	})
 }
 
+// Guards against a backend server that is given no calls after a loss although
+// it answers again: its metrics may contain no load, or be refused.
+func TestServerWithoutMetricsReturnsAfterLoss(t *testing.T) {
+	var f error = trail.NewError("metrics-refused", trail.NotRun, "status 404")
+	for _, a := range []*error{nil, &f} {
+		runScheduler(t, viewWithHosts(hostA), func(r *harness) {
+			var u error = &net.OpError{Op: "dial"}
+			r.fetchError.Store(&u)
+			r.call(`{"caller":"shop","fingerprint":7}`)
+			r.attempts[0].sendCrash()
+			time.Sleep(time.Minute)
+			x := r.call(`{"caller":"shop","fingerprint":8}`)
+			checkEqual(t, "body= end=not_run code=no-backend-server", x.String())
+			r.fetchError.Store(a)
+			time.Sleep(2 * time.Second)
+			r.call(`{"caller":"shop","fingerprint":9}`)
+			checkEqual(t, []string{"a:1 shop"}, r.inFlight())
+		})
+	}
+}
+
 // Guards against a dispatch that is not logged, or is logged without its reason
 // and alternatives.
 func TestDispatchIsLoggedOnce(t *testing.T) {
--- a/internal/coordination/sched/harness_test.go
+++ b/internal/coordination/sched/harness_test.go
@@ -39,10 +39,12 @@
 	// If set, called by the task for each log line.
 	onLog func(e *log.Entry)
 	// Response to GET /metrics.
-	metrics   atomic.Value
-	logLines  *memory.Handler
-	registry  *prometheus.Registry
-	callCount int
+	metrics atomic.Value
+	// Error in place of that response, nil for none.
+	fetchError atomic.Pointer[error]
+	logLines   *memory.Handler
+	registry   *prometheus.Registry
+	callCount  int
 }
 
 // fakeAttempt is one attempt at a simulated backend server.
@@ -128,6 +130,9 @@
 
 // Fetch implements trail.Metrics.
 func (r *harness) Fetch(context.Context, string) (io.ReadCloser, error) {
+	if e := r.fetchError.Load(); e != nil {
+		return nil, *e
+	}
 	m, _ := r.metrics.Load().(string)
 	return io.NopCloser(strings.NewReader(m)), nil
 }
--- a/internal/coordination/sched/load.go
+++ b/internal/coordination/sched/load.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -20,6 +21,10 @@
 	maxMetricsBytes = 1 << 20
 )
 
+// codeMetricsRefused is the error code of a fetch that was answered with a
+// status other than 200.
+const codeMetricsRefused = "metrics-refused"
+
 // Names of the metrics that model engines export.
 const (
 	metricRunning = "engine_requests_running"
@@ -49,6 +54,7 @@
 		e = parseLoad(host.GetName(), io.LimitReader(r, maxMetricsBytes))
 		_ = r.Close()
 	}
+	e.answered = x == nil || trail.CodeOf(x) == codeMetricsRefused
 	t.scheduler.sendEvent(t.ctx, e)
 }
 
