--- a/internal/standin/fleet/plan.go
+++ b/internal/standin/fleet/plan.go
@@ -6,19 +6,19 @@
 	"os"
 )
 
-// plan is a deployment file of examples/.
+// plan is the content of a deployment file, as in examples/.
 type plan struct {
 	DataCentres    []string `json:"data-centres"`
 	BackendServers []struct {
 		Service string `json:"service"`
-		// Of a model engine; empty for a plain service.
+		// Model that an engine serves; empty for a plain service.
 		Model string `json:"model"`
 		Count int    `json:"count"`
 	} `json:"backend-servers"`
 	Entries int `json:"entries"`
 	Scheds  int `json:"scheds"`
 	Depots  int `json:"depots"`
-	// From caller key to caller name; empty lets each key name its caller.
+	// Caller names by caller key. If there are none, each key is a caller name.
 	Callers map[string]string `json:"callers"`
 }
 
@@ -42,19 +42,17 @@
 	model string
 }
 
-// backends spreads the backend servers over the data centres. Each has an IP
-// number of its own in network.
+// backends distributes the backend servers over the data centres. Each has an
+// IP address of its own in network.
 func (p *plan) backends(network string) []backend {
 	var l []backend
-	i := 0
 	for _, s := range p.BackendServers {
 		for n := range s.Count {
-			i++
 			l = append(l, backend{
 				name:       fmt.Sprintf("%s-%02d", s.Service, n+1),
 				service:    s.Service,
 				dataCentre: p.DataCentres[n%len(p.DataCentres)],
-				address:    fmt.Sprintf("%s.%d:8000", network, 100+i),
+				address:    fmt.Sprintf("%s.%d:8000", network, firstBackendOctet+len(l)),
 				model:      s.Model,
 			})
 		}
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -15,15 +15,16 @@
 	name, program string
 	arguments     []string
 	// URL that answers 200 when the process is ready.
-	ready string
-	log   string
-	// Nil before the start and after the end.
+	readyURL string
+	logFile  string
+	// Nil before the start and after the exit.
 	command *exec.Cmd
-	ended   chan error
+	// Receives the exit error.
+	exited chan error
 }
 
 func (p *process) start(program program) error {
-	l, e := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	l, e := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if e != nil {
 		return e
 	}
@@ -33,23 +34,25 @@
 	k.Env = append(os.Environ(), v...)
 	k.Stdout = l
 	k.Stderr = l
-	// The process ends with the one that started it, however that ends.
+	// The process is killed when the one that started it exits, however that
+	// happens.
 	k.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	e = k.Start()
 	if e != nil {
 		return e
 	}
 	p.command = k
-	p.ended = make(chan error, 1)
-	go func() { p.ended <- k.Wait() }()
+	p.exited = make(chan error, 1)
+	go func() { p.exited <- k.Wait() }()
 	return nil
 }
 
-func (p *process) wait(c context.Context) error {
-	c, f := context.WithTimeout(c, readyTimeout)
+// wait waits until the process is ready. It fails if the process exits before.
+func (p *process) wait(ctx context.Context) error {
+	c, f := context.WithTimeout(ctx, readyTimeout)
 	defer f()
 	for {
-		q, e := http.NewRequestWithContext(c, http.MethodGet, p.ready, nil)
+		q, e := http.NewRequestWithContext(c, http.MethodGet, p.readyURL, nil)
 		if e != nil {
 			return e
 		}
@@ -63,18 +66,18 @@
 		select {
 		case <-c.Done():
 			return fmt.Errorf("%s is not ready: %w", p.name, c.Err())
-		case e = <-p.ended:
+		case e = <-p.exited:
 			p.command = nil
-			b, _ := os.ReadFile(p.log)
-			return fmt.Errorf("%s ended: %v\n%s", p.name, e, b)
+			b, _ := os.ReadFile(p.logFile)
+			return fmt.Errorf("%s exited: %v\n%s", p.name, e, b)
 		case <-time.After(readyPeriod):
 		}
 	}
 }
 
-func (p *process) signal(s os.Signal) {
+func (p *process) signal(sent os.Signal) {
 	if p.command != nil {
-		_ = p.command.Process.Signal(s)
+		_ = p.command.Process.Signal(sent)
 	}
 }
 
@@ -83,7 +86,7 @@
 		return
 	}
 	p.signal(syscall.SIGKILL)
-	<-p.ended
+	<-p.exited
 	p.command = nil
 }
 
@@ -91,17 +94,19 @@
 
 func (p *process) thaw() { p.signal(syscall.SIGCONT) }
 
+// terminate asks the process to shut down gracefully, and kills it after
+// stopTimeout. It returns the exit error.
 func (p *process) terminate() error {
 	if p.command == nil {
 		return nil
 	}
 	p.signal(syscall.SIGTERM)
 	select {
-	case e := <-p.ended:
+	case e := <-p.exited:
 		p.command = nil
 		return e
 	case <-time.After(stopTimeout):
 		p.kill()
-		return fmt.Errorf("did not end within %v", stopTimeout)
+		return fmt.Errorf("did not exit within %v", stopTimeout)
 	}
 }
