--- a/internal/command/tool/operate.go
+++ b/internal/command/tool/operate.go
@@ -92,7 +92,7 @@
 // refusalError converts an error response of the API into an error with its
 // message, code and verdict. Other errors are returned unchanged.
 func refusalError(err error) error {
-	var r *oapi.RefusalStatusCodeWithHeaders
+	var r *oapi.ErrorResponseStatusCodeWithHeaders
 	if !errors.As(err, &r) {
 		return err
 	}
@@ -115,7 +115,7 @@
 			}
 			v = g.Version
 		}
-		r, e := client.PutConfig(ctx, &oapi.Config{Version: v, Text: oapi.Document(b)})
+		r, e := client.PutConfig(ctx, &oapi.Config{Version: v, Text: oapi.RawJSON(b)})
 		if e != nil {
 			return e
 		}
@@ -123,8 +123,8 @@
 		case *oapi.Config:
 			_, e = fmt.Fprintf(o.stdout, "accepted as version %d\n", r.Version)
 			return e
-		case *oapi.Faults:
-			return o.printFaults(r)
+		case *oapi.ValidationErrors:
+			return o.printValidationErrors(r)
 		case *oapi.Conflict:
 			_, _ = fmt.Fprintf(o.stdout, "yours, made from version %d:\n%s\ncurrent, version %d:\n%s\n", r.Yours.Version, r.Yours.Text, r.Current.Version, r.Current.Text)
 			return errors.Newf("%s (%s)", r.Error.Message, r.Error.Code)
@@ -143,12 +143,12 @@
 		if e != nil {
 			return usage.New(e)
 		}
-		r, e := client.CheckConfig(ctx, oapi.Document(b))
+		r, e := client.CheckConfig(ctx, oapi.RawJSON(b))
 		if e != nil {
 			return e
 		}
 		if len(r.Faults) > 0 {
-			return o.printFaults(r)
+			return o.printValidationErrors(r)
 		}
 		_, e = fmt.Fprintln(o.stdout, "no faults")
 		return e
@@ -157,7 +157,7 @@
 	return k
 }
 
-func (o *operatorClient) printFaults(faults *oapi.Faults) error {
+func (o *operatorClient) printValidationErrors(faults *oapi.ValidationErrors) error {
 	for _, f := range faults.Faults {
 		_, _ = fmt.Fprintf(o.stdout, "%s: %s\n", f.Place, f.Message)
 	}
--- a/internal/coordination/entry/chat.go
+++ b/internal/coordination/entry/chat.go
@@ -73,21 +73,21 @@
 // answer.
 func chatResponse(answer *wire.StoredAnswer, stored bool) (oapi.CreateChatCompletionRes, error) {
 	if answer.GetStatus() != http.StatusOK {
-		return nil, backendRefusal(answer)
+		return nil, backendError(answer)
 	}
 	if isEventStream(answer.GetHeaders()) {
 		return eventStream(bytes.NewReader(withStoredComment(answer.GetBody(), stored))), nil
 	}
-	return &oapi.DocumentHeaders{
+	return &oapi.RawJSONHeaders{
 		BulrushtrailVerdict: oapi.NewOptString(trail.Ran.String()),
 		BulrushtrailStored:  oapi.NewOptString(boolText(stored)),
-		Response:            oapi.Document(answer.GetBody()),
+		Response:            oapi.RawJSON(answer.GetBody()),
 	}, nil
 }
 
-// backendRefusal returns the response for an error status of a backend server.
+// backendError returns the response for an error status of a backend server.
 // It has the same status and, where the body has one, the same message.
-func backendRefusal(answer *wire.StoredAnswer) *oapi.RefusalStatusCodeWithHeaders {
+func backendError(answer *wire.StoredAnswer) *oapi.ErrorResponseStatusCodeWithHeaders {
 	var b struct {
 		Error struct {
 			Message string `json:"message"`
@@ -99,7 +99,7 @@
 	if b.Error.Message != "" {
 		f = trail.NewError("backend-server-status", trail.Ran, "%s", b.Error.Message)
 	}
-	r := &oapi.RefusalStatusCodeWithHeaders{
+	r := &oapi.ErrorResponseStatusCodeWithHeaders{
 		StatusCode:          int(answer.GetStatus()),
 		BulrushtrailVerdict: oapi.NewOptString(trail.Ran.String()),
 		Response:            errorBody(f),
--- a/internal/coordination/entry/config.go
+++ b/internal/coordination/entry/config.go
@@ -30,16 +30,16 @@
 	if text == nil {
 		text = &wire.Text{}
 	}
-	d, e := jsonDocument(text)
+	d, e := rawJSON(text)
 	if e != nil {
 		return nil, e
 	}
 	return &oapi.Config{Version: version, Text: d}, nil
 }
 
-// jsonDocument returns the JSON form of the message. It is compacted because
+// rawJSON returns the JSON form of the message. It is compacted because
 // protojson deliberately varies white space between builds.
-func jsonDocument(message proto.Message) (oapi.Document, error) {
+func rawJSON(message proto.Message) (oapi.RawJSON, error) {
 	b, e := protojson.Marshal(message)
 	if e != nil {
 		return nil, e
@@ -50,25 +50,25 @@
 }
 
 // CheckConfig validates a services text and returns its faults.
-func (s *Entry) CheckConfig(_ context.Context, req oapi.Document) (*oapi.Faults, error) {
+func (s *Entry) CheckConfig(_ context.Context, req oapi.RawJSON) (*oapi.ValidationErrors, error) {
 	_, e := s.parseText(req)
-	return textFaults(e), nil
+	return validationErrors(e), nil
 }
 
-func textFaults(err error) *oapi.Faults {
-	r := &oapi.Faults{Faults: []oapi.FaultsFaultsItem{}}
+func validationErrors(err error) *oapi.ValidationErrors {
+	r := &oapi.ValidationErrors{Faults: []oapi.ValidationErrorsFaultsItem{}}
 	var l trail.Errors
 	var f *trail.Error
 	switch {
 	case err == nil:
 	case errors.As(err, &l):
 		for _, f := range l {
-			r.Faults = append(r.Faults, oapi.FaultsFaultsItem{Place: f.Place(), Message: f.Message()})
+			r.Faults = append(r.Faults, oapi.ValidationErrorsFaultsItem{Place: f.Place(), Message: f.Message()})
 		}
 	case errors.As(err, &f):
-		r.Faults = append(r.Faults, oapi.FaultsFaultsItem{Place: f.Place(), Message: f.Message()})
+		r.Faults = append(r.Faults, oapi.ValidationErrorsFaultsItem{Place: f.Place(), Message: f.Message()})
 	default:
-		r.Faults = append(r.Faults, oapi.FaultsFaultsItem{Message: err.Error()})
+		r.Faults = append(r.Faults, oapi.ValidationErrorsFaultsItem{Message: err.Error()})
 	}
 	return r
 }
@@ -79,7 +79,7 @@
 func (s *Entry) PutConfig(ctx context.Context, req *oapi.Config) (oapi.PutConfigRes, error) {
 	t, e := s.parseText(req.Text)
 	if e != nil {
-		return textFaults(e), nil
+		return validationErrors(e), nil
 	}
 	o, e := object.Encode(configsKind, configName, req.Version, t)
 	if e != nil {
--- a/internal/coordination/entry/lookup.go
+++ b/internal/coordination/entry/lookup.go
@@ -45,13 +45,13 @@
 // only JSON.
 func storedDocument(answer *wire.StoredAnswer) (oapi.GetRequestRes, error) {
 	if answer.GetStatus() >= http.StatusBadRequest {
-		return nil, backendRefusal(answer)
+		return nil, backendError(answer)
 	}
 	if !json.Valid(answer.GetBody()) {
 		return nil, trail.NewError("answer-not-json", trail.Ran,
 			"the request ran with status %d, and its answer is not JSON; a resend with its idempotency key gets it", answer.GetStatus())
 	}
-	d := oapi.Document(answer.GetBody())
+	d := oapi.RawJSON(answer.GetBody())
 	return &d, nil
 }
 
--- a/internal/coordination/entry/operator.go
+++ b/internal/coordination/entry/operator.go
@@ -30,11 +30,11 @@
 // version, members, hosts and loads.
 func (s *Entry) GetStatus(context.Context) (*oapi.Status, error) {
 	v := s.views.Latest()
-	m, e := jsonDocuments(v.GetMembers())
+	m, e := rawJSONList(v.GetMembers())
 	if e != nil {
 		return nil, e
 	}
-	h, e := jsonDocuments(v.GetHosts())
+	h, e := rawJSONList(v.GetHosts())
 	if e != nil {
 		return nil, e
 	}
@@ -59,11 +59,11 @@
 	return &oapi.Status{ConfigMinusVersion: v.GetConfig().GetVersion(), Members: m, Hosts: h, Loads: d}, nil
 }
 
-// jsonDocuments returns the messages as a JSON array.
-func jsonDocuments[M proto.Message](messages []M) (oapi.Document, error) {
+// rawJSONList returns the messages as a JSON array.
+func rawJSONList[M proto.Message](messages []M) (oapi.RawJSON, error) {
 	r := make([]json.RawMessage, 0, len(messages))
 	for _, m := range messages {
-		d, e := jsonDocument(m)
+		d, e := rawJSON(m)
 		if e != nil {
 			return nil, e
 		}
@@ -87,7 +87,7 @@
 }
 
 // DrainMember requests a process to shut down gracefully.
-func (s *Entry) DrainMember(ctx context.Context, params oapi.DrainMemberParams) (oapi.Document, error) {
+func (s *Entry) DrainMember(ctx context.Context, params oapi.DrainMemberParams) (oapi.RawJSON, error) {
 	for _, m := range s.views.Latest().GetMembers() {
 		if m.GetId() == params.MemberID {
 			return s.requestDrain(ctx, m)
@@ -96,7 +96,7 @@
 	return nil, trail.NewError("unknown-member", trail.NotRun, "there is no member %q", params.MemberID)
 }
 
-func (s *Entry) requestDrain(ctx context.Context, member *wire.Member) (oapi.Document, error) {
+func (s *Entry) requestDrain(ctx context.Context, member *wire.Member) (oapi.RawJSON, error) {
 	n, e := s.mesh.Open(ctx, member.GetPeerAddress(), wire.Open_builder{Drain: &wire.DrainRequest{}}.Build())
 	if e != nil {
 		return nil, trail.WrapError(e, "member-unreachable", trail.VerdictOf(e), "member %s is unreachable", member.GetId()).WithRetryAfter(retryAfter)
@@ -111,5 +111,5 @@
 	if !r.GetAccepted() {
 		return nil, trail.NewError("drain-refused", trail.NotRun, "member %s refuses to shut down now", member.GetId())
 	}
-	return oapi.Document(`{"accepted":true}`), nil
+	return oapi.RawJSON(`{"accepted":true}`), nil
 }
--- a/internal/coordination/entry/refuse.go
+++ b/internal/coordination/entry/refuse.go
@@ -136,13 +136,13 @@
 
 // NewError returns the response for a failed operation. It counts the refusal,
 // and logs causes that the caller does not see.
-func (s *Entry) NewError(_ context.Context, err error) *oapi.RefusalStatusCodeWithHeaders {
+func (s *Entry) NewError(_ context.Context, err error) *oapi.ErrorResponseStatusCodeWithHeaders {
 	f := s.codedError(err)
 	if callerMessage(f) != f.Error() {
 		s.logger.WithError(f).Warn("entry: request failed")
 	}
 	s.metrics.refusalCount.WithLabelValues(f.Code(), f.Verdict().String()).Inc()
-	r := &oapi.RefusalStatusCodeWithHeaders{
+	r := &oapi.ErrorResponseStatusCodeWithHeaders{
 		StatusCode:          httpStatus(f),
 		BulrushtrailVerdict: oapi.NewOptString(f.Verdict().String()),
 		Response:            errorBody(f),
--- a/internal/protocol/oapi/oas_client_gen.go
+++ b/internal/protocol/oapi/oas_client_gen.go
@@ -33,7 +33,7 @@
 	// CheckConfig invokes checkConfig operation.
 	//
 	// POST /operator/v1/check
-	CheckConfig(ctx context.Context, request Document) (*Faults, error)
+	CheckConfig(ctx context.Context, request RawJSON) (*ValidationErrors, error)
 	// CreateBatch invokes createBatch operation.
 	//
 	// POST /v1/batches
@@ -49,7 +49,7 @@
 	// DrainMember invokes drainMember operation.
 	//
 	// POST /operator/v1/drain/{member-id}
-	DrainMember(ctx context.Context, params DrainMemberParams) (Document, error)
+	DrainMember(ctx context.Context, params DrainMemberParams) (RawJSON, error)
 	// GetBatch invokes getBatch operation.
 	//
 	// GET /v1/batches/{batch-id}
@@ -68,7 +68,7 @@
 	GetFileContent(ctx context.Context, params GetFileContentParams) (GetFileContentOK, error)
 	// GetRequest invokes getRequest operation.
 	//
-	// The stored answer of a request.
+	// Returns the stored answer to a request.
 	//
 	// GET /v1/requests/{request-id}
 	GetRequest(ctx context.Context, params GetRequestParams) (GetRequestRes, error)
@@ -324,12 +324,12 @@
 // CheckConfig invokes checkConfig operation.
 //
 // POST /operator/v1/check
-func (c *Client) CheckConfig(ctx context.Context, request Document) (*Faults, error) {
+func (c *Client) CheckConfig(ctx context.Context, request RawJSON) (*ValidationErrors, error) {
 	res, err := c.sendCheckConfig(ctx, request)
 	return res, err
 }
 
-func (c *Client) sendCheckConfig(ctx context.Context, request Document) (res *Faults, err error) {
+func (c *Client) sendCheckConfig(ctx context.Context, request RawJSON) (res *ValidationErrors, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [1]string
@@ -706,12 +706,12 @@
 // DrainMember invokes drainMember operation.
 //
 // POST /operator/v1/drain/{member-id}
-func (c *Client) DrainMember(ctx context.Context, params DrainMemberParams) (Document, error) {
+func (c *Client) DrainMember(ctx context.Context, params DrainMemberParams) (RawJSON, error) {
 	res, err := c.sendDrainMember(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendDrainMember(ctx context.Context, params DrainMemberParams) (res Document, err error) {
+func (c *Client) sendDrainMember(ctx context.Context, params DrainMemberParams) (res RawJSON, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [2]string
@@ -1148,7 +1148,7 @@
 
 // GetRequest invokes getRequest operation.
 //
-// The stored answer of a request.
+// Returns the stored answer to a request.
 //
 // GET /v1/requests/{request-id}
 func (c *Client) GetRequest(ctx context.Context, params GetRequestParams) (GetRequestRes, error) {
--- a/internal/protocol/oapi/oas_handlers_gen.go
+++ b/internal/protocol/oapi/oas_handlers_gen.go
@@ -142,7 +142,7 @@
 		response, err = s.h.CancelBatch(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -281,7 +281,7 @@
 		response, err = s.h.CancelJob(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -385,7 +385,7 @@
 		}
 	}()
 
-	var response *Faults
+	var response *ValidationErrors
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -399,9 +399,9 @@
 		}
 
 		type (
-			Request  = Document
+			Request  = RawJSON
 			Params   = struct{}
-			Response = *Faults
+			Response = *ValidationErrors
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -420,7 +420,7 @@
 		response, err = s.h.CheckConfig(ctx, request)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -574,7 +574,7 @@
 		response, err = s.h.CreateBatch(ctx, request, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -740,7 +740,7 @@
 		response, err = s.h.CreateChatCompletion(ctx, request, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -879,7 +879,7 @@
 		response, err = s.h.CreateFile(ctx, request)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -978,7 +978,7 @@
 
 	var rawBody []byte
 
-	var response Document
+	var response RawJSON
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -999,7 +999,7 @@
 		type (
 			Request  = struct{}
 			Params   = DrainMemberParams
-			Response = Document
+			Response = RawJSON
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -1018,7 +1018,7 @@
 		response, err = s.h.DrainMember(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1157,7 +1157,7 @@
 		response, err = s.h.GetBatch(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1281,7 +1281,7 @@
 		response, err = s.h.GetConfig(ctx)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1420,7 +1420,7 @@
 		response, err = s.h.GetFile(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1559,7 +1559,7 @@
 		response, err = s.h.GetFileContent(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1586,7 +1586,7 @@
 
 // handleGetRequestRequest handles getRequest operation.
 //
-// The stored answer of a request.
+// Returns the stored answer to a request.
 //
 // GET /v1/requests/{request-id}
 func (s *Server) handleGetRequestRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -1700,7 +1700,7 @@
 		response, err = s.h.GetRequest(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1824,7 +1824,7 @@
 		response, err = s.h.GetStatus(ctx)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -1967,7 +1967,7 @@
 		response, err = s.h.ListBatches(ctx, params)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -2091,7 +2091,7 @@
 		response, err = s.h.ListJobs(ctx)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -2215,7 +2215,7 @@
 		response, err = s.h.ListModels(ctx)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
@@ -2354,7 +2354,7 @@
 		response, err = s.h.PutConfig(ctx, request)
 	}
 	if err != nil {
-		if errRes, ok := errors.Into[*RefusalStatusCodeWithHeaders](err); ok {
+		if errRes, ok := errors.Into[*ErrorResponseStatusCodeWithHeaders](err); ok {
 			if err := encodeErrorResponse(errRes, w); err != nil {
 				defer recordError("Internal", err)
 			}
--- a/internal/protocol/oapi/oas_json_gen.go
+++ b/internal/protocol/oapi/oas_json_gen.go
@@ -1585,48 +1585,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes Document as json.
-func (s Document) Encode(e *jx.Encoder) {
-	unwrapped := jx.Raw(s)
-
-	if len(unwrapped) != 0 {
-		e.Raw(unwrapped)
-	}
-}
-
-// Decode decodes Document from json.
-func (s *Document) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Document to nil")
-	}
-	var unwrapped jx.Raw
-	if err := func() error {
-		v, err := d.RawAppend(nil)
-		unwrapped = jx.Raw(v)
-		if err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		return errors.Wrap(err, "alias")
-	}
-	*s = Document(unwrapped)
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s Document) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Document) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *Error) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1925,225 +1883,6 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s *Faults) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *Faults) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("faults")
-		e.ArrStart()
-		for _, elem := range s.Faults {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
-	}
-}
-
-var jsonFieldsNameOfFaults = [1]string{
-	0: "faults",
-}
-
-// Decode decodes Faults from json.
-func (s *Faults) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Faults to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "faults":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				s.Faults = make([]FaultsFaultsItem, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem FaultsFaultsItem
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Faults = append(s.Faults, elem)
-					return nil
-				}); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"faults\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode Faults")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000001,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfFaults) {
-					name = jsonFieldsNameOfFaults[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *Faults) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Faults) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode implements json.Marshaler.
-func (s *FaultsFaultsItem) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *FaultsFaultsItem) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("place")
-		e.Str(s.Place)
-	}
-	{
-		e.FieldStart("message")
-		e.Str(s.Message)
-	}
-}
-
-var jsonFieldsNameOfFaultsFaultsItem = [2]string{
-	0: "place",
-	1: "message",
-}
-
-// Decode decodes FaultsFaultsItem from json.
-func (s *FaultsFaultsItem) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode FaultsFaultsItem to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "place":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Place = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"place\"")
-			}
-		case "message":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Str()
-				s.Message = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"message\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode FaultsFaultsItem")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000011,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfFaultsFaultsItem) {
-					name = jsonFieldsNameOfFaultsFaultsItem[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *FaultsFaultsItem) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *FaultsFaultsItem) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *File) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2820,6 +2559,48 @@
 	return s.Decode(d)
 }
 
+// Encode encodes RawJSON as json.
+func (s RawJSON) Encode(e *jx.Encoder) {
+	unwrapped := jx.Raw(s)
+
+	if len(unwrapped) != 0 {
+		e.Raw(unwrapped)
+	}
+}
+
+// Decode decodes RawJSON from json.
+func (s *RawJSON) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RawJSON to nil")
+	}
+	var unwrapped jx.Raw
+	if err := func() error {
+		v, err := d.RawAppend(nil)
+		unwrapped = jx.Raw(v)
+		if err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "alias")
+	}
+	*s = RawJSON(unwrapped)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s RawJSON) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RawJSON) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2960,3 +2741,222 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *ValidationErrors) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *ValidationErrors) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("faults")
+		e.ArrStart()
+		for _, elem := range s.Faults {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfValidationErrors = [1]string{
+	0: "faults",
+}
+
+// Decode decodes ValidationErrors from json.
+func (s *ValidationErrors) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode ValidationErrors to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "faults":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Faults = make([]ValidationErrorsFaultsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem ValidationErrorsFaultsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Faults = append(s.Faults, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"faults\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode ValidationErrors")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfValidationErrors) {
+					name = jsonFieldsNameOfValidationErrors[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *ValidationErrors) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *ValidationErrors) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *ValidationErrorsFaultsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *ValidationErrorsFaultsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("place")
+		e.Str(s.Place)
+	}
+	{
+		e.FieldStart("message")
+		e.Str(s.Message)
+	}
+}
+
+var jsonFieldsNameOfValidationErrorsFaultsItem = [2]string{
+	0: "place",
+	1: "message",
+}
+
+// Decode decodes ValidationErrorsFaultsItem from json.
+func (s *ValidationErrorsFaultsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode ValidationErrorsFaultsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "place":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Place = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"place\"")
+			}
+		case "message":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Message = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"message\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode ValidationErrorsFaultsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfValidationErrorsFaultsItem) {
+					name = jsonFieldsNameOfValidationErrorsFaultsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *ValidationErrorsFaultsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *ValidationErrorsFaultsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/protocol/oapi/oas_parameters_gen.go
+++ b/internal/protocol/oapi/oas_parameters_gen.go
@@ -275,11 +275,11 @@
 
 // CreateChatCompletionParams is parameters of createChatCompletion operation.
 type CreateChatCompletionParams struct {
-	// Names the question; a resend gets the same answer.
+	// Identifies the request. A repeated request gets the same answer.
 	XRequestID                OptString `json:",omitempty,omitzero"`
 	IdempotencyKey            OptString `json:",omitempty,omitzero"`
 	BulrushtrailNonIdempotent OptBool   `json:",omitempty,omitzero"`
-	// Milliseconds from now.
+	// Time until the deadline, in milliseconds.
 	BulrushtrailDeadlineMs OptInt64 `json:",omitempty,omitzero"`
 }
 
--- a/internal/protocol/oapi/oas_request_decoders_gen.go
+++ b/internal/protocol/oapi/oas_request_decoders_gen.go
@@ -19,7 +19,7 @@
 )
 
 func (s *Server) decodeCheckConfigRequest(r *http.Request) (
-	req Document,
+	req RawJSON,
 	rawBody []byte,
 	close func() error,
 	rerr error,
@@ -66,7 +66,7 @@
 		rawBody = append(rawBody, buf...)
 		d := jx.DecodeBytes(buf)
 
-		var request Document
+		var request RawJSON
 		if err := func() error {
 			if err := request.Decode(d); err != nil {
 				return err
--- a/internal/protocol/oapi/oas_request_encoders_gen.go
+++ b/internal/protocol/oapi/oas_request_encoders_gen.go
@@ -16,7 +16,7 @@
 )
 
 func encodeCheckConfigRequest(
-	req Document,
+	req RawJSON,
 	r *http.Request,
 ) error {
 	const contentType = "application/json"
--- a/internal/protocol/oapi/oas_response_decoders_gen.go
+++ b/internal/protocol/oapi/oas_response_decoders_gen.go
@@ -55,7 +55,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -94,7 +94,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -222,7 +222,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -261,7 +261,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -350,7 +350,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeCheckConfigResponse(resp *http.Response) (res *Faults, _ error) {
+func decodeCheckConfigResponse(resp *http.Response) (res *ValidationErrors, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -366,7 +366,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Faults
+			var response ValidationErrors
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -398,7 +398,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -437,7 +437,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -565,7 +565,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -604,7 +604,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -709,7 +709,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Document
+			var response RawJSON
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -726,7 +726,7 @@
 				}
 				return res, err
 			}
-			var wrapper DocumentHeaders
+			var wrapper RawJSONHeaders
 			wrapper.Response = response
 			h := uri.NewHeaderDecoder(resp.Header)
 			// Parse "Bulrushtrail-Stored" header.
@@ -969,7 +969,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1008,7 +1008,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1136,7 +1136,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1175,7 +1175,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1264,7 +1264,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeDrainMemberResponse(resp *http.Response) (res Document, _ error) {
+func decodeDrainMemberResponse(resp *http.Response) (res RawJSON, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1280,7 +1280,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Document
+			var response RawJSON
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -1303,7 +1303,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1342,7 +1342,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1470,7 +1470,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1509,7 +1509,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1637,7 +1637,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1676,7 +1676,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1804,7 +1804,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1843,7 +1843,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -1955,7 +1955,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -1994,7 +1994,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -2099,7 +2099,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Document
+			var response RawJSON
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -2131,7 +2131,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2170,7 +2170,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -2298,7 +2298,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2337,7 +2337,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -2474,7 +2474,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2513,7 +2513,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -2650,7 +2650,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2689,7 +2689,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -2826,7 +2826,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -2865,7 +2865,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
@@ -3049,7 +3049,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Faults
+			var response ValidationErrors
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -3081,7 +3081,7 @@
 		}
 	}
 	// Convenient error response.
-	defRes, err := func() (res *RefusalStatusCodeWithHeaders, err error) {
+	defRes, err := func() (res *ErrorResponseStatusCodeWithHeaders, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -3120,7 +3120,7 @@
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			var wrapper RefusalStatusCodeWithHeaders
+			var wrapper ErrorResponseStatusCodeWithHeaders
 			wrapper.Response = response
 			wrapper.StatusCode = resp.StatusCode
 			h := uri.NewHeaderDecoder(resp.Header)
--- a/internal/protocol/oapi/oas_response_encoders_gen.go
+++ b/internal/protocol/oapi/oas_response_encoders_gen.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func encodeCheckConfigResponse(response *Faults, w http.ResponseWriter) error {
+func encodeCheckConfigResponse(response *ValidationErrors, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
 
@@ -67,7 +67,7 @@
 
 func encodeCreateChatCompletionResponse(response CreateChatCompletionRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
-	case *DocumentHeaders:
+	case *RawJSONHeaders:
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		w.Header().Set("Access-Control-Expose-Headers", "Bulrushtrail-Stored,Bulrushtrail-Verdict,X-Request-Id")
 		// Encoding response headers.
@@ -211,7 +211,7 @@
 	return nil
 }
 
-func encodeDrainMemberResponse(response Document, w http.ResponseWriter) error {
+func encodeDrainMemberResponse(response RawJSON, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
 
@@ -280,7 +280,7 @@
 
 func encodeGetRequestResponse(response GetRequestRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
-	case *Document:
+	case *RawJSON:
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		w.WriteHeader(200)
 
@@ -389,7 +389,7 @@
 
 		return nil
 
-	case *Faults:
+	case *ValidationErrors:
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		w.WriteHeader(422)
 
@@ -406,7 +406,7 @@
 	}
 }
 
-func encodeErrorResponse(response *RefusalStatusCodeWithHeaders, w http.ResponseWriter) error {
+func encodeErrorResponse(response *ErrorResponseStatusCodeWithHeaders, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.Header().Set("Access-Control-Expose-Headers", "Bulrushtrail-Verdict,Retry-After")
 	// Encoding response headers.
--- a/internal/protocol/oapi/oas_schemas_gen.go
+++ b/internal/protocol/oapi/oas_schemas_gen.go
@@ -11,7 +11,7 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
-func (s *RefusalStatusCodeWithHeaders) Error() string {
+func (s *ErrorResponseStatusCodeWithHeaders) Error() string {
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
@@ -517,9 +517,9 @@
 
 // Ref: #/components/schemas/Config
 type Config struct {
-	// The version that the text replaces, or that it has; 0 for none.
-	Version int64    `json:"version"`
-	Text    Document `json:"text"`
+	// In a request, the version that the text replaces, 0 for none; in a response, its own version.
+	Version int64   `json:"version"`
+	Text    RawJSON `json:"text"`
 }
 
 // GetVersion returns the value of Version.
@@ -528,7 +528,7 @@
 }
 
 // GetText returns the value of Text.
-func (s *Config) GetText() Document {
+func (s *Config) GetText() RawJSON {
 	return s.Text
 }
 
@@ -538,7 +538,7 @@
 }
 
 // SetText sets the value of Text.
-func (s *Config) SetText(val Document) {
+func (s *Config) SetText(val RawJSON) {
 	s.Text = val
 }
 
@@ -706,60 +706,6 @@
 	}
 }
 
-type Document jx.Raw
-
-func (*Document) getRequestRes() {}
-
-// DocumentHeaders wraps Document with response headers.
-type DocumentHeaders struct {
-	BulrushtrailStored  OptString
-	BulrushtrailVerdict OptString
-	XRequestID          OptString
-	Response            Document
-}
-
-// GetBulrushtrailStored returns the value of BulrushtrailStored.
-func (s *DocumentHeaders) GetBulrushtrailStored() OptString {
-	return s.BulrushtrailStored
-}
-
-// GetBulrushtrailVerdict returns the value of BulrushtrailVerdict.
-func (s *DocumentHeaders) GetBulrushtrailVerdict() OptString {
-	return s.BulrushtrailVerdict
-}
-
-// GetXRequestID returns the value of XRequestID.
-func (s *DocumentHeaders) GetXRequestID() OptString {
-	return s.XRequestID
-}
-
-// GetResponse returns the value of Response.
-func (s *DocumentHeaders) GetResponse() Document {
-	return s.Response
-}
-
-// SetBulrushtrailStored sets the value of BulrushtrailStored.
-func (s *DocumentHeaders) SetBulrushtrailStored(val OptString) {
-	s.BulrushtrailStored = val
-}
-
-// SetBulrushtrailVerdict sets the value of BulrushtrailVerdict.
-func (s *DocumentHeaders) SetBulrushtrailVerdict(val OptString) {
-	s.BulrushtrailVerdict = val
-}
-
-// SetXRequestID sets the value of XRequestID.
-func (s *DocumentHeaders) SetXRequestID(val OptString) {
-	s.XRequestID = val
-}
-
-// SetResponse sets the value of Response.
-func (s *DocumentHeaders) SetResponse(val Document) {
-	s.Response = val
-}
-
-func (*DocumentHeaders) createChatCompletionRes() {}
-
 // Ref: #/components/schemas/Error
 type Error struct {
 	Error ErrorBody `json:"error"`
@@ -882,47 +828,52 @@
 	}
 }
 
-// Ref: #/components/schemas/Faults
-type Faults struct {
-	Faults []FaultsFaultsItem `json:"faults"`
+// ErrorResponseStatusCodeWithHeaders wraps Error with status code and response headers.
+type ErrorResponseStatusCodeWithHeaders struct {
+	StatusCode          int
+	BulrushtrailVerdict OptString
+	RetryAfter          OptInt
+	Response            Error
 }
 
-// GetFaults returns the value of Faults.
-func (s *Faults) GetFaults() []FaultsFaultsItem {
-	return s.Faults
+// GetStatusCode returns the value of StatusCode.
+func (s *ErrorResponseStatusCodeWithHeaders) GetStatusCode() int {
+	return s.StatusCode
 }
 
-// SetFaults sets the value of Faults.
-func (s *Faults) SetFaults(val []FaultsFaultsItem) {
-	s.Faults = val
+// GetBulrushtrailVerdict returns the value of BulrushtrailVerdict.
+func (s *ErrorResponseStatusCodeWithHeaders) GetBulrushtrailVerdict() OptString {
+	return s.BulrushtrailVerdict
 }
 
-func (*Faults) putConfigRes() {}
+// GetRetryAfter returns the value of RetryAfter.
+func (s *ErrorResponseStatusCodeWithHeaders) GetRetryAfter() OptInt {
+	return s.RetryAfter
+}
 
-type FaultsFaultsItem struct {
-	// JSON pointer into the text.
-	Place   string `json:"place"`
-	Message string `json:"message"`
+// GetResponse returns the value of Response.
+func (s *ErrorResponseStatusCodeWithHeaders) GetResponse() Error {
+	return s.Response
 }
 
-// GetPlace returns the value of Place.
-func (s *FaultsFaultsItem) GetPlace() string {
-	return s.Place
+// SetStatusCode sets the value of StatusCode.
+func (s *ErrorResponseStatusCodeWithHeaders) SetStatusCode(val int) {
+	s.StatusCode = val
 }
 
-// GetMessage returns the value of Message.
-func (s *FaultsFaultsItem) GetMessage() string {
-	return s.Message
+// SetBulrushtrailVerdict sets the value of BulrushtrailVerdict.
+func (s *ErrorResponseStatusCodeWithHeaders) SetBulrushtrailVerdict(val OptString) {
+	s.BulrushtrailVerdict = val
 }
 
-// SetPlace sets the value of Place.
-func (s *FaultsFaultsItem) SetPlace(val string) {
-	s.Place = val
+// SetRetryAfter sets the value of RetryAfter.
+func (s *ErrorResponseStatusCodeWithHeaders) SetRetryAfter(val OptInt) {
+	s.RetryAfter = val
 }
 
-// SetMessage sets the value of Message.
-func (s *FaultsFaultsItem) SetMessage(val string) {
-	s.Message = val
+// SetResponse sets the value of Response.
+func (s *ErrorResponseStatusCodeWithHeaders) SetResponse(val Error) {
+	s.Response = val
 }
 
 // Ref: #/components/schemas/File
@@ -1410,60 +1361,66 @@
 	return d
 }
 
-// RefusalStatusCodeWithHeaders wraps Error with status code and response headers.
-type RefusalStatusCodeWithHeaders struct {
-	StatusCode          int
+type RawJSON jx.Raw
+
+func (*RawJSON) getRequestRes() {}
+
+// RawJSONHeaders wraps RawJSON with response headers.
+type RawJSONHeaders struct {
+	BulrushtrailStored  OptString
 	BulrushtrailVerdict OptString
-	RetryAfter          OptInt
-	Response            Error
+	XRequestID          OptString
+	Response            RawJSON
 }
 
-// GetStatusCode returns the value of StatusCode.
-func (s *RefusalStatusCodeWithHeaders) GetStatusCode() int {
-	return s.StatusCode
+// GetBulrushtrailStored returns the value of BulrushtrailStored.
+func (s *RawJSONHeaders) GetBulrushtrailStored() OptString {
+	return s.BulrushtrailStored
 }
 
 // GetBulrushtrailVerdict returns the value of BulrushtrailVerdict.
-func (s *RefusalStatusCodeWithHeaders) GetBulrushtrailVerdict() OptString {
+func (s *RawJSONHeaders) GetBulrushtrailVerdict() OptString {
 	return s.BulrushtrailVerdict
 }
 
-// GetRetryAfter returns the value of RetryAfter.
-func (s *RefusalStatusCodeWithHeaders) GetRetryAfter() OptInt {
-	return s.RetryAfter
+// GetXRequestID returns the value of XRequestID.
+func (s *RawJSONHeaders) GetXRequestID() OptString {
+	return s.XRequestID
 }
 
 // GetResponse returns the value of Response.
-func (s *RefusalStatusCodeWithHeaders) GetResponse() Error {
+func (s *RawJSONHeaders) GetResponse() RawJSON {
 	return s.Response
 }
 
-// SetStatusCode sets the value of StatusCode.
-func (s *RefusalStatusCodeWithHeaders) SetStatusCode(val int) {
-	s.StatusCode = val
+// SetBulrushtrailStored sets the value of BulrushtrailStored.
+func (s *RawJSONHeaders) SetBulrushtrailStored(val OptString) {
+	s.BulrushtrailStored = val
 }
 
 // SetBulrushtrailVerdict sets the value of BulrushtrailVerdict.
-func (s *RefusalStatusCodeWithHeaders) SetBulrushtrailVerdict(val OptString) {
+func (s *RawJSONHeaders) SetBulrushtrailVerdict(val OptString) {
 	s.BulrushtrailVerdict = val
 }
 
-// SetRetryAfter sets the value of RetryAfter.
-func (s *RefusalStatusCodeWithHeaders) SetRetryAfter(val OptInt) {
-	s.RetryAfter = val
+// SetXRequestID sets the value of XRequestID.
+func (s *RawJSONHeaders) SetXRequestID(val OptString) {
+	s.XRequestID = val
 }
 
 // SetResponse sets the value of Response.
-func (s *RefusalStatusCodeWithHeaders) SetResponse(val Error) {
+func (s *RawJSONHeaders) SetResponse(val RawJSON) {
 	s.Response = val
 }
 
+func (*RawJSONHeaders) createChatCompletionRes() {}
+
 // Ref: #/components/schemas/Status
 type Status struct {
-	ConfigMinusVersion int64    `json:"config-version"`
-	Members            Document `json:"members"`
-	Hosts              Document `json:"hosts"`
-	Loads              Document `json:"loads"`
+	ConfigMinusVersion int64   `json:"config-version"`
+	Members            RawJSON `json:"members"`
+	Hosts              RawJSON `json:"hosts"`
+	Loads              RawJSON `json:"loads"`
 }
 
 // GetConfigMinusVersion returns the value of ConfigMinusVersion.
@@ -1472,17 +1429,17 @@
 }
 
 // GetMembers returns the value of Members.
-func (s *Status) GetMembers() Document {
+func (s *Status) GetMembers() RawJSON {
 	return s.Members
 }
 
 // GetHosts returns the value of Hosts.
-func (s *Status) GetHosts() Document {
+func (s *Status) GetHosts() RawJSON {
 	return s.Hosts
 }
 
 // GetLoads returns the value of Loads.
-func (s *Status) GetLoads() Document {
+func (s *Status) GetLoads() RawJSON {
 	return s.Loads
 }
 
@@ -1492,16 +1449,59 @@
 }
 
 // SetMembers sets the value of Members.
-func (s *Status) SetMembers(val Document) {
+func (s *Status) SetMembers(val RawJSON) {
 	s.Members = val
 }
 
 // SetHosts sets the value of Hosts.
-func (s *Status) SetHosts(val Document) {
+func (s *Status) SetHosts(val RawJSON) {
 	s.Hosts = val
 }
 
 // SetLoads sets the value of Loads.
-func (s *Status) SetLoads(val Document) {
+func (s *Status) SetLoads(val RawJSON) {
 	s.Loads = val
 }
+
+// Ref: #/components/schemas/ValidationErrors
+type ValidationErrors struct {
+	Faults []ValidationErrorsFaultsItem `json:"faults"`
+}
+
+// GetFaults returns the value of Faults.
+func (s *ValidationErrors) GetFaults() []ValidationErrorsFaultsItem {
+	return s.Faults
+}
+
+// SetFaults sets the value of Faults.
+func (s *ValidationErrors) SetFaults(val []ValidationErrorsFaultsItem) {
+	s.Faults = val
+}
+
+func (*ValidationErrors) putConfigRes() {}
+
+type ValidationErrorsFaultsItem struct {
+	// JSON pointer to the invalid part of the text.
+	Place   string `json:"place"`
+	Message string `json:"message"`
+}
+
+// GetPlace returns the value of Place.
+func (s *ValidationErrorsFaultsItem) GetPlace() string {
+	return s.Place
+}
+
+// GetMessage returns the value of Message.
+func (s *ValidationErrorsFaultsItem) GetMessage() string {
+	return s.Message
+}
+
+// SetPlace sets the value of Place.
+func (s *ValidationErrorsFaultsItem) SetPlace(val string) {
+	s.Place = val
+}
+
+// SetMessage sets the value of Message.
+func (s *ValidationErrorsFaultsItem) SetMessage(val string) {
+	s.Message = val
+}
--- a/internal/protocol/oapi/oas_server_gen.go
+++ b/internal/protocol/oapi/oas_server_gen.go
@@ -19,7 +19,7 @@
 	// CheckConfig implements checkConfig operation.
 	//
 	// POST /operator/v1/check
-	CheckConfig(ctx context.Context, req Document) (*Faults, error)
+	CheckConfig(ctx context.Context, req RawJSON) (*ValidationErrors, error)
 	// CreateBatch implements createBatch operation.
 	//
 	// POST /v1/batches
@@ -35,7 +35,7 @@
 	// DrainMember implements drainMember operation.
 	//
 	// POST /operator/v1/drain/{member-id}
-	DrainMember(ctx context.Context, params DrainMemberParams) (Document, error)
+	DrainMember(ctx context.Context, params DrainMemberParams) (RawJSON, error)
 	// GetBatch implements getBatch operation.
 	//
 	// GET /v1/batches/{batch-id}
@@ -54,7 +54,7 @@
 	GetFileContent(ctx context.Context, params GetFileContentParams) (GetFileContentOK, error)
 	// GetRequest implements getRequest operation.
 	//
-	// The stored answer of a request.
+	// Returns the stored answer to a request.
 	//
 	// GET /v1/requests/{request-id}
 	GetRequest(ctx context.Context, params GetRequestParams) (GetRequestRes, error)
@@ -78,10 +78,10 @@
 	//
 	// PUT /operator/v1/config
 	PutConfig(ctx context.Context, req *Config) (PutConfigRes, error)
-	// NewError creates *RefusalStatusCodeWithHeaders from error returned by handler.
+	// NewError creates *ErrorResponseStatusCodeWithHeaders from error returned by handler.
 	//
 	// Used for common default response.
-	NewError(ctx context.Context, err error) *RefusalStatusCodeWithHeaders
+	NewError(ctx context.Context, err error) *ErrorResponseStatusCodeWithHeaders
 }
 
 // Server implements http server based on OpenAPI v3 specification and
--- a/internal/protocol/oapi/oas_validators_gen.go
+++ b/internal/protocol/oapi/oas_validators_gen.go
@@ -386,20 +386,20 @@
 	}
 }
 
-func (s *Faults) Validate() error {
+func (s *ErrorResponseStatusCodeWithHeaders) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Faults == nil {
-			return errors.New("nil is invalid value")
+		if err := s.Response.Validate(); err != nil {
+			return err
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "faults",
+			Name:  "Response",
 			Error: err,
 		})
 	}
@@ -432,20 +432,20 @@
 	return nil
 }
 
-func (s *RefusalStatusCodeWithHeaders) Validate() error {
+func (s *ValidationErrors) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if err := s.Response.Validate(); err != nil {
-			return err
+		if s.Faults == nil {
+			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "Response",
+			Name:  "faults",
 			Error: err,
 		})
 	}
--- a/internal/standin/fleet/config_test.go
+++ b/internal/standin/fleet/config_test.go
@@ -156,7 +156,7 @@
 		t.Fatal(e)
 	}
 	b = bytes.ReplaceAll(b, []byte(`"queue-length": 200`), fmt.Appendf(nil, `"queue-length": %d`, length))
-	return k.PutConfig(t.Context(), &oapi.Config{Version: from, Text: oapi.Document(b)})
+	return k.PutConfig(t.Context(), &oapi.Config{Version: from, Text: oapi.RawJSON(b)})
 }
 
 // accept applies a text through an entry and returns its version.
@@ -284,7 +284,7 @@
 	s.everywhere(t, v)
 	platformFaults(t, x, map[string]any{"delay-ms": 8000})
 	r, e := put(t, x, 2, v, 102)
-	var f *oapi.RefusalStatusCodeWithHeaders
+	var f *oapi.ErrorResponseStatusCodeWithHeaders
 	if !errors.As(e, &f) || f.Response.Error.Verdict != oapi.ErrorBodyVerdictMayHaveRun {
 		t.Errorf("operator was told %T, %v", r, e)
 	}
