batch: commits of a job at the same time list no item twice

Callers could see an item of a job at two places of its results, after the front that ran the job stopped as planned.

Cause: a commit looked which pending results are not listed yet, released the lock, and took the newest results object as base of its write afterwards. When the commit loop of a job and the hand-over of the stopping front ran at the same time, the one could list the results between both looks of the other, whose write then had the right version and the same results again.

Change: the results to write and the object that lacks them are taken under one lock. Any commit in between makes the write conflict, and the object is read again.

--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -35,11 +35,11 @@
 // after this one has listed already are dropped.
 func (s *Jobs) commit(ctx context.Context, job *ownedJob) error {
 	for {
-		l := s.prunePending(job)
+		l, n, p := s.prunePending(job)
 		if len(l) == 0 {
 			return nil
 		}
-		e := s.appendResults(ctx, job, l)
+		e := s.appendResults(ctx, job, l, n, p)
 		if e == nil {
 			continue
 		}
@@ -56,8 +56,10 @@
 }
 
 // prunePending removes the results that are listed already from the pending
-// ones and returns the others.
-func (s *Jobs) prunePending(job *ownedJob) []*wire.BatchResult {
+// ones. It returns the others and the newest results object with its index, nil
+// and -1 if there is none. Only that version of the object is known to lack
+// them: commits of a job may run at the same time.
+func (s *Jobs) prunePending(job *ownedJob) ([]*wire.BatchResult, int, *part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := job.cached.listedIDs()
@@ -69,34 +71,28 @@
 		}
 	}
 	job.pendingResults = l
-	return l
+	n := len(job.cached.parts) - 1
+	if n < 0 {
+		return l, n, nil
+	}
+	return l, n, job.cached.parts[n]
 }
 
 // appendResults adds results to the newest results object, as many as fit. An
 // object without room is marked as full by an update of its own, so that nobody
 // appends to it any longer and the next object is created only once.
-func (s *Jobs) appendResults(ctx context.Context, job *ownedJob, results []*wire.BatchResult) error {
-	s.mu.Lock()
-	n := len(job.cached.parts) - 1
-	var p *part
-	if n >= 0 {
-		p = job.cached.parts[n]
-	}
-	s.mu.Unlock()
-	switch {
-	case p == nil:
-		return s.writePart(ctx, job, 0, 0, wire.BatchResults_builder{Results: s.fitResults(0, results)}.Build())
-	case p.value.GetFull():
-		return s.writePart(ctx, job, n+1, 0, wire.BatchResults_builder{Results: s.fitResults(0, results)}.Build())
+func (s *Jobs) appendResults(ctx context.Context, job *ownedJob, results []*wire.BatchResult, index int, newest *part) error {
+	if newest == nil || newest.value.GetFull() {
+		return s.writePart(ctx, job, index+1, 0, wire.BatchResults_builder{Results: s.fitResults(0, results)}.Build())
 	}
-	f := s.fitResults(proto.Size(p.value), results)
-	v := proto.CloneOf(p.value)
+	f := s.fitResults(proto.Size(newest.value), results)
+	v := proto.CloneOf(newest.value)
 	if len(f) == 0 {
 		v.SetFull(true)
 	} else {
 		v.SetResults(append(v.GetResults(), f...))
 	}
-	return s.writePart(ctx, job, n, p.version, v)
+	return s.writePart(ctx, job, index, newest.version, v)
 }
 
 // fitResults returns the results for which an object with a payload of size
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -190,6 +190,18 @@
 	return l
 }
 
+// resultCount returns the number of results in the object with a key, 0 if it is
+// no results object.
+func (s *memStore) resultCount(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &wire.BatchResults{}
+	if !strings.HasPrefix(key, "batch-results/") || s.objects[key].Decode(v) != nil {
+		return 0
+	}
+	return len(v.GetResults())
+}
+
 // fakeEngine is the backend server. It answers an item with two events after
 // one second, unless another body is set for the run.
 type fakeEngine struct {
--- a/internal/coordination/batch/handover_test.go
+++ b/internal/coordination/batch/handover_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -147,3 +149,45 @@
 		}
 	})
 }
+
+// Guards against items that are listed twice, because the hand-over of a stopping
+// front and its commit loop write the pending results of a job at the same time.
+func TestConcurrentCommitsListItemsTwice(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		for n := range 30 {
+			j := newJobs(t, ctx, fmt.Sprint("front-", n), store, engine, valueBytes)
+			for i := range 8 {
+				accept(t, ctx, j, fmt.Sprintf("job-%d-%d", n, i), 1)
+			}
+			// All items end now, one second after their dispatch, and are committed
+			// at once.
+			time.Sleep(time.Second)
+			for range 8 {
+				go readOften(ctx, j)
+			}
+			d, f := context.WithCancel(ctx)
+			f()
+			j.Drain(d)
+			synctest.Wait()
+		}
+		l := 0
+		for _, k := range store.keys() {
+			n := store.resultCount(k)
+			if n > 1 {
+				t.Errorf("%s lists %d results of one item", k, n)
+			}
+			l += n
+		}
+		if l == 0 {
+			t.Error("nothing was listed")
+		}
+	})
+}
+
+// readOften keeps the lock of the jobs busy, so that their other users take
+// turns.
+func readOften(ctx context.Context, jobs *batch.Jobs) {
+	for range 20_000 {
+		_, _ = jobs.LocalResults(ctx, "no-job", 0, 0)
+	}
+}
