httpd: idle connections are closed at the end of the drain delay again

Change: the server waits for the first request of each accepted connection only, a second at most, and calls Shutdown then, which waits for the rest.

--- a/internal/transport/httpd/conns.go
+++ b/internal/transport/httpd/conns.go
@@ -16,39 +16,41 @@
 	connPollInterval = 5 * time.Millisecond
 )
 
-// connTracker knows which connections of a server are owed a response.
+// connTracker knows the connections of a server whose first request has not been
+// read.
 type connTracker struct {
 	mu sync.Mutex
-	// Connections that are new or have a request in progress. Idle and closed
-	// ones are left out.
-	busy map[net.Conn]busyConn
+	// Time at which each of them was accepted.
+	acceptedAt map[net.Conn]time.Time
 }
 
-type busyConn struct {
-	state http.ConnState
-	since time.Time
-}
-
-func newConnTracker() *connTracker { return &connTracker{busy: map[net.Conn]busyConn{}} }
+func newConnTracker() *connTracker { return &connTracker{acceptedAt: map[net.Conn]time.Time{}} }
 
 // update records the state of a connection. It is the ConnState hook of
 // http.Server.
 func (c *connTracker) update(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state != http.StateNew && state != http.StateActive {
-		delete(c.busy, conn)
+	if state == http.StateNew {
+		c.acceptedAt[conn] = time.Now()
 		return
 	}
-	c.busy[conn] = busyConn{state, time.Now()}
+	delete(c.acceptedAt, conn)
 }
 
-// waitServed waits until no request is in progress. New connections have
-// firstRequestTimeout to send their first request and are closed then.
-func (c *connTracker) waitServed(ctx context.Context) {
+// waitFirstRequests waits until the first request of each connection is being
+// answered. Connections that have not sent one within firstRequestTimeout are
+// closed.
+func (c *connTracker) waitFirstRequests(ctx context.Context) {
 	t := time.NewTicker(connPollInterval)
 	defer t.Stop()
-	for c.busyAfterClose(time.Now()) && ctx.Err() == nil {
+	// net/http looks once more whether the server shuts down after it has
+	// reported the last request as read.
+	for n := 0; n < 2 && ctx.Err() == nil; {
+		n++
+		if c.closeSilent(time.Now()) > 0 {
+			n = 0
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -56,16 +58,16 @@
 	}
 }
 
-// busyAfterClose closes the new connections whose time is over and returns
-// whether others are busy.
-func (c *connTracker) busyAfterClose(now time.Time) bool {
+// closeSilent closes the connections whose time for the first request is over
+// and returns the number of others.
+func (c *connTracker) closeSilent(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for n, b := range c.busy {
-		if b.state == http.StateNew && now.Sub(b.since) >= firstRequestTimeout {
-			delete(c.busy, n)
+	for n, a := range c.acceptedAt {
+		if now.Sub(a) >= firstRequestTimeout {
+			delete(c.acceptedAt, n)
 			_ = n.Close()
 		}
 	}
-	return len(c.busy) > 0
+	return len(c.acceptedAt)
 }
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -180,7 +180,7 @@
 	defer f()
 	// net/http closes connections without a response if it reads their request
 	// after the call of Shutdown.
-	conns.waitServed(c)
+	conns.waitFirstRequests(c)
 	e := server.Shutdown(c)
 	if e != nil {
 		_ = server.Close()
