--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -202,6 +202,17 @@
 	return len(v.GetResults())
 }
 
+// owner returns the front that owns a job, or the empty string.
+func (s *memStore) owner(job string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &wire.BatchJob{}
+	if s.objects["batch-jobs/"+job].Decode(v) != nil {
+		return ""
+	}
+	return v.GetOwner()
+}
+
 // fakeEngine is the backend server. It answers an item with two events after
 // one second, unless another body is set for the run.
 type fakeEngine struct {
--- a/internal/coordination/batch/handover_test.go
+++ b/internal/coordination/batch/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,3 +192,37 @@
 		_, _ = jobs.LocalResults(ctx, "no-job", 0, 0)
 	}
 }
+
+// Guards against an item that fails at each run and is sent more often than the
+// platform allows, three times the attempts of its route, because each front that
+// the job is handed over to counts from zero.
+func TestHandedOverItemFailsTooOften(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		var l []string
+		for n := range 12 {
+			l = append(l, fmt.Sprint("front-", n))
+		}
+		r := newCluster(ctx, store, engine, l...)
+		r.advance(5*time.Second, "")
+		engine.failItem("i0")
+		accept(t, ctx, r.jobs["front-0"], "job", 1)
+		for range 30 {
+			r.advance(700*time.Millisecond, "")
+			o := store.owner("job")
+			if o == "" {
+				// The heartbeats of a stopping front publish its released count.
+				for _, n := range r.names {
+					r.jobs[n].TriggerReconcile()
+				}
+				continue
+			}
+			d, f := context.WithCancel(ctx)
+			f()
+			r.jobs[o].Drain(d)
+			r.names = slices.DeleteFunc(slices.Clone(r.names), func(n string) bool { return n == o })
+		}
+		if n := engine.runCount("i0"); n > 9 {
+			t.Error("runs of the item:", n)
+		}
+	})
+}
