jobs, poison, sched: what a reading of the whole change found twice or too wide

Nothing that callers see. Cause, found by reading the change again: an item that lost its backend server computed a doubling delay of its own, with the bounds of the delay after other failures, which the package already has and which spreads items apart; the tracker of crashing requests took its threshold as a parameter, though it has one value since the fronts have a record of their own, and the rest of a rejection was computed with the constant; two comments told of what was before.

Change: the package's delay for lost items, a constant threshold, comments that hold. No bound changes: the threshold is two, the delay between 0.1 s and 10 s.

Measured: the tests of jobs, poison, place, sched and entry pass with the race detector. bulrushd depends on none of these packages.

--- a/internal/coordination/jobs/outcome.go
+++ b/internal/coordination/jobs/outcome.go
@@ -99,8 +99,7 @@
 func (p *plan) handleLoss(now time.Time, outcome *callOutcome) decision {
 	t := outcome.item
 	t.losses++
-	d := min(minLossDelay<<min(t.losses-1, 8), maxLossDelay)
-	return p.requeue(t, now.Add(max(outcome.retryAfter, d)))
+	return p.requeue(t, now.Add(p.retryDelay(outcome, t.losses)))
 }
 
 // handleMissingAnswer requeues or fails an item whose attempt may have run but
--- a/internal/coordination/jobs/plan.go
+++ b/internal/coordination/jobs/plan.go
@@ -26,10 +26,6 @@
 	// custom ids when this many consecutive reads of the input have failed.
 	maxInputFailures = 3
 	preemptedDelay   = time.Second
-	// Bounds of the time for which an item waits after it lost its backend
-	// server. It doubles with each time.
-	minLossDelay = 100 * time.Millisecond
-	maxLossDelay = 10 * time.Second
 )
 
 // Error codes that the plan distinguishes or sets.
--- a/internal/coordination/place/placer.go
+++ b/internal/coordination/place/placer.go
@@ -48,7 +48,7 @@
 		calls:             map[uint64]*call{},
 		callsWithDeadline: map[uint64]*call{},
 		inFlight:          map[string]*attempt{},
-		crashTracker:      poison.New(poison.DefaultRejectThreshold),
+		crashTracker:      poison.New(),
 		prefixCrashes:     crash.New(attemptIDPrefix),
 	}
 }
--- a/internal/coordination/poison/doc.go
+++ b/internal/coordination/poison/doc.go
@@ -4,7 +4,7 @@
 //
 // A fingerprint whose crashes are below the threshold is a suspect: the request
 // may merely have shared the backend server with the one that caused the crash.
-// A fingerprint with crashes on enough different backend servers, two by
-// default, is rejected for a time that doubles with each further one. Then it is
-// a suspect again. A suspect is cleared when its request completes.
+// A fingerprint with crashes on two different backend servers is rejected for a
+// time that doubles with each further one. Then it is a suspect again. A suspect
+// is cleared when its request completes.
 package poison
--- a/internal/coordination/poison/tracker.go
+++ b/internal/coordination/poison/tracker.go
@@ -11,11 +11,10 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// DefaultRejectThreshold is the default number of different backend servers
-// that must crash while running a request before it is rejected.
-const DefaultRejectThreshold = 2
-
 const (
+	// Number of different backend servers that must crash while running a
+	// request before it is rejected.
+	rejectThreshold = 2
 	// Time for which a request is rejected after its last crash. It doubles with
 	// each crash beyond the threshold.
 	minRejection = 30 * time.Second
@@ -33,9 +32,6 @@
 type Tracker struct {
 	mu      sync.Mutex
 	entries map[uint64]*entry
-	// Number of different crashed backend servers at which a request is
-	// rejected.
-	rejectThreshold int
 	// When evictSuspects last scanned the entries.
 	lastSweep time.Time
 }
@@ -47,18 +43,15 @@
 	hosts []string
 	// Last crash seen by this process or reported by another one.
 	lastCrash time.Time
-	// Zero before the first rejection. It ends before if the request completes.
+	// Zero before the first rejection.
 	rejectedUntil time.Time
 	// Whether this process observed a crash itself, as opposed to having
 	// received all of them from other processes.
 	local bool
 }
 
-// New returns an empty tracker that rejects a request once rejectThreshold
-// different backend servers have crashed while running it.
-func New(rejectThreshold int) *Tracker {
-	return &Tracker{entries: map[uint64]*entry{}, rejectThreshold: rejectThreshold}
-}
+// New returns an empty tracker.
+func New() *Tracker { return &Tracker{entries: map[uint64]*entry{}} }
 
 // AddCrash records that host crashed while it was running the request, and
 // returns whether the request is now rejected.
@@ -76,14 +69,14 @@
 	if !slices.Contains(k.hosts, host) {
 		k.hosts = append(k.hosts, host)
 	}
-	k.rejectedUntil = t.rejectionEnd(k.hosts, now)
+	k.rejectedUntil = rejectionEnd(k.hosts, now)
 	return k.isRejected(now)
 }
 
 // rejectionEnd returns when the rejection of a request ends that has crashed
 // hosts, the last one at a given time; zero if these are too few.
-func (t *Tracker) rejectionEnd(hosts []string, lastCrash time.Time) time.Time {
-	n := len(hosts) - t.rejectThreshold
+func rejectionEnd(hosts []string, lastCrash time.Time) time.Time {
+	n := len(hosts) - rejectThreshold
 	if n < 0 {
 		return time.Time{}
 	}
@@ -161,7 +154,7 @@
 				k.hosts = append(k.hosts, h)
 			}
 		}
-		k.rejectedUntil = t.rejectionEnd(k.hosts, k.lastCrash)
+		k.rejectedUntil = rejectionEnd(k.hosts, k.lastCrash)
 	}
 }
 
@@ -180,7 +173,7 @@
 	if !crash.GetRejected() {
 		return 0
 	}
-	return max(rejection(len(crash.GetHosts())-DefaultRejectThreshold)-now.Sub(lastCrash(now, crash)), 0)
+	return max(rejection(len(crash.GetHosts())-rejectThreshold)-now.Sub(lastCrash(now, crash)), 0)
 }
 
 // rejection returns the duration of a rejection, by the number of crashes beyond
--- a/internal/coordination/poison/tracker_test.go
+++ b/internal/coordination/poison/tracker_test.go
@@ -16,7 +16,7 @@
 // suspect in place or clears a rejected request; and against suspects that
 // accumulate without bound.
 func TestRejectionNeedsDifferentServers(t *testing.T) {
-	r := poison.New(poison.DefaultRejectThreshold)
+	r := poison.New()
 	n := time.UnixMilli(0)
 	check(t, "false false []", state(r, n, 7))
 	r.AddCrash(n, 7, "a")
@@ -52,7 +52,7 @@
 // Guards against a request that is rejected for good, though nothing has crashed
 // since, and against an old rejection that the platform or a peer brings back.
 func TestRejectionOutlivesItsEvidence(t *testing.T) {
-	r := poison.New(poison.DefaultRejectThreshold)
+	r := poison.New()
 	n := time.UnixMilli(1_000_000)
 	r.AddCrash(n, 7, "a")
 	r.AddCrash(n, 7, "b")
@@ -68,7 +68,7 @@
 	r.ClearSuspect(n, 7)
 	check(t, "false false []", state(r, n, 7))
 
-	f := poison.New(poison.DefaultRejectThreshold)
+	f := poison.New()
 	f.Merge(n, w)
 	check(t, "true false []", state(f, n, 7))
 	check(t, "30s 0s", fmt.Sprint(poison.RejectionLeft(time.UnixMilli(1_000_000), w[0]), poison.RejectionLeft(n, w[0])))
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -49,7 +49,8 @@
 	drainWaiters []chan struct{}
 	// Nil if rejections are not persisted.
 	rejectionStore trail.Store
-	// Fingerprints of the rejections whose write has been started.
+	// Rejections whose write has been started: the time of their last crash in
+	// Unix milliseconds, by fingerprint.
 	persistedRejections map[uint64]int64
 }
 
