bulrushd, inform: logs tell how long a removed server may stay in use, and which list failed

The logs told that the removal was seen at once, but not that the server stayed in use, until when, nor that the front believed in an outage at that moment; a periodic list that failed left a line only if it was the first one of an outage.

A removal now logs `servers that are no longer listed may be used for a while` with the time, whether an outage is believed in, and the age of the copy before the change. Each failed periodic list logs how long it took. No decision changes.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -296,7 +296,7 @@
 		l = append(l, b)
 		k[n] = b
 	}
-	s.logServerChanges(k)
+	d := s.logServerChanges(k)
 	w := time.Now()
 	// Expired entries are kept until ExpiryGrace after an outage of the platform.
 	u := w
@@ -308,6 +308,12 @@
 	}
 	a := s.fleet.SetServers(w, l, s.hosts.ConfirmedBeforeChange(), u)
 	s.jobs.TriggerDispatch()
+	if len(d) > 0 {
+		s.logger.WithFields(log.Fields{
+			"servers": d, "use-ms": max(a.Sub(w), 0).Milliseconds(),
+			"outage": o, "copy-age-ms": w.Sub(s.hosts.ConfirmedBeforeChange()).Milliseconds(),
+		}).Info("bulrushd: servers that are no longer listed may be used for a while")
+	}
 	if a.After(w) {
 		return time.After(a.Sub(w) + time.Millisecond)
 	}
@@ -315,9 +321,10 @@
 }
 
 // logServerChanges logs the backend servers that were registered, changed or
-// removed since the last call. It closes the idle connections to addresses that
-// are no longer in use.
-func (s *frontRole) logServerChanges(servers map[string]*wire.BackendServer) {
+// removed since the last call, and returns the ids of the removed ones. It closes
+// the idle connections to addresses that are no longer in use.
+func (s *frontRole) logServerChanges(servers map[string]*wire.BackendServer) []string {
+	var d []string
 	for n, b := range servers {
 		o := s.lastServers[n]
 		if o == nil || o.GetDraining() != b.GetDraining() || o.GetAddress() != b.GetAddress() {
@@ -332,7 +339,9 @@
 		}
 		if servers[n] == nil {
 			s.logger.WithField("server", n).Info("bulrushd: backend server no longer listed")
+			d = append(d, n)
 		}
 	}
 	s.lastServers = servers
+	return d
 }
--- a/internal/coordination/inform/relist.go
+++ b/internal/coordination/inform/relist.go
@@ -94,6 +94,7 @@
 	l, v, e := s.store.List(ctx, s.kind)
 	if e != nil {
 		if ctx.Err() == nil {
+			s.logger.WithError(e).WithField("ms", time.Since(b).Milliseconds()).Info("inform: periodic list failed")
 			s.markUnavailable(e)
 		}
 		return false
