fleet, bulrushd: a removal that the platform tells of is no lapse, whatever the front believes of an outage

Cause: each entry that went missing while the front believed in an outage, or until 2.2 s after it, was kept for 2.2 s, as if it had lapsed. At 14.311 s all six fronts believed in an outage that had ended at 11.06 s, while their watches delivered the removal at once. A removed server need not serve for more than 2 s.

Change: fleet.LapsedUntil decides. Only the list that ends an outage shows entries that have lapsed in it, and these are kept until 2.2 s after its end as before. An entry that goes missing otherwise may have been removed just now, and is used for 1.7 s at most.

TestRemovalInBelievedOutageIsNoLapse has the cases.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -298,20 +298,14 @@
 	}
 	d := s.logServerChanges(k)
 	w := time.Now()
-	// Expired entries are kept until ExpiryGrace after an outage of the platform.
-	u := w
+	c := s.hosts.ConfirmedBeforeChange()
 	o, e := s.hosts.Outage()
-	if o {
-		u = w.Add(fleet.ExpiryGrace)
-	} else if !e.IsZero() {
-		u = e.Add(fleet.ExpiryGrace)
-	}
-	a := s.fleet.SetServers(w, l, s.hosts.ConfirmedBeforeChange(), u)
+	a := s.fleet.SetServers(w, l, c, fleet.LapsedUntil(w, c, o, e))
 	s.jobs.TriggerDispatch()
 	if len(d) > 0 {
 		s.logger.WithFields(log.Fields{
 			"servers": d, "use-ms": max(a.Sub(w), 0).Milliseconds(),
-			"outage": o, "copy-age-ms": w.Sub(s.hosts.ConfirmedBeforeChange()).Milliseconds(),
+			"outage": o, "copy-age-ms": w.Sub(c).Milliseconds(),
 		}).Info("bulrushd: servers that are no longer listed may be used for a while")
 	}
 	if a.After(w) {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -201,6 +201,29 @@
 	return confirmedAt.Add(removedServerUse)
 }
 
+// LapsedUntil returns until when servers that are missing from the list are used
+// because their entries may have lapsed in an outage of the platform, for
+// SetServers. ongoing and endedAt tell of the last outage that this front knows
+// of; endedAt is zero if there was none. The platform confirmed the previous list
+// at confirmedAt.
+//
+// Only the list that ends an outage shows entries that lapsed in it. If they go
+// missing otherwise, the platform has told of it, whatever this front believes
+// of an outage: they may have been removed just now.
+func LapsedUntil(now, confirmedAt time.Time, ongoing bool, endedAt time.Time) time.Time {
+	r := now.Add(removedServerUse)
+	l := endedAt.Add(ExpiryGrace)
+	switch {
+	case ongoing:
+		return r
+	case endedAt.IsZero():
+		return now
+	case confirmedAt.Before(endedAt) || l.Before(r):
+		return l
+	}
+	return r
+}
+
 // dropUnlisted removes the unlisted servers of a service whose dropAt has
 // passed. It returns the latest dropAt of those that it keeps.
 func (f *Fleet) dropUnlisted(now time.Time, service *service, listed map[string]bool, keepUntil time.Time) time.Time {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -354,3 +354,32 @@
 		t.Error(d)
 	}
 }
+
+// Guards against a server that is used for more than two seconds after its
+// removal, because the front believes in an outage of the platform that has
+// ended, and against servers that are dropped although their entries may have
+// lapsed in an outage.
+func TestRemovalInBelievedOutageIsNoLapse(t *testing.T) {
+	o := start.Add(time.Minute)
+	s := func(seconds float64) time.Time { return o.Add(time.Duration(seconds * float64(time.Second))) }
+	l := map[string]struct {
+		confirmedAt time.Time
+		ongoing     bool
+		endedAt     time.Time
+		want        time.Time
+	}{
+		"no outage":                               {confirmedAt: s(-1), want: o},
+		"outage that the watch contradicts":       {confirmedAt: s(-9), ongoing: true, want: s(1.7)},
+		"first list after the outage":             {confirmedAt: s(-9), endedAt: s(-0.1), want: s(2.1)},
+		"removal after the outage":                {confirmedAt: s(-0.1), endedAt: s(-0.1), want: s(1.7)},
+		"removal at the end of the grace":         {confirmedAt: s(-1), endedAt: s(-2), want: s(0.2)},
+		"removal long after the outage has ended": {confirmedAt: s(-1), endedAt: s(-20), want: s(-17.8)},
+	}
+	for n, k := range l {
+		t.Run(n, func(t *testing.T) {
+			if d := cmp.Diff(k.want, fleet.LapsedUntil(o, k.confirmedAt, k.ongoing, k.endedAt)); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
