inform: a list without an answer is sent again beside the first

Cause: a list that the platform got in an outage is never answered, and the front waited 4 s for it before it sent another one, although the platform answered again. The class of fault: the end of an outage is found by a call that began in it.

Change: while a list has no answer, a further one is sent each 500 ms; the first answer counts, with the time at which its list was sent. Four at most wait, the oldest is given up. Retries after a failure pause for 0.6 s at most (1.2 s before), also those of the periodic list while a watch is open (1 s).

TestListsWithoutAnswerAreFew bounds the lists in a long outage (25 in 10 s).

--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -17,7 +17,7 @@
 
 const (
 	initialBackoff = 50 * time.Millisecond
-	maxBackoff     = 800 * time.Millisecond
+	maxBackoff     = 400 * time.Millisecond
 	// Entries lapse after several missed renewals, so no entry lapses in a
 	// shorter outage of the platform.
 	minOutage = 2 * time.Second
@@ -88,10 +88,7 @@
 		if time.Since(b) > maxBackoff {
 			p = initialBackoff
 		}
-		// ErrTooOld requires a new list, but the platform is available.
-		if !errors.Is(e, trail.ErrTooOld) {
-			s.markUnavailable(e)
-		}
+		s.noteListError(ctx, e)
 		select {
 		case <-time.After(p/2 + rand.N(p)):
 		case <-ctx.Done():
@@ -104,13 +101,12 @@
 // listAndWatch lists the kind and applies its changes until the watch ends. It
 // returns why it ended.
 func (s *Informer) listAndWatch(ctx context.Context) error {
-	b := time.Now()
-	l, v, e := s.store.List(ctx, s.kind)
-	if e != nil {
-		return e
+	a := s.list(ctx)
+	if a.err != nil {
+		return a.err
 	}
-	s.replaceAll(l, v, false, b)
-	w, e := s.store.Watch(ctx, s.kind, v)
+	s.replaceAll(a.objects, a.version, false, a.sentAt)
+	w, e := s.store.Watch(ctx, s.kind, a.version)
 	if e != nil {
 		return e
 	}
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -29,13 +29,30 @@
 	watches []chan trail.Change
 	// Number of calls to List.
 	lists int
+	// Lists that arrive now get no answer before listTimeout.
+	silent bool
 }
 
-func (s *platform) List(context.Context, string) ([]object.Object, int64, error) {
+// listTimeout ends a list that gets no answer.
+const listTimeout = 4 * time.Second
+
+func (s *platform) List(ctx context.Context, _ string) ([]object.Object, int64, error) {
+	l, v, e, q := s.listed()
+	if !q {
+		return l, v, e
+	}
+	select {
+	case <-time.After(listTimeout):
+	case <-ctx.Done():
+	}
+	return nil, 0, trail.ErrUnavailable
+}
+
+func (s *platform) listed() (objects []object.Object, version int64, err error, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	return s.objects, s.version, s.err
+	return s.objects, s.version, s.err, s.silent
 }
 
 func (s *platform) Watch(ctx context.Context, _ string, _ int64) (<-chan trail.Change, error) {
@@ -64,6 +81,13 @@
 	s.err = err
 }
 
+// setSilent sets whether lists that arrive from now on get no answer.
+func (s *platform) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 // endWatch closes the open watch without a cause.
 func (s *platform) endWatch() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/coordination/inform/list_test.go
@@ -0,0 +1,55 @@
+package inform_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/inform"
+)
+
+// Guards against a change that stays unknown while a list waits for its answer
+// that the platform got in an outage which has ended since: without a watch, and
+// with one that no longer delivers.
+func TestListWithoutAnswerHidesChanges(t *testing.T) {
+	for _, n := range []string{"watch ended", "watch silent"} {
+		t.Run(n, func(t *testing.T) {
+			runInformer(t, func(ctx context.Context, s *platform, i *inform.Informer) {
+				go i.Relist(ctx, fixedRank(0), func() {})
+				s.setSilent(true)
+				if n == "watch ended" {
+					s.endWatch()
+				}
+				time.Sleep(1100 * time.Millisecond)
+				s.setObjects(2, "b")
+				s.setSilent(false)
+				time.Sleep(600 * time.Millisecond)
+				synctest.Wait()
+				if d := cmp.Diff("b", names(i)); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a platform that is sent ever more lists while it answers none.
+func TestListsWithoutAnswerAreFew(t *testing.T) {
+	runInformer(t, func(ctx context.Context, s *platform, i *inform.Informer) {
+		go i.Relist(ctx, fixedRank(0), func() {})
+		s.setSilent(true)
+		s.endWatch()
+		time.Sleep(10 * time.Second)
+		if !i.Unavailable() {
+			t.Error("unavailability not reported")
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.lists > 25 {
+			t.Error("too many lists:", s.lists, "in 10 s")
+		}
+	})
+}
--- a/internal/coordination/inform/relist.go
+++ b/internal/coordination/inform/relist.go
@@ -70,6 +70,9 @@
 		s.countMissedList()
 	}
 	onRelist()
+	if s.Unavailable() {
+		return maxBackoff
+	}
 	return relistAge
 }
 
@@ -90,16 +93,13 @@
 		return false
 	}
 	d := s.Digest()
-	b := time.Now()
-	l, v, e := s.store.List(ctx, s.kind)
-	if e != nil {
-		if ctx.Err() == nil {
-			s.logger.WithError(e).WithField("ms", time.Since(b).Milliseconds()).Info("inform: periodic list failed")
-			s.markUnavailable(e)
-		}
+	a := s.list(ctx)
+	if a.err != nil {
+		s.logger.WithError(a.err).WithField("ms", time.Since(a.sentAt).Milliseconds()).Info("inform: periodic list failed")
+		s.noteListError(ctx, a.err)
 		return false
 	}
-	s.replaceAll(l, v, s.Relayed(), b)
+	s.replaceAll(a.objects, a.version, s.Relayed(), a.sentAt)
 	if d == s.Digest() {
 		return false
 	}
