fleet, server, bulrushd: a backend server that says in an answer that it leaves gets nothing more

Change: platform/server hands what an answer says of its server to the fleet, whatever the status, unless another server answered (421). The fleet places nothing more on that process: online requests, retries, resumed streams and batch items all take their server there. The mark belongs to the process, recognised by the start time in its entry, so it holds when the entry lapses and comes back, and ends when the server starts again under its id.

Each front marks for itself; other fronts are not told.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/batch"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
@@ -113,7 +114,7 @@
 	}.Build()
 	s.fleet = fleet.New(process.settings.GetName(), process.settings.GetDataCentre())
 	s.pool = pool.New(process.dialer, process.registry)
-	u := server.New(s.pool)
+	u := server.New(s.pool, s.recordNotice)
 	q := crash.New(process.settings.GetName())
 	// The components refer to each other. The callbacks read the fields of s
 	// when they are called, and all fields are set before the first request.
@@ -137,6 +138,13 @@
 	return s
 }
 
+// recordNotice records what a backend server says of itself with a response.
+func (s *frontRole) recordNotice(backendServer *wire.BackendServer, notice trail.ServerNotice) {
+	if notice.Leaving() && s.fleet.MarkLeaving(time.Now(), backendServer) {
+		s.logger.WithField("server", backendServer.GetId()).Info("bulrushd: backend server says that it is about to stop")
+	}
+}
+
 // newSharedInformer returns an informer for a kind whose changes the fronts
 // forward to each other, so that only some of them watch the platform.
 func (s *frontRole) newSharedInformer(ctx context.Context, kind string) *inform.Informer {
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -59,7 +59,7 @@
 	o := 0
 	for _, s := range v.servers {
 		u := s.suspect(now)
-		if !u && !s.usable(now) || s.entry.GetDraining() || contains(tried, s.entry.GetId()) {
+		if !u && !s.usable(now) || s.departing() || contains(tried, s.entry.GetId()) {
 			continue
 		}
 		p := f.rank(s)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -74,6 +74,8 @@
 	peersByHash map[uint64]*peer
 	// Aggregated loads of other data centres in a large fleet, by data centre.
 	dataCentreLoads map[string]*dataCentreLoad
+	// Backend servers that have said that they are about to stop, by id.
+	leavingMarks map[string]leavingMark
 	// Number of peers to which load changes are sent at once.
 	immediatePeers int
 	// When another front may last have presumed this one dead.
@@ -90,6 +92,8 @@
 	// Orders servers that are otherwise equal; differs between fronts so that
 	// they don't all choose the same server.
 	tieBreak uint64
+	// Its process has said that it is about to stop.
+	leaving bool
 	// Requests in flight from this front.
 	online, batch int
 	// Requests in flight from other fronts.
@@ -133,7 +137,8 @@
 	return &Fleet{
 		self: self, dataCentre: dataCentre,
 		servers: map[string]*server{}, serversByHash: map[uint64]*server{},
-		services: map[string]*service{}, peers: map[string]*peer{}, peersByHash: map[uint64]*peer{}, dataCentreLoads: map[string]*dataCentreLoad{}, lostPeers: map[string]time.Time{},
+		services: map[string]*service{}, leavingMarks: map[string]leavingMark{},
+		peers: map[string]*peer{}, peersByHash: map[uint64]*peer{}, dataCentreLoads: map[string]*dataCentreLoad{}, lostPeers: map[string]time.Time{},
 	}
 }
 
@@ -166,6 +171,7 @@
 		}
 		a = latest(a, f.dropUnlisted(now, v, n, k))
 	}
+	f.expireLeavingMarks(now, n)
 	f.groupByService()
 	f.recountRemote()
 	return a
@@ -176,7 +182,7 @@
 func (v *service) massExpired(now time.Time, listed map[string]bool) bool {
 	m := 0
 	for _, s := range v.servers {
-		if !listed[s.entry.GetId()] && !s.entry.GetDraining() && s.dropAt.IsZero() {
+		if !listed[s.entry.GetId()] && !s.departing() && s.dropAt.IsZero() {
 			m++
 		}
 	}
@@ -262,6 +268,7 @@
 		s.backoffUntil = time.Time{}
 	}
 	s.entry = entry
+	s.leaving = f.isMarkedLeaving(entry)
 	s.dropAt = time.Time{}
 }
 
--- a/internal/coordination/fleet/suspect.go
+++ b/internal/coordination/fleet/suspect.go
@@ -11,7 +11,7 @@
 // usable reports whether the server may get a request. After a backoff, a server
 // gets a single probe request from this front, whose outcome decides.
 func (s *server) usable(now time.Time) bool {
-	if s.entry.GetDraining() || now.Before(s.backoffUntil) {
+	if s.departing() || now.Before(s.backoffUntil) {
 		return false
 	}
 	return s.backoffUntil.IsZero() || s.failures == 0 || s.online+s.batch == 0
