sched, place, invoke: the own interface stops new work at the first answer with a drain mark

On the product's own interface a backend server's drain mark counted only in a response of 503. A server that marks the answers that it still gives got new calls until the host list told of it, or until it rejected one; of a non-idempotent call that is one attempt less.

Change: the scheduler takes the mark from the head of each answer, lets the answer end, and gives the server no new work for the lifetime of the mark. A rejection of 429 with the mark counts as one of a leaving server, like 503.

TestServerThatLeavesGetsNewCalls failed before (the next call went to the server) and passes now.

--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -90,6 +90,14 @@
 	return p.takeDecisions()
 }
 
+// DrainMarked reports that the response of the attempt has the drain mark. The
+// backend server completes the attempt and gets no new work.
+func (p *Placer) DrainMarked(now time.Time, id string) {
+	if a := p.inFlight[id]; a != nil {
+		a.server.drainUntil = now.Add(drainMarkLifetime)
+	}
+}
+
 // ServerDraining reports that the backend server rejected the attempt with its
 // drain mark and did not run the call.
 func (p *Placer) ServerDraining(now time.Time, id string) []decide.Decision {
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -36,9 +36,16 @@
 }
 
 // attemptStarted reports that the backend server has accepted the attempt.
-type attemptStarted struct{ attemptID string }
+type attemptStarted struct {
+	attemptID string
+	// The response has the drain mark.
+	draining bool
+}
 
 func (e attemptStarted) apply(t *task, now time.Time) []decide.Decision {
+	if e.draining {
+		t.placer.DrainMarked(now, e.attemptID)
+	}
 	return t.placer.AttemptStarted(now, e.attemptID)
 }
 
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -38,6 +38,24 @@
 	})
 }
 
+// Guards against new work for a backend server that sends its drain mark with an
+// answer that it gives, and against interrupting that answer.
+func TestServerThatLeavesGetsNewCalls(t *testing.T) {
+	runScheduler(t, viewWithHosts(hostA), func(r *harness) {
+		x := r.call(`{"caller":"shop"}`)
+		r.attempts[0].sendHead(200, wire.Header_builder{Name: proto.String("Draining"), Values: []string{"true"}}.Build())
+		synctest.Wait()
+		y := r.call(`{"caller":"shop"}`)
+		checkEqual(t, "body= end=not_run code=no-backend-server", y.String())
+		r.applyView(viewWithHosts(hostA + "," + hostB))
+		r.call(`{"caller":"shop"}`)
+		checkEqual(t, []string{"a:1 shop", "b:1 shop"}, r.inFlight())
+		r.attempts[0].sendData("one")
+		r.attempts[0].sendEnd(wire.End_builder{Verdict: wire.Verdict_VERDICT_RAN.Enum()}.Build())
+		checkEqual(t, "body=one end=ran", x.String())
+	})
+}
+
 // Guards against a change of ownership that interrupts calls in flight.
 func TestReleasedServerCompletesItsCalls(t *testing.T) {
 	runScheduler(t, viewWithHosts(hostA), func(r *harness) {
--- a/internal/coordination/sched/reply.go
+++ b/internal/coordination/sched/reply.go
@@ -21,7 +21,7 @@
 	codeIncomplete = "answer-incomplete"
 )
 
-// headerDraining is the header that marks the 503 response of an engine that is
+// headerDraining is the header that marks the responses of an engine that is
 // shutting down.
 const headerDraining = "Draining"
 
@@ -34,7 +34,7 @@
 		return awaitingOrder
 	}
 	output.head = head
-	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID})
+	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID, isDraining(head)})
 	return attemptContinues
 }
 
--- a/internal/transport/invoke/failure.go
+++ b/internal/transport/invoke/failure.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	w := parseRetryAfter(response.Header)
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(drainingHeader) == "true" {
+	if response.Header.Get(drainingHeader) == "true" {
 		return trail.NewError(codeLeaving, trail.NotRun, "backend server is leaving").WithRetryAfter(w)
 	}
 	return trail.NewError(codeBusy, trail.NotRun, "backend server refused the request with status %d", response.StatusCode).WithRetryAfter(w)
--- a/internal/transport/invoke/verdict_test.go
+++ b/internal/transport/invoke/verdict_test.go
@@ -102,6 +102,10 @@
 			script: respond("HTTP/1.1 503 Service Unavailable\r\nDraining: true\r\nContent-Length: 2\r\n\r\n{}"),
 			want:   outcome{Verdict: "not-run", Code: "backend-leaving", Wait: time.Second},
 		},
+		"draining, and busy": {
+			script: respond("HTTP/1.1 429 Too Many Requests\r\nDraining: true\r\nContent-Length: 2\r\n\r\n{}"),
+			want:   outcome{Verdict: "not-run", Code: "backend-leaving", Wait: time.Second},
+		},
 		"rejected as busy": {
 			script: respond("HTTP/1.1 429 Too Many Requests\r\nRetry-After: 3\r\nContent-Length: 2\r\n\r\n{}"),
 			want:   outcome{Verdict: "not-run", Code: "backend-busy", Wait: 3 * time.Second},
