--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -94,6 +94,7 @@
 	tieBreak uint64
 	// Its process has said that it is about to stop.
 	leaving bool
+	limit   rateLimit
 	// Requests in flight from this front.
 	online, batch int
 	// Requests in flight from other fronts.
@@ -267,6 +268,10 @@
 	} else if s.entry.GetAddress() != entry.GetAddress() {
 		s.backoffUntil = time.Time{}
 	}
+	if s.entry.GetBorn() != entry.GetBorn() {
+		// Another process, which has named no limit.
+		s.limit = rateLimit{}
+	}
 	s.entry = entry
 	s.leaving = f.isMarkedLeaving(entry)
 	s.dropAt = time.Time{}
