permit, fleet, gossip: one front counts the requests to a backend server with a limit

Cause: nothing acted on the limit. Count of requests in flight bounds how many run at once, not how many come in a second.

Weighed for the count, which holds for all fronts together: a share for each front fails where a server takes two requests a second and 165 fronts send; counts exchanged like loads are stale by up to 1.5 s between data centres, longer than a request lasts that takes the whole limit; the platform is too slow and may be away. So one front counts for each server with a limit, the first in rendezvous order among the live ones of its data centre, and gives a permit for each request in one datagram each way. permit.Upstream asks for it right before it sends, so online requests, retries, resumed streams and batch items all need one. A front that gets no answer sends nothing there. One that has just started grants nothing for 2 s; a count that begins has no burst, so a change of the counting front adds none.

The fleet takes servers without a limit first for online requests; batch items, which are long, go to limited ones first, whose slots are mostly free. A server that denies is left alone until the time that the counting front tells. If nothing else is left, the request is refused at once with that time. Fronts tell each other of limits and their ends with the heartbeats.

--- a/error.go
+++ b/error.go
@@ -94,6 +94,16 @@
 	return MayHaveRun
 }
 
+// RetryAfterOf returns the delay of the *Error in err after which the caller may
+// retry, or 0 if there is none.
+func RetryAfterOf(err error) time.Duration {
+	var x *Error
+	if errors.As(err, &x) {
+		return x.RetryAfter()
+	}
+	return 0
+}
+
 // CodeOf returns the code of the outermost Error in the chain of err, or
 // "internal".
 func CodeOf(err error) string {
--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -19,6 +19,7 @@
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/jobrpc"
 	"bulrushtrail.example/trail/internal/coordination/member"
+	"bulrushtrail.example/trail/internal/coordination/permit"
 	"bulrushtrail.example/trail/internal/coordination/relay"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -114,7 +115,7 @@
 	}.Build()
 	s.fleet = fleet.New(process.settings.GetName(), process.settings.GetDataCentre())
 	s.pool = pool.New(process.dialer, process.registry)
-	u := server.New(s.pool, s.recordNotice)
+	u := permit.New(process.settings.GetName(), s.fleet, server.New(s.pool, s.recordNotice), s, process.logger, process.registry)
 	q := crash.New(process.settings.GetName())
 	// The components refer to each other. The callbacks read the fields of s
 	// when they are called, and all fields are set before the first request.
@@ -132,7 +133,7 @@
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, process.logger)
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
-	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs)
+	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger), process.logger, process.registry,
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
@@ -147,9 +148,16 @@
 		s.logger.WithFields(log.Fields{
 			"server": backendServer.GetId(), "requests-per-second": notice.RequestsPerSecond(),
 		}).Info("bulrushd: backend server has changed its limit")
+		s.gossip.TriggerSend()
 	}
 }
 
+// AskPermit implements trail.PermitAsker for the components that are created
+// before the gossip task.
+func (s *frontRole) AskPermit(ctx context.Context, front string, request *wire.PermitRequest) (*wire.PermitReply, error) {
+	return s.gossip.AskPermit(ctx, front, request)
+}
+
 // newSharedInformer returns an informer for a kind whose changes the fronts
 // forward to each other, so that only some of them watch the platform.
 func (s *frontRole) newSharedInformer(ctx context.Context, kind string) *inform.Informer {
@@ -222,6 +230,7 @@
 // done. Online requests in progress finish at the same time.
 func (s *frontRole) drain(done chan<- struct{}) {
 	defer close(done)
+	s.fleet.SetLeaving()
 	s.gossip.Leave()
 	c, f := context.WithTimeout(context.Background(), s.stopTimeout()-jobReleaseReserve)
 	defer f()
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -173,6 +173,10 @@
 	case yielded:
 		s.agenda.RequeuePreempted(run.job.id, run.index)
 		return "yielded"
+	case trail.CodeOf(err) == "backend-limited":
+		// It was not sent, which says nothing against the item or the server.
+		s.agenda.RequeuePreempted(run.job.id, run.index)
+		return "limited"
 	case errors.Is(err, errImpossible):
 		s.agenda.Close(run.job.id, run.index)
 		s.addResult(run, true, "")
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -19,8 +19,12 @@
 // relayed, so that another attempt can replace it if it is interrupted.
 const maxBufferedBody = 1 << 20
 
-// Error code for a backend server whose response exceeds a size limit.
-const codeUnbounded = "answer-unbounded"
+const (
+	// Error code for a backend server whose response exceeds a size limit.
+	codeUnbounded = "answer-unbounded"
+	// Error code for a backend server whose limit allows no request yet.
+	codeLimited = "backend-limited"
+)
 
 var (
 	errAttemptTimeout = errors.New("backend server is silent")
@@ -79,6 +83,7 @@
 	default:
 		r.unreachable = trail.CodeOf(err) == "backend-unreachable"
 		r.serverFailed = trail.CodeOf(err) == codeUnbounded
+		r.limited = trail.CodeOf(err) == codeLimited
 		r.connectionLost = trail.CodeOf(err) == "backend-lost" && r.verdict != trail.NotRun && x.ctx.Err() == nil
 	}
 	return r
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -66,6 +66,8 @@
 	// The connection was lost while the request may have been running, and not
 	// because of the deadline or the caller's disconnection.
 	connectionLost bool
+	// The backend server's limit allowed no request yet. That is no failure.
+	limited bool
 	// The caller disconnected, or the deadline passed while the response was
 	// relayed.
 	callerGone bool
@@ -87,7 +89,7 @@
 		x.backendServer = b
 		x.attempts++
 		x.server.onLoadChange()
-		if n == fleet.ReasonPreempt {
+		if n == fleet.ReasonPreempt || n == fleet.ReasonLimited {
 			x.server.onOversubscribed(b.GetId())
 		}
 		r := x.attempt(b)
@@ -124,7 +126,7 @@
 		x.server.recordServerFailure(backendServer)
 		return
 	}
-	if outcome.complete || outcome.callerGone {
+	if outcome.complete || outcome.callerGone || outcome.limited {
 		return
 	}
 	x.server.recordFailure(backendServer, outcome)
@@ -141,6 +143,10 @@
 	if x.ctx.Err() != nil || outcome.callerGone {
 		return false
 	}
+	if outcome.limited {
+		// Nothing was sent, and the fleet leaves the server alone for a while.
+		return true
+	}
 	if outcome.verdict == trail.NotRun {
 		x.notRunAttempts++
 		return x.notRunAttempts <= maxNotRunRetries
@@ -169,7 +175,7 @@
 	}
 	e := trail.WrapError(outcome.cause, trail.CodeOf(outcome.cause), v, "no attempt got a complete response")
 	if v == trail.NotRun {
-		return e.WithRetryAfter(notRunRetryAfter)
+		return e.WithRetryAfter(max(notRunRetryAfter, trail.RetryAfterOf(outcome.cause)))
 	}
 	return e
 }
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -33,10 +33,12 @@
 const (
 	ReasonFree     = "free-slot"
 	ReasonPreempt  = "batch-yields"
+	ReasonLimited  = "limited-server"
 	ReasonQueue    = "queue"
 	ReasonSuspect  = "suspect"
 	ReasonFull     = "full"
 	ReasonNoServer = "no-backend-server"
+	ReasonPaused   = "limits-used-up"
 )
 
 // AcquireOnline chooses a backend server for an online request and counts the
@@ -57,11 +59,18 @@
 	var l []candidate
 	// Free places in the queues of all candidates.
 	o := 0
+	// When the first of the servers that are paused by their limits takes a
+	// request, zero if there is none.
+	var a time.Time
 	for _, s := range v.servers {
 		u := s.suspect(now)
 		if !u && !s.usable(now) || s.departing() || contains(tried, s.entry.GetId()) {
 			continue
 		}
+		if s.paused(now) {
+			a = earliest(a, s.limit.pausedUntil)
+			continue
+		}
 		p := f.rank(s)
 		if u {
 			p.tier = tierSuspect
@@ -69,6 +78,9 @@
 		l = keepBest(l, candidate{s, p})
 		o += max(v.maxQueueDepth(s.slots(), target)-max(s.totalOnline()-s.slots(), 0), 0)
 	}
+	if len(l) == 0 && !a.IsZero() {
+		return nil, ReasonPaused, max(a.Sub(now), retryAfter(remaining, minNoServerWaitShare, draw))
+	}
 	if len(l) == 0 {
 		return nil, ReasonNoServer, retryAfter(remaining, minNoServerWaitShare, draw)
 	}
@@ -83,8 +95,8 @@
 	}
 	// If several fronts see the same free places, each takes one only with the
 	// probability that there are enough for all.
-	if a := float64(o) / n; c.rank.tier == tierQueue && draw >= a {
-		return nil, ReasonFull, retryAfter(remaining, minOverloadWaitShare, (draw-a)/(1-a))
+	if p := float64(o) / n; c.rank.tier == tierQueue && draw >= p {
+		return nil, ReasonFull, retryAfter(remaining, minOverloadWaitShare, (draw-p)/(1-p))
 	}
 	b.online++
 	return b.entry, tierReasons[c.rank.tier], 0
@@ -121,13 +133,15 @@
 
 const (
 	tierFree = iota
+	// The server has a free slot, and takes a limited rate of requests.
+	tierLimited
 	tierPreempt
 	tierQueue
 	// The server answers with failures: better than none, worse than a full one.
 	tierSuspect
 )
 
-var tierReasons = [...]string{tierFree: ReasonFree, tierPreempt: ReasonPreempt, tierQueue: ReasonQueue, tierSuspect: ReasonSuspect}
+var tierReasons = [...]string{tierFree: ReasonFree, tierPreempt: ReasonPreempt, tierLimited: ReasonLimited, tierQueue: ReasonQueue, tierSuspect: ReasonSuspect}
 
 // rank says how suitable a backend server is for one more online request.
 type rank struct {
@@ -170,6 +184,9 @@
 		p.tier = tierQueue
 		p.load = server.totalOnline() - server.slots()
 	}
+	if server.limited() && p.tier == tierFree {
+		p.tier = tierLimited
+	}
 	if p.remote && len(f.peers) > SmallFleetPeers {
 		// Loads of remote data centres arrive with heartbeats only.
 		p.staleness = 1
@@ -181,22 +198,33 @@
 // counts the item there. It returns nil when no more slots of the service are
 // free than onlineHeadroom: a batch item started there would soon be preempted,
 // and the work on its prompt lost.
+//
+// A server with a limit comes first. Its slots are mostly free, since the limit
+// counts requests and not their length, and items are longer than online
+// requests. Its slots are no headroom for these, unless all servers have a limit.
 func (f *Fleet) AcquireBatch(now time.Time, serviceName string) *wire.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var b *server
 	var k rank
 	r, l := 0, 0
-	for _, s := range f.service(serviceName).servers {
+	v := f.service(serviceName)
+	u := v.hasUnlimited(now)
+	for _, s := range v.servers {
 		if s.suspect(now) || !s.usable(now) {
 			continue
 		}
-		l += s.slots()
-		if s.total() >= s.slots() {
+		if !u || !s.limited() {
+			l += s.slots()
+			r += max(s.slots()-s.total(), 0)
+		}
+		if s.total() >= s.slots() || s.paused(now) {
 			continue
 		}
-		r += s.slots() - s.total()
 		p := f.rank(s)
+		if s.limited() {
+			p.tier = tierFree - 1
+		}
 		if b == nil || p.before(k) {
 			b, k = s, p
 		}
@@ -208,6 +236,16 @@
 	return b.entry
 }
 
+// hasUnlimited reports whether a usable server of the service has no limit.
+func (v *service) hasUnlimited(now time.Time) bool {
+	for _, s := range v.servers {
+		if !s.limited() && !s.suspect(now) && s.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // BatchExcess returns how many batch items this front must preempt at a backend
 // server that has more requests than slots. All fronts compute the same order in
 // which they preempt: by data centre where loads are aggregated, otherwise by
@@ -245,6 +283,14 @@
 	return 0
 }
 
+// earliest returns the earlier of two times; a zero time is none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // ReleaseOnline ends an online request that AcquireOnline has counted.
 // serviceTime is how long the request held a slot until its complete answer, or
 // 0 if it has no complete answer.
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -76,6 +76,10 @@
 	dataCentreLoads map[string]*dataCentreLoad
 	// Backend servers that have said that they are about to stop, by id.
 	leavingMarks map[string]leavingMark
+	// How often a backend server has named another limit to this front.
+	limitChanges uint64
+	// This front stops.
+	leaving bool
 	// Number of peers to which load changes are sent at once.
 	immediatePeers int
 	// When another front may last have presumed this one dead.
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -39,6 +39,9 @@
 	if totals || t.crashesDue(now) {
 		m.Crashes = t.crashes.Report(now)
 	}
+	if totals || t.limitsDue(now) {
+		m.Limits = t.fleet.OwnLimits(now)
+	}
 	b, e := proto.Marshal(m.Build())
 	if e != nil {
 		t.logger.WithError(e).Error("gossip: loads not encoded")
@@ -58,6 +61,17 @@
 	return true
 }
 
+// limitsDue does the same for the limits of backend servers.
+func (t *Task) limitsDue(now time.Time) bool {
+	n := t.fleet.LimitChanges()
+	if n == t.sentLimitChanges && now.Sub(t.limitsSentAt) < heartbeatInterval {
+		return false
+	}
+	t.sentLimitChanges = n
+	t.limitsSentAt = now
+	return true
+}
+
 // ageMillis returns the age of a copy in milliseconds, or nil before its first
 // list.
 func ageMillis(informer *inform.Informer) *uint32 {
--- /dev/null
+++ b/internal/coordination/gossip/permit_test.go
@@ -0,0 +1,73 @@
+package gossip_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// Guards against a permit that is granted without the front that counts, and
+// against a request for one that waits beyond its context.
+func TestPermitsComeFromOtherFront(t *testing.T) {
+	runFleet(t, 1, func(e *network, l []*front) {
+		time.Sleep(2 * time.Second)
+		ask := func(server string) (string, time.Duration) {
+			c, f := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer f()
+			b := time.Now()
+			r, e := l[0].gossip.AskPermit(c, l[1].name, wire.PermitRequest_builder{Server: proto.String(server)}.Build())
+			synctest.Wait()
+			switch {
+			case e != nil:
+				return "no reply", time.Since(b)
+			case r.GetGranted():
+				return "granted", 0
+			}
+			return "denied", time.Duration(r.GetWaitMs()) * time.Millisecond
+		}
+		var g []any
+		for _, s := range []string{"granted", "other"} {
+			r, w := ask(s)
+			g = append(g, r, w)
+		}
+		e.mu.Lock()
+		e.muted[l[1].address] = true
+		e.mu.Unlock()
+		r, w := ask("granted")
+		g = append(g, r, w)
+		if d := cmp.Diff([]any{"granted", time.Duration(0), "denied", 7 * time.Millisecond, "no reply", 100 * time.Millisecond}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// Guards against fronts that learn of a limit only by their own answers, in all
+// data centres of a large fleet, and against a limit that they keep after its end.
+func TestLimitReachesAllFronts(t *testing.T) {
+	runFleet(t, 5, func(_ *network, l []*front) {
+		time.Sleep(2 * time.Second)
+		s := wire.BackendServer_builder{Id: proto.String("s-a")}.Build()
+		var g []int
+		for _, p := range []float64{2.5, 0} {
+			l[0].fleet.RecordLimit(time.Now(), s, p)
+			l[0].gossip.TriggerSend()
+			time.Sleep(1500 * time.Millisecond)
+			n := 0
+			for _, f := range l {
+				if f.fleet.Limit("s-a") == p {
+					n++
+				}
+			}
+			g = append(g, n)
+		}
+		if d := cmp.Diff([]int{len(l), len(l)}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -49,6 +49,8 @@
 	configs, hosts *inform.Informer
 	logger         log.Interface
 	jobs           trail.WorkSharer
+	granter        trail.PermitGranter
+	permits        permitReplies
 	wake           chan struct{}
 	leaving        atomic.Bool
 	sentDatagrams  prometheus.Counter
@@ -76,6 +78,9 @@
 	// and the changes that it contained.
 	crashesSentAt      time.Time
 	sentCrashesChanges uint64
+	// The same for the limits of backend servers.
+	limitsSentAt     time.Time
+	sentLimitChanges uint64
 }
 
 // status is the part of the state of which a change is sent to all fronts with
@@ -97,10 +102,11 @@
 // New starts a task that runs until ctx ends, and then closes conn. It wakes
 // jobs after each datagram received. It asks the informers of configs and hosts
 // for a new list when their digest and that of another front differ for longer
-// than a change takes to propagate.
-func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer) *Task {
+// than a change takes to propagate. granter answers the other fronts' requests for
+// permits.
+func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter) *Task {
 	t := &Task{
-		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, wake: make(chan struct{}, 1), startTime: time.Now(),
+		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, wake: make(chan struct{}, 1), startTime: time.Now(),
 		sentDatagrams: promauto.With(registry).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -319,6 +325,9 @@
 			t.logger.WithField("from", a.String()).Warn("gossip: datagram dropped, malformed or not from another front")
 			continue
 		}
+		if t.handlePermit(&l, a) {
+			continue
+		}
 		o := time.Now()
 		if t.fleet.UpdatePeer(o, &l) {
 			t.logger.WithFields(log.Fields{"front": l.GetName(), "incarnation": l.GetIncarnation()}).Info("gossip: front heard")
@@ -327,6 +336,7 @@
 		if l.HasCrashes() {
 			t.crashes.Merge(o, l.GetCrashes())
 		}
+		t.fleet.MergeLimits(o, l.GetLimits())
 		if l.GetReleased() != r[l.GetName()] {
 			r[l.GetName()] = l.GetReleased()
 			t.jobs.TriggerReconcile()
--- a/internal/coordination/gossip/task_test.go
+++ b/internal/coordination/gossip/task_test.go
@@ -35,13 +35,19 @@
 	muted map[string]bool
 }
 
+// datagram is a datagram with its sender's address.
+type datagram struct {
+	content []byte
+	from    net.Addr
+}
+
 // socket is the packet connection of one front. It reads what the network
 // delivers to its address.
 type socket struct {
 	net.PacketConn
 	network *network
 	address *net.UDPAddr
-	inbox   chan []byte
+	inbox   chan datagram
 	closed  chan struct{}
 	once    sync.Once
 }
@@ -55,7 +61,7 @@
 		return len(b), nil
 	}
 	select {
-	case q.inbox <- append([]byte(nil), b...):
+	case q.inbox <- datagram{append([]byte(nil), b...), p.address}:
 	default:
 	}
 	return len(b), nil
@@ -64,7 +70,7 @@
 func (p *socket) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case d := <-p.inbox:
-		return copy(b, d), p.address, nil
+		return copy(b, d.content), d.from, nil
 	case <-p.closed:
 		return 0, nil, net.ErrClosed
 	}
@@ -92,6 +98,15 @@
 }
 
 // sharer is a trail.WorkSharer without any jobs.
+// granter grants each permit for the server "granted", and no other.
+type granter struct{}
+
+func (granter) Grant(request *wire.PermitRequest) *wire.PermitReply {
+	return wire.PermitReply_builder{
+		Id: proto.Uint64(request.GetId()), Granted: proto.Bool(request.GetServer() == "granted"), WaitMs: proto.Uint32(7),
+	}.Build()
+}
+
 type sharer struct{}
 
 func (sharer) ReleaseCount() uint32    { return 0 }
@@ -150,7 +165,7 @@
 func (f *front) start(ctx context.Context, network *network, platform *platform) {
 	l := &log.Logger{Handler: discard.New()}
 	a, _ := net.ResolveUDPAddr("udp", f.address)
-	s := &socket{network: network, address: a, inbox: make(chan []byte, 1000), closed: make(chan struct{})}
+	s := &socket{network: network, address: a, inbox: make(chan datagram, 1000), closed: make(chan struct{})}
 	network.mu.Lock()
 	network.sockets[a.String()] = s
 	network.mu.Unlock()
@@ -165,7 +180,7 @@
 	x := inform.New(ctx, platform, "fronts", l)
 	f.hosts = inform.New(ctx, platform, "hosts", l)
 	f.crashes = crash.New(f.name)
-	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{})
+	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{}, granter{})
 }
 
 // startRequests counts online requests as started by a front, and schedules a
