pacer, permit, trial: the count of one server's requests is a package of its own

The rate limiter of package permit, with its burst and its empty start, moves to package pacer, so that the scheduler of the own interface can use the same one.

No decision changes.

--- a/internal/coordination/permit/counts.go
+++ b/internal/coordination/permit/counts.go
@@ -1,11 +1,10 @@
 package permit
 
 import (
-	"math"
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"bulrushtrail.example/trail/internal/coordination/pacer"
 )
 
 const (
@@ -15,8 +14,6 @@
 	// Time after which the count of a server to which nothing is sent is
 	// dropped. By then it would be empty anyway.
 	countLifetime = time.Minute
-	// Time in which an unused limit adds up.
-	burstSeconds = 1.5
 )
 
 // counts holds the requests to backend servers with a limit. It is safe for
@@ -26,7 +23,7 @@
 
 	mu sync.Mutex
 	// By server.
-	limiters map[string]*rate.Limiter
+	pacers map[string]*pacer.Pacer
 	// When a request to a server was last asked for.
 	askedAt map[string]time.Time
 	// When unused counts were last dropped.
@@ -34,7 +31,7 @@
 }
 
 func newCounts(now time.Time) counts {
-	return counts{startTime: now, limiters: map[string]*rate.Limiter{}, askedAt: map[string]time.Time{}, prunedAt: now}
+	return counts{startTime: now, pacers: map[string]*pacer.Pacer{}, askedAt: map[string]time.Time{}, prunedAt: now}
 }
 
 // take counts a request to a server that takes perSecond requests a second. It
@@ -48,24 +45,13 @@
 	defer c.mu.Unlock()
 	c.prune(now)
 	c.askedAt[server] = now
-	l := c.limiters[server]
-	b := int(max(math.Ceil(perSecond*burstSeconds), 1))
-	if l == nil {
-		l = rate.NewLimiter(rate.Limit(perSecond), b)
-		// Another front may have granted a burst just before.
-		l.ReserveN(now, b)
-		c.limiters[server] = l
+	p := c.pacers[server]
+	if p == nil {
+		p = pacer.New(now, perSecond)
+		c.pacers[server] = p
 	}
-	if float64(l.Limit()) != perSecond {
-		l.SetLimitAt(now, rate.Limit(perSecond))
-		l.SetBurstAt(now, b)
-	}
-	r := l.ReserveN(now, 1)
-	d := r.DelayFrom(now)
-	if d > 0 {
-		r.CancelAt(now)
-	}
-	return d
+	p.SetRate(now, perSecond)
+	return p.Take(now)
 }
 
 // prune drops the counts of servers to which nothing is sent any more.
@@ -77,7 +63,7 @@
 	for n, t := range c.askedAt {
 		if now.Sub(t) >= countLifetime {
 			delete(c.askedAt, n)
-			delete(c.limiters, n)
+			delete(c.pacers, n)
 		}
 	}
 }
--- a/internal/coordination/permit/upstream_test.go
+++ b/internal/coordination/permit/upstream_test.go
@@ -25,7 +25,11 @@
 	Id: proto.String("s"), Service: proto.String("v"), Address: proto.String("10.0.0.1:80"), DataCentre: proto.String("a"), Slots: proto.Int32(1000),
 }.Build()
 
-const perSecond = 2.0
+const (
+	perSecond = 2.0
+	// Time in which requests are counted.
+	window = 4 * time.Second
+)
 
 // front is one front of a network.
 type front struct {
@@ -107,8 +111,8 @@
 	}
 }
 
-// mostWithin returns the largest number of requests in a window.
-func (n *network) mostWithin(window time.Duration) int {
+// mostInWindow returns the largest number of requests in a window.
+func (n *network) mostInWindow() int {
 	m, j := 0, 0
 	for i, t := range n.sent {
 		for t.Sub(n.sent[j]) > window {
@@ -124,7 +128,6 @@
 // many of them, while others join, and when the one that counts is lost. At least
 // half of the limit is used over the whole time.
 func TestFrontsExceedLimitTogether(t *testing.T) {
-	const window = 4 * time.Second
 	l := map[string]struct {
 		fronts int
 		at     func(n *network, step int)
@@ -144,7 +147,7 @@
 				}
 				n.exchangeLoads()
 				n.run(300, func(step int) { v.at(n, step) })
-				if m := n.mostWithin(window); m > int(1.5*perSecond*window.Seconds())+5 {
+				if m := n.mostInWindow(); m > int(1.5*perSecond*window.Seconds())+5 {
 					t.Errorf("%d requests in %s", m, window)
 				}
 				if m := len(n.sent); m < int(perSecond*15/2) {
