place, sched: the own interface keeps the rate that a backend server names

On the product's own interface a backend server that names a rate of calls got as many as it has slots for.

All calls to a backend server pass its scheduler there, so the scheduler counts them by itself. It takes the rate from the head of each answer (Request-Limit, calls a second from all schedulers together, a decimal number). Each attempt counts: first ones, retries and batch calls. When a server's rate is used up it gets no work until the next call fits; when that holds for all servers of a service, online calls are rejected at once with that time, and batch calls wait. An answer without the header ends the limit.

While two schedulers disagree on who owns a server, each counts for itself; a new count begins without a burst.

--- a/internal/coordination/place/dispatch.go
+++ b/internal/coordination/place/dispatch.go
@@ -222,6 +222,7 @@
 	call.attempt = a
 	p.inFlight[a.id] = a
 	server.inFlight[a.id] = a
+	server.countCall(now)
 	server.peakInFlight[0] = max(server.peakInFlight[0], len(server.inFlight))
 	if call.online() {
 		server.onlineInFlight++
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bulrushtrail.example/trail/internal/coordination/decide"
+	"bulrushtrail.example/trail/internal/coordination/pacer"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -63,6 +64,11 @@
 	// Concurrency limit after an ejection, raised by one with each completed
 	// call; 0 in full service.
 	rampLimit int
+	// Counts the calls to a backend server that takes a limited rate of them, nil
+	// without a limit.
+	pacer *pacer.Pacer
+	// No new work until this time, because of that rate.
+	pacedUntil time.Time
 	// Whether the process was lost and has shown no sign of life since. It
 	// takes no calls then: a connection reset by the dead process would count
 	// as a crash of the request. Only set for model engines, which show on
@@ -90,7 +96,43 @@
 
 // usable returns whether the backend server may be given work now.
 func (s *server) usable(now time.Time) bool {
-	return s.present(now) && !s.lost && !now.Before(s.ejectedUntil)
+	return s.present(now) && !s.lost && !now.Before(s.nextUse())
+}
+
+// nextUse returns the time before which the backend server may not be given work
+// although it is in service: it is ejected, or its rate is used up.
+func (s *server) nextUse() time.Time {
+	if s.pacedUntil.After(s.ejectedUntil) {
+		return s.pacedUntil
+	}
+	return s.ejectedUntil
+}
+
+// countCall counts a call against the rate that the backend server takes.
+func (s *server) countCall(now time.Time) {
+	if s.pacer != nil {
+		s.pacer.Take(now)
+		s.pacedUntil = now.Add(s.pacer.Next(now))
+	}
+}
+
+// LimitNamed records the rate of calls a second that the backend server of an
+// attempt takes, as its response says, 0 for no limit.
+func (p *Placer) LimitNamed(now time.Time, id string, perSecond float64) {
+	a := p.inFlight[id]
+	if a == nil {
+		return
+	}
+	s := a.server
+	switch {
+	case !(perSecond > 0):
+		s.pacer, s.pacedUntil = nil, time.Time{}
+	case s.pacer == nil:
+		s.pacer = pacer.New(now, perSecond)
+		s.pacedUntil = now.Add(s.pacer.Next(now))
+	default:
+		s.pacer.SetRate(now, perSecond)
+	}
 }
 
 // probing returns whether the next call is the probe after an ejection.
@@ -139,6 +181,7 @@
 		// does not apply.
 		s.address = host.GetAddress()
 		s.drainUntil = time.Time{}
+		s.pacer, s.pacedUntil = nil, time.Time{}
 		s.prefixes = prefixHistory{}
 		s.resetHealth()
 	}
--- a/internal/coordination/place/service.go
+++ b/internal/coordination/place/service.go
@@ -94,14 +94,14 @@
 
 // available returns whether a backend server is usable, even if all its slots
 // are taken. If none is, it returns the time until the first ejected one
-// returns, or 0 if none is ejected.
+// returns, or takes a call again by its rate, or 0 if there is none.
 func (v *service) available(now time.Time) (bool, time.Duration) {
 	var w time.Duration
 	for _, s := range v.servers {
 		if !s.present(now) || s.lost {
 			continue
 		}
-		d := s.ejectedUntil.Sub(now)
+		d := s.nextUse().Sub(now)
 		if d <= 0 {
 			return true, 0
 		}
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -40,12 +40,15 @@
 	attemptID string
 	// The response has the drain mark.
 	draining bool
+	// Rate of calls a second that the backend server takes, 0 for no limit.
+	callsPerSecond float64
 }
 
 func (e attemptStarted) apply(t *task, now time.Time) []decide.Decision {
 	if e.draining {
 		t.placer.DrainMarked(now, e.attemptID)
 	}
+	t.placer.LimitNamed(now, e.attemptID, e.callsPerSecond)
 	return t.placer.AttemptStarted(now, e.attemptID)
 }
 
--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -56,6 +56,47 @@
 	})
 }
 
+// Guards against calls beyond the rate that a backend server names, against batch
+// calls that are rejected for it, and against a rate that stays after its end.
+func TestServerGetsMoreThanItsLimit(t *testing.T) {
+	runScheduler(t, viewWithHosts(hostA), func(r *harness) {
+		f := func(headers ...*wire.Header) {
+			a := r.attempts[len(r.attempts)-1]
+			a.sendHead(200, headers...)
+			a.sendData("one")
+			a.sendEnd(wire.End_builder{Verdict: wire.Verdict_VERDICT_RAN.Enum()}.Build())
+		}
+		l := wire.Header_builder{Name: proto.String("Request-Limit"), Values: []string{"2.0"}}.Build()
+		r.call(`{"caller":"shop"}`)
+		f(l)
+		x := r.call(`{"caller":"shop"}`)
+		checkEqual(t, "body= end=not_run code=no-backend-server", x.String())
+		checkEqual(t, true, x.outcome.GetRetryAfterMs() > 0)
+		r.call(`{"caller":"region","class":"CLASS_BATCH"}`)
+		checkEqual(t, 1, len(r.attempts))
+		time.Sleep(700 * time.Millisecond)
+		synctest.Wait()
+		checkEqual(t, 2, len(r.attempts))
+		f(l)
+		n := len(r.attempts)
+		for range 400 {
+			r.call(`{"caller":"shop"}`)
+			if len(r.attempts) > n {
+				n = len(r.attempts)
+				f(l)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		checkEqual(t, true, n-2 <= 17 && n-2 >= 4)
+		time.Sleep(time.Second)
+		r.call(`{"caller":"shop"}`)
+		f()
+		r.call(`{"caller":"shop"}`)
+		r.call(`{"caller":"shop"}`)
+		checkEqual(t, 2, len(r.inFlight()))
+	})
+}
+
 // Guards against a change of ownership that interrupts calls in flight.
 func TestReleasedServerCompletesItsCalls(t *testing.T) {
 	runScheduler(t, viewWithHosts(hostA), func(r *harness) {
--- a/internal/coordination/sched/reply.go
+++ b/internal/coordination/sched/reply.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 
 	trail "bulrushtrail.example/trail"
@@ -25,6 +27,14 @@
 // shutting down.
 const headerDraining = "Draining"
 
+// headerLimit is the header with the calls a second that an engine takes from all
+// schedulers together, as a decimal number.
+const headerLimit = "Request-Limit"
+
+// Least rate in calls a second. An engine that gets none could never say that its
+// limit has ended.
+const minLimit = 0.1
+
 // isUnconnected returns whether the code means that no connection was made.
 func isUnconnected(code string) bool { return code == codeRefused || code == codeUnreachable }
 
@@ -34,17 +44,30 @@
 		return awaitingOrder
 	}
 	output.head = head
-	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID, isDraining(head)})
+	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID, isDraining(head), callsPerSecond(head)})
 	return attemptContinues
 }
 
 func isDraining(head *wire.Head) bool {
+	return strings.EqualFold(headerValue(head, headerDraining), "true")
+}
+
+// callsPerSecond returns the rate that an engine takes, 0 if it names none.
+func callsPerSecond(head *wire.Head) float64 {
+	l, e := strconv.ParseFloat(headerValue(head, headerLimit), 64)
+	if e != nil || math.IsNaN(l) || math.IsInf(l, 0) {
+		return 0
+	}
+	return max(l, minLimit)
+}
+
+func headerValue(head *wire.Head, name string) string {
 	for _, a := range head.GetHeaders() {
-		if http.CanonicalHeaderKey(a.GetName()) == headerDraining && strings.EqualFold(strings.Join(a.GetValues(), ""), "true") {
-			return true
+		if http.CanonicalHeaderKey(a.GetName()) == name {
+			return strings.Join(a.GetValues(), "")
 		}
 	}
-	return false
+	return ""
 }
 
 func (x *exchange) handleData(ctx context.Context, order order, output *attemptOutput, data *wire.Data) progress {
