--- a/internal/coordination/fleet/limited_test.go
+++ b/internal/coordination/fleet/limited_test.go
@@ -50,26 +50,26 @@
 func TestLimitIsMergedByAge(t *testing.T) {
 	s := server("s", "a", 4)
 	a, b := newFleet(s), newFleet(s)
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	f := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var g []float64
-	a.RecordLimit(at(0), s, 2)
-	b.MergeLimits(at(100), a.OwnLimits(at(100)))
+	a.RecordLimit(f(0), s, 2)
+	b.MergeLimits(f(100), a.OwnLimits(f(100)))
 	g = append(g, b.Limit("s"))
 	// The limit ends; an older report of it comes late.
-	l := a.OwnLimits(at(200))
-	b.RecordLimit(at(300), s, 0)
-	b.MergeLimits(at(400), l)
+	l := a.OwnLimits(f(200))
+	b.RecordLimit(f(300), s, 0)
+	b.MergeLimits(f(400), l)
 	g = append(g, b.Limit("s"))
-	a.MergeLimits(at(500), b.OwnLimits(at(500)))
+	a.MergeLimits(f(500), b.OwnLimits(f(500)))
 	g = append(g, a.Limit("s"))
 	for _, x := range []float64{math.NaN(), -1, math.Inf(1)} {
-		a.MergeLimits(at(600), []*wire.ServerLimit{wire.ServerLimit_builder{Server: proto.Uint64(l[0].GetServer()), PerSecond: proto.Float64(x)}.Build()})
+		a.MergeLimits(f(600), []*wire.ServerLimit{wire.ServerLimit_builder{Server: proto.Uint64(l[0].GetServer()), PerSecond: proto.Float64(x)}.Build()})
 		g = append(g, a.Limit("s"))
 	}
 	if d := cmp.Diff([]float64{2, 0, 0, 0, 0, 0}, g); d != "" {
 		t.Error(d)
 	}
-	if d := cmp.Diff(0, len(a.OwnLimits(at(9000)))); d != "" {
+	if d := cmp.Diff(0, len(a.OwnLimits(f(9000)))); d != "" {
 		t.Error("old limits are sent:", d)
 	}
 }
--- a/internal/coordination/gossip/permit_test.go
+++ b/internal/coordination/gossip/permit_test.go
@@ -17,7 +17,7 @@
 func TestPermitsComeFromOtherFront(t *testing.T) {
 	runFleet(t, 1, func(e *network, l []*front) {
 		time.Sleep(2 * time.Second)
-		ask := func(server string) (string, time.Duration) {
+		q := func(server string) (string, time.Duration) {
 			c, f := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			defer f()
 			b := time.Now()
@@ -33,13 +33,13 @@
 		}
 		var g []any
 		for _, s := range []string{"granted", "other"} {
-			r, w := ask(s)
+			r, w := q(s)
 			g = append(g, r, w)
 		}
 		e.mu.Lock()
 		e.muted[l[1].address] = true
 		e.mu.Unlock()
-		r, w := ask("granted")
+		r, w := q("granted")
 		g = append(g, r, w)
 		if d := cmp.Diff([]any{"granted", time.Duration(0), "denied", 7 * time.Millisecond, "no reply", 100 * time.Millisecond}, g); d != "" {
 			t.Error(d)
