direct, fleet: a request is denied by limits six times at most, and ended limits are not reported

A request that each server's limit denies asked one counting front after the other, up to the number of servers: with hundreds of servers and a burst, hundreds of datagrams for one refusal. After six denials it is refused, with the time that the last one told. A server that no longer names a limit was reported to all fronts with each answer for good; only the end itself is now. The tier in which batch items take limited servers first has a name.

--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -33,6 +33,8 @@
 	possibleRuns int
 	// Number of attempts that certainly did not run.
 	notRunAttempts int
+	// Number of attempts that a backend server's limit did not allow.
+	deniedAttempts int
 	// Number of all attempts.
 	attempts int
 	// Backend server of the last attempt.
@@ -145,7 +147,8 @@
 	}
 	if outcome.limited {
 		// Nothing was sent, and the fleet leaves the server alone for a while.
-		return true
+		x.deniedAttempts++
+		return x.deniedAttempts <= maxDeniedRetries
 	}
 	if outcome.verdict == trail.NotRun {
 		x.notRunAttempts++
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -24,6 +24,9 @@
 const (
 	// Maximum number of retries after attempts that did not run.
 	maxNotRunRetries = 4
+	// Maximum number of retries after attempts that were not sent because of a
+	// backend server's limit. Each costs other fronts a datagram.
+	maxDeniedRetries = 6
 	// Retry-After time when no attempt has run.
 	notRunRetryAfter = 500 * time.Millisecond
 	// An attempt that may be repeated is cancelled if it has no response within
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -132,7 +132,10 @@
 }
 
 const (
-	tierFree = iota
+	// The server takes a limited rate of requests, and the request is an item.
+	tierItem = iota
+	// The server has a free slot.
+	tierFree
 	// The server has a free slot, and takes a limited rate of requests.
 	tierLimited
 	tierPreempt
@@ -194,6 +197,15 @@
 	return p
 }
 
+// itemRank is rank for a batch item on a server with a free slot.
+func (f *Fleet) itemRank(server *server) rank {
+	p := f.rank(server)
+	if server.limited() {
+		p.tier = tierItem
+	}
+	return p
+}
+
 // AcquireBatch chooses a backend server with a free slot for a batch item and
 // counts the item there. It returns nil when no more slots of the service are
 // free than onlineHeadroom: a batch item started there would soon be preempted,
@@ -221,10 +233,7 @@
 		if s.total() >= s.slots() || s.paused(now) {
 			continue
 		}
-		p := f.rank(s)
-		if s.limited() {
-			p.tier = tierFree - 1
-		}
+		p := f.itemRank(s)
 		if b == nil || p.before(k) {
 			b, k = s, p
 		}
--- a/internal/coordination/fleet/limited.go
+++ b/internal/coordination/fleet/limited.go
@@ -18,8 +18,8 @@
 type rateLimit struct {
 	// Requests a second, 0 for no limit.
 	perSecond float64
-	// When a front received the answer. Zero if the server has never named a
-	// limit.
+	// When a front received the answer that named the limit or showed its end.
+	// Zero if the server has never named one.
 	heardAt time.Time
 	// When this front itself received such an answer.
 	ownHeardAt time.Time
@@ -40,7 +40,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[entry.GetId()]
-	if s == nil || s.entry.GetBorn() != entry.GetBorn() || perSecond == 0 && s.limit.heardAt.IsZero() {
+	if s == nil || s.entry.GetBorn() != entry.GetBorn() || perSecond == 0 && !s.limited() {
 		return false
 	}
 	d := s.limit.perSecond != perSecond
