gossip, permit: one type decides when crash evidence and limits are sent; comments in the field's terms

The rule for when a part of the state goes into a datagram stood twice, for crash evidence and for limits; changeReport has it now. Comments of package permit and of fleet.LapsedUntil say it in usual terms.

No decision changes: the tests of gossip, fleet and permit and `make check` pass.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -218,9 +218,9 @@
 // of; endedAt is zero if there was none. The platform confirmed the previous list
 // at confirmedAt.
 //
-// Only the list that ends an outage shows entries that lapsed in it. If they go
-// missing otherwise, the platform has told of it, whatever this front believes
-// of an outage: they may have been removed just now.
+// Only the list that ends an outage shows entries that lapsed in it. An entry that
+// goes missing otherwise was reported by the platform, even if this front still
+// assumes an outage: the server may have been removed just now.
 func LapsedUntil(now, confirmedAt time.Time, ongoing bool, endedAt time.Time) time.Time {
 	r := now.Add(removedServerUse)
 	l := endedAt.Add(ExpiryGrace)
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -36,10 +36,10 @@
 	} else {
 		m.Servers = t.fleet.LocalLoads(now)
 	}
-	if totals || t.crashesDue(now) {
+	if totals || t.crashReport.due(now, t.crashes.Changes()) {
 		m.Crashes = t.crashes.Report(now)
 	}
-	if totals || t.limitsDue(now) {
+	if totals || t.limitReport.due(now, t.fleet.LimitChanges()) {
 		m.Limits = t.fleet.OwnLimits(now)
 	}
 	b, e := proto.Marshal(m.Build())
@@ -49,26 +49,20 @@
 	return b
 }
 
-// crashesDue returns whether the next datagram to the fronts that receive
-// changes has the crash evidence: with each heartbeat, and after each change.
-func (t *Task) crashesDue(now time.Time) bool {
-	n := t.crashes.Changes()
-	if n == t.sentCrashesChanges && now.Sub(t.crashesSentAt) < heartbeatInterval {
-		return false
-	}
-	t.sentCrashesChanges = n
-	t.crashesSentAt = now
-	return true
+// changeReport decides when a part of the state is sent to the fronts that receive
+// changes: with each heartbeat, and after each change.
+type changeReport struct {
+	sentAt time.Time
+	// Number of changes when it was last sent.
+	sentChanges uint64
 }
 
-// limitsDue does the same for the limits of backend servers.
-func (t *Task) limitsDue(now time.Time) bool {
-	n := t.fleet.LimitChanges()
-	if n == t.sentLimitChanges && now.Sub(t.limitsSentAt) < heartbeatInterval {
+// due returns whether the next datagram has the state, and records it as sent.
+func (r *changeReport) due(now time.Time, changes uint64) bool {
+	if changes == r.sentChanges && now.Sub(r.sentAt) < heartbeatInterval {
 		return false
 	}
-	t.sentLimitChanges = n
-	t.limitsSentAt = now
+	r.sentAt, r.sentChanges = now, changes
 	return true
 }
 
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -74,13 +74,8 @@
 	lastBroadcast time.Time
 	// Status as of the last heartbeat.
 	sentStatus status
-	// Time of the last crash evidence sent to the fronts that receive changes,
-	// and the changes that it contained.
-	crashesSentAt      time.Time
-	sentCrashesChanges uint64
-	// The same for the limits of backend servers.
-	limitsSentAt     time.Time
-	sentLimitChanges uint64
+	// Reports of the crash evidence and of the limits of backend servers.
+	crashReport, limitReport changeReport
 }
 
 // status is the part of the state of which a change is sent to all fronts with
--- a/internal/coordination/permit/upstream.go
+++ b/internal/coordination/permit/upstream.go
@@ -19,8 +19,8 @@
 const (
 	// Limit on the time to ask another front for a permit.
 	askTimeout = 150 * time.Millisecond
-	// Time for which a server is left alone when the front that counts its
-	// requests does not answer.
+	// Time for which a server is not used after the front that counts its requests
+	// has not replied.
 	unansweredPause = 250 * time.Millisecond
 )
 
