relay, inform: a front that the platform does not answer notices it although others confirm its copy

Cause: a front tells the others that the platform does not answer it once a list of its own fails.

Change: a call for a batch job that the platform does not answer requests a list, and two lists without an answer, a second, show that the platform is away.

TestSilentPlatformSeemsAvailable and TestUnansweredCallIsUnknown failed to hold before (the first: still available 1.1 s after the refresh) and pass now.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -131,7 +131,7 @@
 	s.hosts = s.newSharedInformer(ctx, "hosts")
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
-	s.relay = relay.New(process.store, s.mesh, s.relayPeers, process.logger)
+	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger), process.logger, process.registry,
--- a/internal/coordination/inform/list.go
+++ b/internal/coordination/inform/list.go
@@ -19,6 +19,9 @@
 	maxPendingLists = 4
 )
 
+// errNoAnswer means that a list was sent again and has no answer either.
+var errNoAnswer = errors.New("platform has not answered two lists")
+
 // listResult is the outcome of one list.
 type listResult struct {
 	objects []object.Object
@@ -54,6 +57,9 @@
 				p[0]()
 				p = p[1:]
 			}
+			if len(p) > 1 {
+				s.noteListError(ctx, errNoAnswer)
+			}
 			s.logger.Info("inform: list has no answer yet and is sent again")
 			p = append(p, s.sendList(c, r))
 			n++
--- a/internal/coordination/inform/list_test.go
+++ b/internal/coordination/inform/list_test.go
@@ -53,3 +53,28 @@
 		}
 	})
 }
+
+// Guards against a front that seems to reach the platform although it gets no
+// answer, because other fronts confirm its copy: a refresh must show it within
+// two repetitions of the list.
+func TestSilentPlatformSeemsAvailable(t *testing.T) {
+	runInformer(t, func(ctx context.Context, s *platform, i *inform.Informer) {
+		go i.Relist(ctx, fixedRank(0), func() {})
+		s.setSilent(true)
+		for range 20 {
+			i.Confirm(i.Digest(), time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		g := []bool{i.Unavailable()}
+		i.Refresh()
+		time.Sleep(1100 * time.Millisecond)
+		g = append(g, i.Unavailable())
+		s.setSilent(false)
+		time.Sleep(600 * time.Millisecond)
+		synctest.Wait()
+		g = append(g, i.Unavailable())
+		if d := cmp.Diff([]bool{false, true, false}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/inform/relist.go
+++ b/internal/coordination/inform/relist.go
@@ -43,6 +43,9 @@
 		case <-t.C:
 			t.Reset(s.relistIfStale(ctx, rank, onRelist))
 		case <-s.refreshRequests:
+			if s.recovering() {
+				continue
+			}
 			// Not counted and not announced: the front whose datagram caused
 			// the refresh already has what the list returns.
 			s.relist(ctx)
--- a/internal/coordination/relay/store.go
+++ b/internal/coordination/relay/store.go
@@ -29,8 +29,10 @@
 	platform trail.StaleStore
 	mesh     *mesh.Mesh
 	// Returns the peer addresses of the fronts that the platform answers.
-	peers  func() []string
-	logger log.Interface
+	peers func() []string
+	// Called when the platform has not answered a direct call.
+	onNoAnswer func()
+	logger     log.Interface
 	// End of the backoff of direct calls, in Unix nanoseconds.
 	backoffUntil atomic.Int64
 }
@@ -38,9 +40,10 @@
 var _ trail.StaleStore = (*Store)(nil)
 
 // New returns a store that calls the platform, and the fronts at the addresses
-// that peers returns while the platform does not answer.
-func New(platform trail.StaleStore, mesh *mesh.Mesh, peers func() []string, logger log.Interface) *Store {
-	return &Store{platform: platform, mesh: mesh, peers: peers, logger: logger}
+// that peers returns while the platform does not answer. It calls onNoAnswer each
+// time when the platform has not answered.
+func New(platform trail.StaleStore, mesh *mesh.Mesh, peers func() []string, onNoAnswer func(), logger log.Interface) *Store {
+	return &Store{platform: platform, mesh: mesh, peers: peers, onNoAnswer: onNoAnswer, logger: logger}
 }
 
 // Get reads one object.
@@ -84,7 +87,10 @@
 // not answered one shortly before.
 func (s *Store) inBackoff() bool { return time.Now().UnixNano() < s.backoffUntil.Load() }
 
-func (s *Store) startBackoff() { s.backoffUntil.Store(time.Now().Add(directBackoff).UnixNano()) }
+func (s *Store) startBackoff() {
+	s.backoffUntil.Store(time.Now().Add(directBackoff).UnixNano())
+	s.onNoAnswer()
+}
 
 // isUnavailable reports whether an error means that the platform does not
 // answer. An object that can't be decoded is an answer.
--- a/internal/coordination/relay/store_test.go
+++ b/internal/coordination/relay/store_test.go
@@ -26,6 +26,8 @@
 	trail.StaleStore
 	err   error
 	calls int
+	// Calls that the relay has reported as not answered.
+	unanswered int
 }
 
 func (p *platform) reply(request object.Object) (object.Object, error) {
@@ -61,8 +63,8 @@
 		l := &log.Logger{Handler: discard.New()}
 		e, r := &platform{}, &platform{}
 		m := mesh.New(ctx, &wire.Hello{}, n, l)
-		a := relay.New(e, m, func() []string { return []string{"far:1"} }, l)
-		b := relay.New(r, m, func() []string { return nil }, l)
+		a := relay.New(e, m, func() []string { return []string{"far:1"} }, func() { e.unanswered++ }, l)
+		b := relay.New(r, m, func() []string { return nil }, func() {}, l)
 		go func() {
 			_ = m.Serve(ctx, n.Listen("far:1"), func(ctx context.Context, s *frame.Stream, o *wire.Open, _ *wire.Hello) {
 				b.ServeCall(ctx, s, o.GetStore())
@@ -73,6 +75,25 @@
 	})
 }
 
+// Guards against a front whose platform calls fail while nothing else learns of
+// it: each call without an answer must be reported, and no other.
+func TestUnansweredCallIsUnknown(t *testing.T) {
+	runRelay(t, func(ctx context.Context, s *relay.Store, near, _ *platform) {
+		_, _ = s.Get(ctx, "k", "n")
+		g := []int{near.unanswered}
+		near.err = refusedError()
+		_, _ = s.Get(ctx, "k", "n")
+		g = append(g, near.unanswered)
+		near.err = nil
+		time.Sleep(2 * time.Second)
+		_, _ = s.GetStale(ctx, "k", "n")
+		g = append(g, near.unanswered)
+		if d := cmp.Diff([]int{0, 1, 1}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a front that refuses work because the platform does not answer
 // it, although the platform answers other fronts.
 func TestRefusedCallIsMadeThroughAnotherFront(t *testing.T) {
@@ -153,7 +174,7 @@
 		n := memnet.New()
 		m := mesh.New(ctx, &wire.Hello{}, n, l)
 		a := &platform{err: refusedError()}
-		s := relay.New(a, m, func() []string { return []string{"gone:1"} }, l)
+		s := relay.New(a, m, func() []string { return []string{"gone:1"} }, func() {}, l)
 		_, e := s.Create(ctx, object.New("jobs", "a", 0, nil))
 		if d := cmp.Diff([]any{trail.NotRun, true}, []any{trail.VerdictOf(e), errors.Is(e, trail.ErrUnavailable)}); d != "" {
 			t.Error(d)
