objapi: one object of another writer hides no others on the own interface

The own interface's client of the platform lost a whole list, and each watch, to one object whose value is nested more deeply than encoding/json accepts (10,000): entries and schedulers would have kept the last view of that kind for as long as the object was there.

Objects are now decoded one by one when a response cannot be decoded as a whole; one that fails keeps its name and version and has no value, so views leave it out. Events of a watch are read line by line.

TestOddObjectHidesOthers failed before (the list fails) and passes now; the tests of the packages that use the client pass. bulrushd does not contain this client.

--- a/internal/protocol/objapi/call.go
+++ b/internal/protocol/objapi/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -81,12 +80,13 @@
 		_, _ = io.Copy(io.Discard, b)
 		return statusError(request.Method, r)
 	}
-	e = json.NewDecoder(b).Decode(response)
+	d, e := io.ReadAll(b)
+	if e == nil {
+		e = decodeResponse(d, response)
+	}
 	if e != nil {
 		return responseLost(e)
 	}
-	// net/http reuses a connection only if the response was read to the end.
-	_, _ = io.Copy(io.Discard, b)
 	return nil
 }
 
--- a/internal/protocol/objapi/watch.go
+++ b/internal/protocol/objapi/watch.go
@@ -1,8 +1,8 @@
 package objapi
 
 import (
+	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -74,10 +74,14 @@
 // if there was none.
 func (s *Client) forwardChanges(ctx context.Context, kind string, after int64, request *watchRequest, changes chan<- trail.Change) int64 {
 	defer request.response.Body.Close()
-	d := json.NewDecoder(request.response.Body)
+	r := bufio.NewReader(request.response.Body)
 	for {
-		var v watchEvent
-		e := d.Decode(&v)
+		l, e := r.ReadBytes('\n')
+		if e != nil {
+			// An event without the end of its line may be incomplete.
+			return after
+		}
+		v, e := decodeEvent(l)
 		if e != nil {
 			return after
 		}
