sched: the test of a limit on the own interface reads its attempts in order

It is the test's fault and does not depend on the load; the package's tests had been run without the race detector.

A call that is rejected stands between the two now, and orders them. No expectation changes; one is added.

--- a/internal/coordination/sched/failure_test.go
+++ b/internal/coordination/sched/failure_test.go
@@ -74,6 +74,9 @@
 		checkEqual(t, true, x.outcome.GetRetryAfterMs() > 0)
 		r.call(`{"caller":"region","class":"CLASS_BATCH"}`)
 		checkEqual(t, 1, len(r.attempts))
+		// This call also orders the check before the attempt that follows.
+		z := r.call(`{"caller":"shop"}`)
+		checkEqual(t, "body= end=not_run code=no-backend-server", z.String())
 		time.Sleep(700 * time.Millisecond)
 		synctest.Wait()
 		checkEqual(t, 2, len(r.attempts))
