inform: a slow list is not given up for its repetitions, nor slowed by many of them

Since "a list without an answer is sent again beside the first", a list that takes more than two seconds was cancelled for its fourth repetition, so on a slow platform, or with a large configuration that 165 fronts read at once, no list would ever have ended; and one that takes a second was sent twice or thrice, which slows all of them.

A list is sent again after twice the time that the last one took, at least 500 ms, at most 2 s.

TestSlowListIsGivenUp has a platform that takes 3 s for each list: before, the first list did not end at all (the test ended with a panic, since no watch was opened); now it ends after 3 s, with seven lists at most, and two at most from then on.

--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -58,6 +58,8 @@
 	confirmedBeforeChange time.Time
 	// End of the last period of at least minOutage without a confirmation.
 	outageEndedAt time.Time
+	// Time that the last answered list took.
+	listDuration time.Duration
 	// Closed and replaced at each change.
 	changed chan struct{}
 	// Holds a value while a refresh is pending.
--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -31,6 +31,8 @@
 	lists int
 	// Lists that arrive now get no answer before listTimeout.
 	silent bool
+	// Time after which other lists are answered.
+	delay time.Duration
 }
 
 // listTimeout ends a list that gets no answer.
@@ -38,14 +40,19 @@
 
 func (s *platform) List(ctx context.Context, _ string) ([]object.Object, int64, error) {
 	l, v, e, q := s.listed()
-	if !q {
-		return l, v, e
+	d := s.delay
+	if q {
+		d = listTimeout
 	}
 	select {
-	case <-time.After(listTimeout):
+	case <-time.After(d):
 	case <-ctx.Done():
+		return nil, 0, trail.ErrUnavailable
 	}
-	return nil, 0, trail.ErrUnavailable
+	if q {
+		return nil, 0, trail.ErrUnavailable
+	}
+	return l, v, e
 }
 
 func (s *platform) listed() (objects []object.Object, version int64, err error, silent bool) {
--- a/internal/coordination/inform/list.go
+++ b/internal/coordination/inform/list.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	// Time after which a list without an answer is sent again. The first one may
-	// have been lost in an outage that has ended since.
-	listRepeatInterval = 500 * time.Millisecond
-	// Lists of one informer that wait for their answers at the same time. The
-	// oldest one is given up for a further one.
-	maxPendingLists = 4
+	// Least time after which a list without an answer is sent again. The first one
+	// may have been lost in an outage that has ended since.
+	minListRepeat = 500 * time.Millisecond
+	// Longest time after which it is sent again.
+	maxListRepeat = 2 * time.Second
+	// A list is sent again after this multiple of the time that the last one took:
+	// a large list on a slow link must not be slowed by its repetitions.
+	listRepeatFactor = 2
+	// Lists of one informer that wait for their answers at the same time.
+	maxPendingLists = 8
 )
 
 // errNoAnswer means that a list was sent again and has no answer either.
@@ -39,50 +43,61 @@
 	c, f := context.WithCancel(ctx)
 	defer f()
 	r := make(chan listResult)
-	t := time.NewTicker(listRepeatInterval)
+	t := time.NewTicker(s.listRepeat())
 	defer t.Stop()
-	// Cancel the lists that wait, the oldest first.
-	p := []context.CancelFunc{s.sendList(c, r)}
-	n := 1
+	s.sendList(c, r)
+	// Lists that wait, and repetitions.
+	n, p := 1, 0
 	for {
 		select {
 		case a := <-r:
 			n--
+			if a.err == nil {
+				s.setListDuration(time.Since(a.sentAt))
+			}
 			if a.err == nil || n == 0 {
 				return a
 			}
 			s.noteListError(ctx, a.err)
 		case <-t.C:
-			if len(p) == maxPendingLists {
-				p[0]()
-				p = p[1:]
-			}
-			if len(p) > 1 {
+			p++
+			if p > 1 {
 				s.noteListError(ctx, errNoAnswer)
 			}
-			s.logger.Info("inform: list has no answer yet and is sent again")
-			p = append(p, s.sendList(c, r))
-			n++
+			if n < maxPendingLists {
+				s.logger.Info("inform: list has no answer yet and is sent again")
+				s.sendList(c, r)
+				n++
+			}
 		case <-ctx.Done():
 			return listResult{err: ctx.Err()}
 		}
 	}
 }
 
-// sendList sends one list, whose outcome goes to results unless ctx ends. The
-// returned function cancels the list.
-func (s *Informer) sendList(ctx context.Context, results chan<- listResult) context.CancelFunc {
-	c, f := context.WithCancel(ctx)
+// listRepeat returns the time after which a list without an answer is sent again.
+func (s *Informer) listRepeat() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(max(listRepeatFactor*s.listDuration, minListRepeat), maxListRepeat)
+}
+
+func (s *Informer) setListDuration(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listDuration = duration
+}
+
+// sendList sends one list, whose outcome goes to results unless ctx ends.
+func (s *Informer) sendList(ctx context.Context, results chan<- listResult) {
 	go func() {
-		defer f()
 		a := listResult{sentAt: time.Now()}
-		a.objects, a.version, a.err = s.store.List(c, s.kind)
+		a.objects, a.version, a.err = s.store.List(ctx, s.kind)
 		select {
 		case results <- a:
 		case <-ctx.Done():
 		}
 	}()
-	return f
 }
 
 // noteListError records that the platform has not answered a list.
--- a/internal/coordination/inform/list_test.go
+++ b/internal/coordination/inform/list_test.go
@@ -78,3 +78,33 @@
 		}
 	})
 }
+
+// Guards against a list that takes long, because it is large or the platform
+// slow, and is given up for its repetitions, or slowed by many of them.
+func TestSlowListIsGivenUp(t *testing.T) {
+	runInformer(t, func(_ context.Context, s *platform, i *inform.Informer) {
+		s.mu.Lock()
+		s.delay = 3 * time.Second
+		s.mu.Unlock()
+		var g []any
+		for n := range 3 {
+			s.setObjects(int64(n+2), "b")
+			s.mu.Lock()
+			s.lists = 0
+			s.mu.Unlock()
+			s.endWatch()
+			time.Sleep(4 * time.Second)
+			synctest.Wait()
+			o, _ := i.Get("b")
+			s.mu.Lock()
+			g = append(g, o.Version(), s.lists <= 7)
+			if n > 0 {
+				g = append(g, s.lists <= 2)
+			}
+			s.mu.Unlock()
+		}
+		if d := cmp.Diff([]any{int64(2), true, int64(3), true, true, int64(4), true, true}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
