--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -85,7 +85,7 @@
 		o := s.lastServers[n]
 		if o == nil || o.GetDraining() != b.GetDraining() || o.GetAddress() != b.GetAddress() {
 			s.logger.WithFields(log.Fields{
-				"server": n, "service": b.GetService(), "address": b.GetAddress(), "draining": b.GetDraining(),
+				"server": n, "service": b.GetService(), "address": b.GetAddress(), "draining": b.GetDraining(), "version": b.GetVersion(),
 			}).Info("bulrushd: backend server listed")
 		}
 	}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -185,10 +185,13 @@
 	n := "ok"
 	l := x.server.logger.WithFields(log.Fields{
 		"request-id": x.request.ID(), "route": x.route.GetName(), "service": x.service, "config-version": version,
-		"server": x.backendServer.GetId(), "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
+		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 		"left-ms": time.Until(x.request.Deadline()).Milliseconds(),
 	})
+	if i := x.request.LastEventID(); i != "" {
+		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i})
+	}
 	if err != nil {
 		n = trail.CodeOf(err)
 		l.WithFields(log.Fields{"code": n, "verdict": trail.VerdictOf(err).String(), "cause": err.Error()}).Warn("direct: request failed")
--- a/upstream.go
+++ b/upstream.go
@@ -36,6 +36,10 @@
 	deadline time.Time
 	// Ids of the parts of the prompt that other requests may share, in order.
 	sharedParts []string
+	// Set if the caller takes up a stream that has broken off: the id of the
+	// attempt that brought its first event, and of the last event received.
+	resumedAttempt string
+	lastEventID    string
 }
 
 // NewRequest returns a request without a deadline.
@@ -86,6 +90,24 @@
 // The result must not be modified.
 func (r *Request) SharedParts() []string { return r.sharedParts }
 
+// WithResumption returns a copy that takes up a stream of which the caller has
+// received the events up to the one with an id. attempt is the id of the caller's
+// attempt that brought its first event, empty if unknown.
+func (r *Request) WithResumption(attempt, lastEventID string) *Request {
+	q := *r
+	q.resumedAttempt = attempt
+	q.lastEventID = lastEventID
+	return &q
+}
+
+// ResumedAttempt returns the id of the attempt that brought the first event of the
+// stream that the request takes up, or the empty string.
+func (r *Request) ResumedAttempt() string { return r.resumedAttempt }
+
+// LastEventID returns the id of the event after which the request takes up a
+// stream, or the empty string if the request is for a whole answer.
+func (r *Request) LastEventID() string { return r.lastEventID }
+
 // PeerJobs gives access to the batch jobs that other fronts run.
 type PeerJobs interface {
 	// Notify reports a changed object of a job to a front, and returns nil once
