direct, resume, builds, gossip: a stream goes on only at the software version that began it

Cause: a run was resumed at any server of the service; nothing knew the version that had begun the stream, least of all at another front or after all fronts were lost. The class of fault: a property of a run was taken for one of its service.

Change. direct pins a stream to the build (service and version) of its first event, records it before that event is relayed, and resumes at servers of that build only. A server that started again with another version during the run makes the version unknown: the stream is not resumed. resume holds the streams and tells the other fronts with the datagrams that follow each change; a front that does not know one asks two fronts of each data centre by a datagram. builds names in a platform object for each service which versions may have begun streams: written when a version first has servers, before a front prefers its servers for such streams, and read at the start. A stream that no front knows goes on only if its service has had one version for a minute; else the take-up gets 503 at once, not run.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
 	"bulrushtrail.example/trail/internal/coordination/fanout"
@@ -19,6 +20,7 @@
 	"bulrushtrail.example/trail/internal/coordination/member"
 	"bulrushtrail.example/trail/internal/coordination/permit"
 	"bulrushtrail.example/trail/internal/coordination/relay"
+	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
@@ -41,6 +43,8 @@
 	// Part of the stop timeout that is reserved for cancelling the batch runs
 	// that have not ended and handing over their jobs.
 	jobReleaseReserve = 1300 * time.Millisecond
+	// Fronts of each data centre that are asked for a stream.
+	askedFronts = 2
 )
 
 // frontRole holds the components of a running front.
@@ -55,6 +59,8 @@
 	gossip  *gossip.Task
 	mesh    *mesh.Mesh
 	relay   *relay.Store
+	builds  *builds.Keeper
+	streams *resume.Record
 	direct  *direct.Server
 	jobs    *batch.Jobs
 	api     *httpd.Server
@@ -92,6 +98,7 @@
 	go s.servePeers(l, r)
 	go s.configs.Relist(l, s.rank, s.gossip.TriggerSend)
 	go s.hosts.Relist(l, s.rank, s.gossip.TriggerSend)
+	go s.builds.Run(l)
 	go s.watchConfig(l)
 	go s.watchHosts(l)
 	d := make(chan struct{})
@@ -117,7 +124,6 @@
 	q := crash.New(process.settings.GetName())
 	// The components refer to each other. The callbacks read the fields of s
 	// when they are called, and all fields are set before the first request.
-	s.direct = direct.New(s.fleet, q, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
 	s.mesh = mesh.New(ctx, wire.Hello_builder{
 		MemberId: proto.String(process.settings.GetName()), DataCentre: proto.String(process.settings.GetDataCentre()),
 		Incarnation: &process.incarnation, Role: &process.role,
@@ -130,8 +136,11 @@
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
+	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
+	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
+	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
-	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u)
+	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger), process.logger, process.registry,
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
@@ -143,6 +152,20 @@
 	return s.gossip.AskPermit(ctx, front, request)
 }
 
+// AskStream implements trail.StreamAsker in the same way.
+func (s *frontRole) AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error) {
+	return s.gossip.AskStream(ctx, front, query)
+}
+
+// resumableServices returns the services with streams that may be resumed.
+func (s *frontRole) resumableServices() []string {
+	t := s.direct.Table()
+	if t == nil {
+		return nil
+	}
+	return t.ResumableServices()
+}
+
 // newSharedInformer returns an informer for a kind whose changes the fronts
 // forward to each other, so that only some of them watch the platform.
 func (s *frontRole) newSharedInformer(ctx context.Context, kind string) *inform.Informer {
@@ -265,6 +288,7 @@
 		return
 	}
 	s.direct.SetTable(r)
+	s.builds.TriggerCheck()
 	s.jobs.ReapplyQuotas()
 	s.logger.WithField("config-version", r.Version()).Info("bulrushd: configuration in force")
 }
--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -64,6 +64,7 @@
 	o, e := s.hosts.Outage()
 	a := s.fleet.SetServers(w, l, c, fleet.LapsedUntil(w, c, o, e))
 	s.jobs.TriggerDispatch()
+	s.builds.TriggerCheck()
 	if len(d) > 0 {
 		s.logger.WithFields(log.Fields{
 			"servers": d, "use-ms": max(a.Sub(w), 0).Milliseconds(),
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -89,7 +89,7 @@
 	i, n, a := s.agenda.Next(o, func(id string) bool {
 		v := pickService(t, s.owned[id].cached)
 		if v != "" {
-			b = s.fleet.AcquireBatch(o, v)
+			b = s.fleet.AcquireBatch(o, v, nil)
 		}
 		return b != nil
 	})
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -204,6 +204,9 @@
 		if !event.Follows(x.lastEventID, r.ID()) {
 			return x.brokenResult(ctx, errEventSequence)
 		}
+		if !r.Empty() {
+			x.recordStream()
+		}
 		x.writeHead(response)
 		_, e = x.writer.Write(r.Raw())
 		if e != nil {
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/build"
 )
 
 // call is the state of one request over all its attempts.
@@ -48,8 +50,13 @@
 	timeToFirstByte time.Duration
 	// A backend server has begun to answer: with an event, or a whole body.
 	begun bool
-	// Id of the last event that was relayed to the caller.
+	// Id of the last event that the caller has, from this call or, if it takes up a
+	// stream, from an earlier one.
 	lastEventID string
+	// Build at which the stream goes on, zero before its first event.
+	build build.Build
+	// When the stream was last recorded.
+	recordedAt time.Time
 }
 
 // result is the result of one attempt.
@@ -77,13 +84,16 @@
 
 // run makes attempts until one is complete or no further one is allowed.
 func (x *call) run() error {
+	e := x.takeUp()
+	if e != nil {
+		return e
+	}
 	x.server.recordFirstAttempt(x.service)
 	for {
 		if e := x.stopError(); e != nil {
 			return e
 		}
-		t := time.Duration(x.route.GetTargetMs()) * time.Millisecond
-		b, n, w := x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), x.triedServers, rand.Float64())
+		b, n, w := x.acquire()
 		x.selectionReason = n
 		if b == nil {
 			return x.refusalError(n, w)
@@ -105,6 +115,32 @@
 	}
 }
 
+// acquire chooses the backend server of the next attempt, as fleet.AcquireOnline
+// does. A stream goes on at servers of the build that began it. One that may be
+// resumed begins at a server of a recorded build, if there is any.
+func (x *call) acquire() (*wire.BackendServer, string, time.Duration) {
+	switch {
+	case !x.build.IsZero():
+		return x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && x.build.RunsOn(b) })
+	case x.resumable():
+		k := x.server.builds.Recorded(x.service)
+		b, n, w := x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && k[b.GetVersion()] })
+		if n != fleet.ReasonNoServer {
+			return b, n, w
+		}
+	}
+	return x.acquireFrom(x.untried)
+}
+
+func (x *call) acquireFrom(accepts func(entry *wire.BackendServer) bool) (*wire.BackendServer, string, time.Duration) {
+	t := time.Duration(x.route.GetTargetMs()) * time.Millisecond
+	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), accepts, rand.Float64())
+}
+
+func (x *call) untried(entry *wire.BackendServer) bool {
+	return !slices.Contains(x.triedServers, entry.GetId())
+}
+
 // refusalError returns the error of a call for which the fleet has no backend
 // server. If an earlier attempt may have run, it is the error of the last
 // attempt, because a rejection would promise that the request has not run.
@@ -155,7 +191,7 @@
 		return x.notRunAttempts <= maxNotRunRetries
 	}
 	x.possibleRuns++
-	if x.status != 0 && !x.route.GetResumable() {
+	if x.status != 0 && !x.mayGoOn() {
 		return false
 	}
 	return x.route.GetRepeat() == wire.Repeat_REPEAT_SAFE && x.possibleRuns < int(x.route.GetAttempts()) && x.server.takeRetry(x.service)
--- a/internal/coordination/direct/crash_test.go
+++ b/internal/coordination/direct/crash_test.go
@@ -14,13 +14,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
-	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -153,11 +149,11 @@
 	var l []*wire.BackendServer
 	for n := range engineCount {
 		l = append(l, wire.BackendServer_builder{
-			Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
+			Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), Version: proto.String("v1"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
 		}.Build())
 	}
 	f.SetServers(time.Now(), l, time.Now(), time.Now())
-	return direct.New(f, crash.New("front"), upstream, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {}, func(string) {})
+	return newDirect(f, upstream)
 }
 
 // runCrashBed runs a test under the paused clock.
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -14,8 +14,10 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/retry"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/rules"
@@ -40,6 +42,8 @@
 type Server struct {
 	fleet    *fleet.Fleet
 	crashes  *crash.Record
+	streams  *resume.Record
+	builds   *builds.Keeper
 	upstream trail.Upstream
 	logger   log.Interface
 	// Called when the requests in flight of this front, or the backend servers
@@ -63,10 +67,10 @@
 }
 
 // New returns a server without a configuration.
-func New(fleet *fleet.Fleet, crashes *crash.Record, upstream trail.Upstream, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
+func New(fleet *fleet.Fleet, crashes *crash.Record, streams *resume.Record, builds *builds.Keeper, upstream trail.Upstream, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
 	b := prometheus.ExponentialBuckets(0.005, 2, 12)
 	return &Server{
-		fleet: fleet, crashes: crashes, upstream: upstream, logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{}, stopped: map[string]bool{},
+		fleet: fleet, crashes: crashes, streams: streams, builds: builds, upstream: upstream, logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{}, stopped: map[string]bool{},
 		requestsTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_requests_total",
 			Help: "Online requests by route kind and outcome (ok or error code).",
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -18,9 +18,11 @@
 	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -93,17 +95,26 @@
 	return trail.CodeOf(err) + " " + trail.VerdictOf(err).String()
 }
 
+// newDirect returns a server for the backend servers of a fleet that knows no
+// streams and asks no other fronts for them.
+func newDirect(fleet *fleet.Fleet, upstream trail.Upstream) *direct.Server {
+	l := &log.Logger{Handler: discard.New()}
+	k := builds.New(nil, fleet, func() []string { return nil }, func() int { return 0 }, l)
+	s := resume.New(k, nil, func() []string { return nil })
+	return direct.New(fleet, crash.New("front"), s, k, upstream, l, prometheus.NewRegistry(), func() {}, func(string) {})
+}
+
 // newServer returns a server with three backend servers.
 func newServer(upstream *upstream) (*direct.Server, *fleet.Fleet) {
 	f := fleet.New("front", "a")
 	var l []*wire.BackendServer
 	for n := range 3 {
 		l = append(l, wire.BackendServer_builder{
-			Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
+			Id: proto.String(fmt.Sprint("s", n)), Service: proto.String("v"), Version: proto.String("v1"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
 		}.Build())
 	}
 	f.SetServers(time.Now(), l, time.Now(), time.Now())
-	return direct.New(f, crash.New("front"), upstream, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {}, func(string) {}), f
+	return newDirect(f, upstream), f
 }
 
 // serveOnce serves one request with three backend servers, checks that none of
--- /dev/null
+++ b/internal/coordination/direct/stream.go
@@ -0,0 +1,74 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/resume"
+)
+
+// resumable returns whether the request is for a stream that may be resumed.
+func (x *call) resumable() bool { return x.route.GetStream() && x.route.GetResumable() }
+
+// takeUp prepares a call that takes up a stream for the build that began it. The
+// verdict of an error is NotRun.
+func (x *call) takeUp() error {
+	if !x.resumable() || x.request.LastEventID() == "" {
+		return nil
+	}
+	var l []string
+	for _, s := range x.route.GetShares() {
+		if s.GetWeight() > 0 {
+			l = append(l, s.GetService())
+		}
+	}
+	b, e := x.server.streams.Find(x.ctx, x.request.ResumedAttempt(), l)
+	if e != nil {
+		return e
+	}
+	x.service, x.build, x.lastEventID = b.Service(), b, x.request.LastEventID()
+	if !slices.Contains(l, x.service) || !x.server.fleet.Serves(b) {
+		return trail.NewError("stream-version-gone", trail.NotRun, "stream began at version %s of %s, which does not serve any more", b.Version(), b.Service())
+	}
+	return nil
+}
+
+// streamID returns the id by which the stream of the call is recorded: that of the
+// caller's attempt that brought its first event.
+func (x *call) streamID() string {
+	if i := x.request.ResumedAttempt(); i != "" && x.request.LastEventID() != "" {
+		return i
+	}
+	return x.request.ID()
+}
+
+// recordStream records the build that has begun the stream, before its first event
+// is relayed, and again while the stream goes on.
+func (x *call) recordStream() {
+	o := time.Now()
+	if !x.resumable() || o.Sub(x.recordedAt) < resume.RenewInterval {
+		return
+	}
+	if x.build.IsZero() {
+		x.build = x.server.fleet.BuildOf(x.backendServer)
+	}
+	x.recordedAt = o
+	x.server.streams.Add(o, x.streamID(), x.build)
+	x.server.onLoadChange()
+}
+
+// mayGoOn returns whether a stream of which a part was relayed may go on at
+// another backend server. It may not if the last server has started again with
+// another version: the events may be those of either.
+func (x *call) mayGoOn() bool {
+	if !x.resumable() || x.lastEventID == "" {
+		return false
+	}
+	b := x.server.fleet.BuildOf(x.backendServer)
+	if b != x.build {
+		x.server.streams.Add(time.Now(), x.streamID(), b)
+		return false
+	}
+	return x.server.streams.MayGoOn(b)
+}
--- /dev/null
+++ b/internal/coordination/direct/version_test.go
@@ -0,0 +1,119 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// versionUpstream answers with events that name the software version of the
+// server. The first attempt ends after its second event.
+type versionUpstream struct {
+	attempts []string
+	// Called before the first attempt ends.
+	beforeEnd func()
+}
+
+func (u *versionUpstream) Send(_ context.Context, server *wire.BackendServer, _ *trail.Request, resume string) (*http.Response, error) {
+	u.attempts = append(u.attempts, server.GetVersion()+" after "+resume)
+	n := 0
+	_, _ = fmt.Sscan(resume, &n)
+	var t string
+	l := n + 2
+	for n++; n <= l; n++ {
+		t += fmt.Sprintf("id: %d\ndata: %s\n\n", n, server.GetVersion())
+	}
+	if len(u.attempts) > 1 {
+		return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body(t)}, nil
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(body(t), &endReader{u.beforeEnd}))}, nil
+}
+
+// endReader calls a function and then fails as a lost connection does.
+type endReader struct{ before func() }
+
+func (r *endReader) Read([]byte) (int, error) {
+	if r.before != nil {
+		r.before()
+	}
+	return 0, io.ErrUnexpectedEOF
+}
+
+func versionServer(id, version string, born int64) *wire.BackendServer {
+	return wire.BackendServer_builder{
+		Id: &id, Service: proto.String("v"), Version: &version, DataCentre: proto.String("a"), Slots: proto.Int32(8), Born: &born,
+	}.Build()
+}
+
+func setServers(f *fleet.Fleet, servers ...*wire.BackendServer) {
+	f.SetServers(time.Now(), servers, time.Now(), time.Now())
+}
+
+// Guards against a stream that goes on at another software version: when only
+// servers of another one are left, when the server has started again with another
+// one during the run, and when a caller takes a stream up.
+func TestStreamGoesOnAtAnotherVersion(t *testing.T) {
+	a, b := versionServer("a", "v1", 1), versionServer("b", "v2", 1)
+	l := []struct {
+		name          string
+		servers       []*wire.BackendServer
+		beforeEnd     []*wire.BackendServer
+		resumes, want string
+		attempts      int
+	}{
+		{"same version left", []*wire.BackendServer{a, versionServer("c", "v1", 1)}, nil, "", "200 4 events", 2},
+		{"other version left", []*wire.BackendServer{a}, []*wire.BackendServer{a, b}, "", "200 2 events(cut)", 1},
+		{"server has started again with another version", []*wire.BackendServer{a}, []*wire.BackendServer{versionServer("a", "v2", 2), versionServer("c", "v1", 1), b}, "", "200 2 events(cut)", 1},
+		{"versions are not named", []*wire.BackendServer{versionServer("a", "", 1), versionServer("c", "", 1)}, nil, "", "200 2 events(cut)", 1},
+		{"taken up, stream not known", []*wire.BackendServer{a, b}, nil, "other", "stream-unknown not-run", 0},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fleet.New("front", "a")
+				setServers(f, k.servers...)
+				u := &versionUpstream{}
+				if k.beforeEnd != nil {
+					u.beforeEnd = func() { setServers(f, k.beforeEnd...) }
+				}
+				q := trail.NewRequest("id", "POST", "/p", "h", nil, nil)
+				if k.resumes != "" {
+					q = q.WithResumption(k.resumes, "2")
+				}
+				w := httptest.NewRecorder()
+				g := observed(newDirect(f, u).Serve(t.Context(), route(wire.Repeat_REPEAT_SAFE, true, true, 2), 1, q, w), w)
+				if d := cmp.Diff(k.want, countEvents(g)); d != "" {
+					t.Error(d, u.attempts)
+				}
+				if d := cmp.Diff(k.attempts, len(u.attempts)); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
+
+// countEvents replaces the events of an observed response by their number.
+func countEvents(observed string) string {
+	if !strings.HasPrefix(observed, "200 ") {
+		return observed
+	}
+	c := ""
+	if strings.HasSuffix(observed, "(cut)") {
+		c = "(cut)"
+	}
+	return fmt.Sprintf("200 %d events%s", strings.Count(observed, "data: "), c)
+}
--- /dev/null
+++ b/internal/coordination/fleet/build.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/build"
+)
+
+// Builds returns the builds of all known backend servers, also of those that are
+// about to stop, each at least once.
+func (f *Fleet) Builds() []build.Build {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := make([]build.Build, 0, len(f.servers))
+	for _, s := range f.servers {
+		l = append(l, build.Of(s.entry))
+	}
+	return l
+}
+
+// Serves reports whether a backend server of a build is known that is not about to
+// stop.
+func (f *Fleet) Serves(b build.Build) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.service(b.Service()).servers {
+		if !s.departing() && b.RunsOn(s.entry) {
+			return true
+		}
+	}
+	return false
+}
+
+// BuildOf returns the build that has run a request, where entry is the server's
+// entry when the request was sent. If the server has started again with another
+// version, and the request may have reached either process, the version is
+// unknown.
+func (f *Fleet) BuildOf(entry *wire.BackendServer) build.Build {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[entry.GetId()]
+	if s != nil && !build.Of(entry).RunsOn(s.entry) {
+		return build.New(entry.GetService(), "")
+	}
+	return build.Of(entry)
+}
+
+// Unversioned reports whether no known backend server of a service names a version
+// of its software.
+func (f *Fleet) Unversioned(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.service(service).servers {
+		if s.entry.GetVersion() != "" {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -42,8 +42,9 @@
 )
 
 // AcquireOnline chooses a backend server for an online request and counts the
-// request there. It returns the server and the reason for its choice. Servers
-// whose id is in tried are skipped. If no server can take the request, it
+// request there. It returns the server and the reason for its choice. Only servers
+// that accepts returns true for are considered, all if it is nil; it must not
+// block or call the fleet. If no server can take the request, AcquireOnline
 // returns nil, the reason, and the time after which the caller may retry.
 //
 // An answer is on time if its first byte arrives within target; remaining is how
@@ -51,7 +52,7 @@
 // requests over the servers that other fronts may choose at the same time,
 // decides which of the fronts that see the same free queue place take it, and
 // spreads retries.
-func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, tried []string, draw float64) (*wire.BackendServer, string, time.Duration) {
+func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, accepts func(entry *wire.BackendServer) bool, draw float64) (*wire.BackendServer, string, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.service(serviceName)
@@ -64,7 +65,7 @@
 	var a time.Time
 	for _, s := range v.servers {
 		u := s.suspect(now)
-		if !u && !s.usable(now) || s.departing() || contains(tried, s.entry.GetId()) {
+		if !u && !s.usable(now) || s.departing() || accepts != nil && !accepts(s.entry) {
 			continue
 		}
 		if s.paused(now) {
@@ -209,12 +210,13 @@
 // AcquireBatch chooses a backend server with a free slot for a batch item and
 // counts the item there. It returns nil when no more slots of the service are
 // free than onlineHeadroom: a batch item started there would soon be preempted,
-// and the work on its prompt lost.
+// and the work on its prompt lost. Only servers that accepts returns true for are
+// chosen, all if it is nil; it must not block or call the fleet.
 //
 // A server with a limit comes first. Its slots are mostly free, since the limit
 // counts requests and not their length, and items are longer than online
 // requests. Its slots are no headroom for these, unless all servers have a limit.
-func (f *Fleet) AcquireBatch(now time.Time, serviceName string) *wire.BackendServer {
+func (f *Fleet) AcquireBatch(now time.Time, serviceName string, accepts func(entry *wire.BackendServer) bool) *wire.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var b *server
@@ -230,7 +232,7 @@
 			l += s.slots()
 			r += max(s.slots()-s.total(), 0)
 		}
-		if s.total() >= s.slots() || s.paused(now) {
+		if s.total() >= s.slots() || s.paused(now) || accepts != nil && !accepts(s.entry) {
 			continue
 		}
 		p := f.itemRank(s)
@@ -332,12 +334,3 @@
 		s.recordSuccess()
 	}
 }
-
-func contains(ids []string, id string) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/fleet/datacentre_test.go
+++ b/internal/coordination/fleet/datacentre_test.go
@@ -41,7 +41,7 @@
 	// w returns how many batch items the server accepts at a time.
 	w := func(o time.Time) int {
 		n := 0
-		for b := f.AcquireBatch(o, service); b != nil; b = f.AcquireBatch(o, service) {
+		for b := f.AcquireBatch(o, service, nil); b != nil; b = f.AcquireBatch(o, service, nil) {
 			n++
 		}
 		for range n {
@@ -69,7 +69,7 @@
 	f := newFleet(server("s", "a", 8))
 	f.UpdatePeer(start, loadFrom("front-a", "a", 1, 3))
 	f.UpdatePeer(start, loadFrom("c1", "c", 1, 1))
-	f.AcquireBatch(start, service)
+	f.AcquireBatch(start, service, nil)
 	a := f.DataCentreLoad(start.Add(100 * time.Millisecond))
 	w := wire.DataCentreLoad_builder{
 		Servers: []uint64{xxhash.Sum64String("s")}, Online: []int32{0}, Batch: []int32{4},
@@ -106,7 +106,7 @@
 	l.GetAll().SetOnline([]int32{1, 2})
 	f.UpdatePeer(start, l)
 	n := 0
-	for b := f.AcquireBatch(start, service); b != nil; b = f.AcquireBatch(start, service) {
+	for b := f.AcquireBatch(start, service, nil); b != nil; b = f.AcquireBatch(start, service, nil) {
 		n++
 	}
 	if d := cmp.Diff(8, n); d != "" {
@@ -124,7 +124,7 @@
 		f := fleet.New(dataCentre+"1", dataCentre)
 		f.SetServers(start, []*wire.BackendServer{server("s", "a", 7)}, start, start)
 		for range 3 {
-			f.AcquireBatch(start, service)
+			f.AcquireBatch(start, service, nil)
 		}
 		f.UpdatePeer(start, aggregateFrom(other+"1", other, 1, 3))
 		f.AcquireOnline(start, service, target, remaining, nil, 0)
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 // acquire returns the id of the server chosen for an online request, and the
 // reason.
 func acquire(fleet *fleet.Fleet, now time.Time, tried ...string) [2]string {
-	b, r, _ := fleet.AcquireOnline(now, service, target, remaining, tried, 0)
+	b, r, _ := fleet.AcquireOnline(now, service, target, remaining, func(b *wire.BackendServer) bool { return !slices.Contains(tried, b.GetId()) }, 0)
 	return [2]string{b.GetId(), r}
 }
 
@@ -123,7 +124,7 @@
 	f.UpdatePeer(start, load("front-a", 1, map[string]int32{"s": 1}, nil))
 	var g []string
 	for range 2 {
-		g = append(g, f.AcquireBatch(start, service).GetId())
+		g = append(g, f.AcquireBatch(start, service, nil).GetId())
 	}
 	if d := cmp.Diff([]string{"s", ""}, g); d != "" {
 		t.Error(d)
@@ -143,7 +144,7 @@
 		acquire(f, start)
 	}
 	n := 0
-	for f.AcquireBatch(start, service) != nil {
+	for f.AcquireBatch(start, service, nil) != nil {
 		n++
 	}
 	if d := cmp.Diff(144-115-11, n); d != "" {
@@ -160,8 +161,8 @@
 	b := fleet.New("front-b", "a")
 	for _, f := range []*fleet.Fleet{a, b} {
 		f.SetServers(start, []*wire.BackendServer{server("s", "a", 4)}, start, start)
-		f.AcquireBatch(start, service)
-		f.AcquireBatch(start, service)
+		f.AcquireBatch(start, service, nil)
+		f.AcquireBatch(start, service, nil)
 	}
 	a.UpdatePeer(start, load("front-b", 1, nil, i))
 	b.UpdatePeer(start, load("front-a", 1, nil, i))
@@ -288,7 +289,7 @@
 		f.RecordFailure(start, "s", false),
 		f.RecordFailure(start, "s", true),
 	}
-	f.AcquireBatch(start.Add(time.Minute), service)
+	f.AcquireBatch(start.Add(time.Minute), service, nil)
 	f.ReleaseBatch("s", true)
 	g = append(g, f.RecordFailure(start, "s", true))
 	if d := cmp.Diff([]time.Duration{0, 600 * time.Millisecond, 300 * time.Millisecond}, g); d != "" {
@@ -307,7 +308,7 @@
 func TestReleaseUndoesAcquire(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
 	acquire(f, start)
-	f.AcquireBatch(start, service)
+	f.AcquireBatch(start, service, nil)
 	o := int32(1)
 	w := []*wire.ServerLoad{wire.ServerLoad_builder{Server: proto.Uint64(xxhash.Sum64String("s")), Online: &o, Batch: &o}.Build()}
 	if d := cmp.Diff(len(w), len(f.LocalLoads(start))); d != "" || !proto.Equal(w[0], f.LocalLoads(start)[0]) {
--- a/internal/coordination/fleet/leaving_test.go
+++ b/internal/coordination/fleet/leaving_test.go
@@ -55,7 +55,7 @@
 		t.Run(n, func(t *testing.T) {
 			f := newFleet(s)
 			k.after(f)
-			g := []string{acquire(f, start)[0], f.AcquireBatch(start, service).GetId()}
+			g := []string{acquire(f, start)[0], f.AcquireBatch(start, service, nil).GetId()}
 			if d := cmp.Diff([]string{k.want, k.want}, g); d != "" {
 				t.Error(d)
 			}
--- a/internal/coordination/fleet/limited_test.go
+++ b/internal/coordination/fleet/limited_test.go
@@ -18,12 +18,12 @@
 	s, u := server("limited", "a", 4), server("unlimited", "a", 2)
 	f := newFleet(s, u)
 	f.RecordLimit(start, s, 2)
-	g := [][2]string{acquire(f, start), {f.AcquireBatch(start, service).GetId()}, acquire(f, start), acquire(f, start)}
+	g := [][2]string{acquire(f, start), {f.AcquireBatch(start, service, nil).GetId()}, acquire(f, start), acquire(f, start)}
 	w := [][2]string{{"unlimited", fleet.ReasonFree}, {"limited"}, {"unlimited", fleet.ReasonFree}, {"limited", fleet.ReasonLimited}}
 	if d := cmp.Diff(w, g); d != "" {
 		t.Error(d)
 	}
-	if d := cmp.Diff("", f.AcquireBatch(start, service).GetId()); d != "" {
+	if d := cmp.Diff("", f.AcquireBatch(start, service, nil).GetId()); d != "" {
 		t.Error("item without headroom for online requests:", d)
 	}
 }
@@ -36,10 +36,10 @@
 	f.RecordLimit(start, s, 0.5)
 	f.PauseLimited("s", start.Add(2*time.Second))
 	b, r, w := f.AcquireOnline(start, service, target, remaining, nil, 0)
-	if d := cmp.Diff([]any{"", fleet.ReasonPaused, 2 * time.Second, ""}, []any{b.GetId(), r, w, f.AcquireBatch(start, service).GetId()}); d != "" {
+	if d := cmp.Diff([]any{"", fleet.ReasonPaused, 2 * time.Second, ""}, []any{b.GetId(), r, w, f.AcquireBatch(start, service, nil).GetId()}); d != "" {
 		t.Error(d)
 	}
-	g := [][2]string{acquire(f, start.Add(2*time.Second)), {f.AcquireBatch(start.Add(2*time.Second), service).GetId()}}
+	g := [][2]string{acquire(f, start.Add(2*time.Second)), {f.AcquireBatch(start.Add(2*time.Second), service, nil).GetId()}}
 	if d := cmp.Diff([][2]string{{"s", fleet.ReasonLimited}, {"s"}}, g); d != "" {
 		t.Error(d)
 	}
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -213,3 +213,20 @@
 	slices.Sort(l)
 	return l
 }
+
+// Sample returns the names of up to n random other fronts of each data centre that
+// are alive.
+func (f *Fleet) Sample(now time.Time, n int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []string
+	k := map[string]int{}
+	// The order of a map is random.
+	for x, p := range f.peers {
+		if c := p.load.GetDataCentre(); now.Sub(p.lastSeen) <= peerTimeout && k[c] < n {
+			k[c]++
+			l = append(l, x)
+		}
+	}
+	return l
+}
--- a/internal/coordination/fleet/suspect_test.go
+++ b/internal/coordination/fleet/suspect_test.go
@@ -126,10 +126,10 @@
 func TestBatchAvoidsSuspectServers(t *testing.T) {
 	f := newFleet(server("x", "a", 4))
 	f.RecordFailedAnswer(start, "x")
-	if b := f.AcquireBatch(start, service); b != nil {
+	if b := f.AcquireBatch(start, service, nil); b != nil {
 		t.Error("batch item sent to failing server", b.GetId())
 	}
-	if b := f.AcquireBatch(start.Add(time.Second), service); b == nil {
+	if b := f.AcquireBatch(start.Add(time.Second), service, nil); b == nil {
 		t.Error("no batch item sent to the server after its backoff")
 	}
 }
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -42,6 +42,10 @@
 	if totals || t.limitReport.due(now, t.fleet.LimitChanges()) {
 		m.Limits = t.fleet.OwnLimits(now)
 	}
+	m.Streams = t.streams.Report(now)
+	if d, a := t.builds.Digest(now); a {
+		m.RecordedVersions = &d
+	}
 	b, e := proto.Marshal(m.Build())
 	if e != nil {
 		t.logger.WithError(e).Error("gossip: loads not encoded")
--- a/internal/coordination/gossip/permit_test.go
+++ b/internal/coordination/gossip/query_test.go
@@ -9,7 +9,9 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/build"
 )
 
 // Guards against a permit that is granted without the front that counts, and
@@ -47,6 +49,34 @@
 	})
 }
 
+// Guards against a stream whose build only the front knows that began it: fronts
+// of its data centre must hear of it, and others, or one that has missed all
+// datagrams, must find it with a question.
+func TestBegunStreamIsKnownToOneFrontOnly(t *testing.T) {
+	runFleet(t, 5, func(e *network, l []*front) {
+		time.Sleep(2 * time.Second)
+		b := build.New("v", "v2")
+		l[0].streams.Add(time.Now(), "id", b)
+		l[0].gossip.TriggerSend()
+		time.Sleep(100 * time.Millisecond)
+		e.mu.Lock()
+		e.muted[l[0].address] = true
+		e.mu.Unlock()
+		for n, x := range l[1:] {
+			c, f := context.WithTimeout(context.Background(), time.Second)
+			g, r := x.streams.Find(c, "id", []string{"v", "w"})
+			if r != nil || g != b {
+				t.Error("front", n+1, g, r)
+			}
+			f()
+		}
+		_, r := l[1].streams.Find(context.Background(), "other", []string{"v", "w"})
+		if d := cmp.Diff("stream-unknown not-run", trail.CodeOf(r)+" "+trail.VerdictOf(r).String()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against fronts that learn of a limit only by their own answers, in all
 // data centres of a large fleet, and against a limit that they keep after its end.
 func TestLimitReachesAllFronts(t *testing.T) {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -15,9 +15,11 @@
 	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -50,7 +52,10 @@
 	logger         log.Interface
 	jobs           trail.WorkSharer
 	granter        trail.PermitGranter
-	permits        permitReplies
+	permits        replies[*wire.PermitReply]
+	streams        *resume.Record
+	streamReplies  replies[*wire.StreamReply]
+	builds         *builds.Keeper
 	wake           chan struct{}
 	leaving        atomic.Bool
 	sentDatagrams  prometheus.Counter
@@ -98,10 +103,10 @@
 // jobs after each datagram received. It asks the informers of configs and hosts
 // for a new list when their digest and that of another front differ for longer
 // than a change takes to propagate. granter answers the other fronts' requests for
-// permits.
-func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter) *Task {
+// permits, and streams their questions.
+func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter, streams *resume.Record, builds *builds.Keeper) *Task {
 	t := &Task{
-		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, wake: make(chan struct{}, 1), startTime: time.Now(),
+		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, streams: streams, builds: builds, wake: make(chan struct{}, 1), startTime: time.Now(),
 		sentDatagrams: promauto.With(registry).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -320,7 +325,7 @@
 			t.logger.WithField("from", a.String()).Warn("gossip: datagram dropped, malformed or not from another front")
 			continue
 		}
-		if t.handlePermit(&l, a) {
+		if t.handleMessage(&l, a) {
 			continue
 		}
 		o := time.Now()
@@ -332,6 +337,10 @@
 			t.crashes.Merge(o, l.GetCrashes())
 		}
 		t.fleet.MergeLimits(o, l.GetLimits())
+		t.streams.Merge(o, l.GetStreams())
+		if l.HasRecordedVersions() {
+			t.builds.Confirm(o, l.GetRecordedVersions())
+		}
 		if l.GetReleased() != r[l.GetName()] {
 			r[l.GetName()] = l.GetReleased()
 			t.jobs.TriggerReconcile()
--- a/internal/coordination/gossip/task_test.go
+++ b/internal/coordination/gossip/task_test.go
@@ -16,10 +16,12 @@
 	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/gossip"
 	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
@@ -123,6 +125,11 @@
 	hosts         *inform.Informer
 	crashes       *crash.Record
 	gossip        *gossip.Task
+	streams       *resume.Record
+}
+
+func (f *front) AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error) {
+	return f.gossip.AskStream(ctx, front, query)
 }
 
 const dataCentres = "abcde"
@@ -180,7 +187,9 @@
 	x := inform.New(ctx, platform, "fronts", l)
 	f.hosts = inform.New(ctx, platform, "hosts", l)
 	f.crashes = crash.New(f.name)
-	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{}, granter{})
+	k := builds.New(nil, f.fleet, func() []string { return nil }, func() int { return 0 }, l)
+	f.streams = resume.New(k, f, func() []string { return f.fleet.Sample(time.Now(), 1) })
+	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{}, granter{}, f.streams, k)
 }
 
 // startRequests counts online requests as started by a front, and schedules a
@@ -196,7 +205,7 @@
 // knows them.
 func (f *front) freeSlots() int {
 	n := 0
-	for f.fleet.AcquireBatch(time.Now(), "v") != nil {
+	for f.fleet.AcquireBatch(time.Now(), "v", nil) != nil {
 		n++
 	}
 	for _, d := range dataCentres {
--- /dev/null
+++ b/internal/coordination/resume/record.go
@@ -0,0 +1,186 @@
+package resume
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/builds"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/build"
+)
+
+const (
+	// A stream is known for this long after it was last recorded, and up to twice
+	// as long.
+	lifetime = time.Minute
+	// A stream is sent to the other fronts for this long after it was recorded, so
+	// that a lost datagram hides none.
+	reportTime = 600 * time.Millisecond
+	// RenewInterval is the time after which a stream that goes on is recorded
+	// again.
+	RenewInterval = lifetime / 3
+	// Limit on the time to ask other fronts.
+	askTimeout = 150 * time.Millisecond
+)
+
+// Record holds the streams that this front knows. Its methods are safe for
+// concurrent use.
+type Record struct {
+	builds *builds.Keeper
+	asker  trail.StreamAsker
+	// Returns the fronts that may know what this one does not.
+	fronts func() []string
+
+	mu sync.Mutex
+	// Builds by the hash of the attempt that brought the stream's first event. The
+	// older streams are dropped when the newer ones have filled for lifetime.
+	newer, older map[uint64]build.Build
+	turnedAt     time.Time
+	// Streams that this front has recorded within reportTime, oldest first.
+	recent []begun
+}
+
+// begun is a stream as this front reports it.
+type begun struct {
+	stream uint64
+	build  build.Build
+	at     time.Time
+}
+
+// New returns an empty record that asks fronts through asker.
+func New(builds *builds.Keeper, asker trail.StreamAsker, fronts func() []string) *Record {
+	return &Record{builds: builds, asker: asker, fronts: fronts, newer: map[uint64]build.Build{}, turnedAt: time.Now()}
+}
+
+// Add records the build that has begun a stream. attempt is the id of the attempt
+// that brought its first event.
+func (r *Record) Add(now time.Time, attempt string, b build.Build) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := xxhash.Sum64String(attempt)
+	r.put(now, h, b)
+	r.recent = append(r.recent, begun{h, b, now})
+}
+
+// put stores the build of a stream. If it is known with another build, the version
+// is unknown. The caller holds the lock.
+func (r *Record) put(now time.Time, stream uint64, b build.Build) {
+	if now.Sub(r.turnedAt) > lifetime {
+		r.older, r.newer = r.newer, map[uint64]build.Build{}
+		r.turnedAt = now
+	}
+	o, k := r.get(stream)
+	if k && o != b {
+		b = build.New(b.Service(), "")
+	}
+	r.newer[stream] = b
+}
+
+// get returns the build of a stream. The caller holds the lock.
+func (r *Record) get(stream uint64) (build.Build, bool) {
+	b, k := r.newer[stream]
+	if !k {
+		b, k = r.older[stream]
+	}
+	return b, k
+}
+
+// Report returns the streams that this front has recorded lately.
+func (r *Record) Report(now time.Time) []*wire.BegunStream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.recent) > 0 && now.Sub(r.recent[0].at) > reportTime {
+		r.recent = r.recent[1:]
+	}
+	var l []*wire.BegunStream
+	for _, x := range r.recent {
+		l = append(l, encode(x.stream, x.build))
+	}
+	return l
+}
+
+func encode(stream uint64, b build.Build) *wire.BegunStream {
+	return wire.BegunStream_builder{Stream: &stream, Service: proto.String(b.Service()), Version: proto.String(b.Version())}.Build()
+}
+
+// Merge takes over the streams that another front has recorded.
+func (r *Record) Merge(now time.Time, streams []*wire.BegunStream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range streams {
+		r.put(now, s.GetStream(), build.New(s.GetService(), s.GetVersion()))
+	}
+}
+
+// Answer returns what this front knows of a stream that another one asks for.
+func (r *Record) Answer(query *wire.StreamQuery) *wire.StreamReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := wire.StreamReply_builder{Id: proto.Uint64(query.GetId())}
+	b, k := r.get(query.GetStream())
+	if k {
+		a.Stream = encode(query.GetStream(), b)
+	}
+	return a.Build()
+}
+
+// Find returns the build at which a stream may go on. attempt is the id of the
+// attempt that brought its first event; services are those of its route. The
+// verdict of an error is NotRun.
+func (r *Record) Find(ctx context.Context, attempt string, services []string) (build.Build, error) {
+	h := xxhash.Sum64String(attempt)
+	r.mu.Lock()
+	b, k := r.get(h)
+	r.mu.Unlock()
+	if !k && len(services) == 1 {
+		b, k = r.builds.Only(time.Now(), services[0])
+	}
+	if !k {
+		b, k = r.ask(ctx, h)
+	}
+	if !k || !r.MayGoOn(b) {
+		return build.Build{}, trail.NewError("stream-unknown", trail.NotRun, "software version that began the stream is not known").WithPlace(attempt)
+	}
+	return b, nil
+}
+
+// MayGoOn reports whether a stream that a build has begun may go on at servers of
+// the same build: the version is known, or the servers of the service name none.
+func (r *Record) MayGoOn(b build.Build) bool {
+	if b.Known() {
+		return true
+	}
+	o, k := r.builds.Only(time.Now(), b.Service())
+	return k && o == b
+}
+
+// ask returns the first answer of another front that knows a stream.
+func (r *Record) ask(ctx context.Context, stream uint64) (build.Build, bool) {
+	c, f := context.WithTimeout(ctx, askTimeout)
+	defer f()
+	l := r.fronts()
+	a := make(chan *wire.StreamReply, len(l))
+	for _, n := range l {
+		go func() {
+			p, e := r.asker.AskStream(c, n, wire.StreamQuery_builder{Stream: &stream}.Build())
+			if e != nil {
+				p = nil
+			}
+			a <- p
+		}()
+	}
+	for range l {
+		p := <-a
+		if p.HasStream() {
+			s := []*wire.BegunStream{p.GetStream()}
+			r.Merge(time.Now(), s)
+			return build.New(s[0].GetService(), s[0].GetVersion()), true
+		}
+	}
+	return build.Build{}, false
+}
--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -85,3 +85,23 @@
 	}
 	return l[len(l)-1].GetService()
 }
+
+// ResumableServices returns the services of all routes whose streams may be
+// resumed, each at least once.
+func (s *Table) ResumableServices() []string {
+	var l []string
+	for _, r := range s.config.GetRoutes() {
+		if !r.GetStream() || !r.GetResumable() {
+			continue
+		}
+		for _, v := range r.GetShares() {
+			l = append(l, v.GetService())
+		}
+	}
+	return l
+}
+
+// HasService reports whether a service receives requests of route.
+func HasService(route *wire.RouteRule, service string) bool {
+	return slices.ContainsFunc(route.GetShares(), func(s *wire.RouteShare) bool { return s.GetService() == service && s.GetWeight() > 0 })
+}
--- a/permit.go
+++ b/peer.go
@@ -20,3 +20,10 @@
 	// there is none before ctx ends; the request may then be counted or not.
 	AskPermit(ctx context.Context, front string, request *wire.PermitRequest) (*wire.PermitReply, error)
 }
+
+// StreamAsker asks other fronts which software has begun a stream.
+type StreamAsker interface {
+	// AskStream returns what another front knows. It fails if there is no answer
+	// before ctx ends.
+	AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error)
+}
