batch, agenda: an item goes on only at the software version that made its output

Change: the output of an item knows its build, also in a hand-over. The item goes on at servers of that build; if none serves the route any more, if the last server started again with another version, or if no slot of the build is free for 3 s while others are, it starts anew. agenda offers all begun items of a job, so that one that waits for its build holds up no other. Output without event ids is no longer kept, since a run that starts anew would double it.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -114,48 +114,51 @@
 }
 
 // Next returns the job and the index of the item that runs next, and marks the
-// item as running. It calls acquireSlot for each job in turn that has a runnable
-// item, and chooses the first job for which that returns true. It returns false
-// if there is none.
+// item as running. It calls acquireSlot for the items of each job in turn, and
+// chooses the first one for which that returns true. Items that were started
+// before may need a slot of their own kind; of the others, one of each job is
+// tried. Next returns false if there is none.
 //
 // Items that can no longer complete on time run after all that can: when there
 // is more work than slots, running them first would make all items late.
-func (a *Agenda) Next(now time.Time, acquireSlot func(job string) bool) (string, int, bool) {
+func (a *Agenda) Next(now time.Time, acquireSlot func(job string, index int) bool) (string, int, bool) {
 	for _, t := range []bool{true, false} {
 		for _, j := range a.jobs {
 			if j.unfinished == 0 {
 				continue
 			}
-			n := j.next(now, t, a.meanRunTime)
-			if n < 0 || !acquireSlot(j.id) {
-				continue
+			for _, n := range j.candidates(now, t, a.meanRunTime) {
+				if acquireSlot(j.id, n) {
+					j.items[n].state = running
+					j.items[n].started = true
+					return j.id, n, true
+				}
 			}
-			j.items[n].state = running
-			j.items[n].started = true
-			return j.id, n, true
 		}
 	}
 	return "", 0, false
 }
 
-// next returns the index of the item that runs next among those that can
-// complete on time, or among those that cannot if onTime is false. It returns -1
-// if there is none. Items that were started before take precedence.
-func (j *job) next(now time.Time, onTime bool, meanRunTime time.Duration) int {
-	b := -1
+// candidates returns the indexes of the items that may run next, best first, among
+// those that can complete on time, or among those that cannot if onTime is false:
+// all that were started before, then the first other one.
+func (j *job) candidates(now time.Time, onTime bool, meanRunTime time.Duration) []int {
+	var l []int
+	f := -1
 	for n := range j.items {
 		i := &j.items[n]
-		if i.state != waiting || now.Before(i.notBefore) || onTime != j.onTime(now, i, meanRunTime) {
-			continue
-		}
-		if i.started {
-			return n
-		}
-		if b < 0 {
-			b = n
+		switch {
+		case i.state != waiting || now.Before(i.notBefore) || onTime != j.onTime(now, i, meanRunTime):
+		case i.started:
+			l = append(l, n)
+		case f < 0:
+			f = n
 		}
 	}
-	return b
+	if f >= 0 {
+		l = append(l, f)
+	}
+	return l
 }
 
 // onTime reports whether an item started now is expected to complete before its
--- a/internal/coordination/agenda/agenda_test.go
+++ b/internal/coordination/agenda/agenda_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func always(string) bool { return true }
+func always(string, int) bool { return true }
 
 func next(queue *agenda.Agenda, now time.Time) string {
 	j, n, o := queue.Next(now, always)
@@ -95,7 +95,7 @@
 	a := agenda.New()
 	a.Add("blocked", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
 	a.Add("free", start.Add(2*time.Minute), time.Minute, []string{"b"}, nil)
-	j, _, _ := a.Next(start, func(id string) bool { return id == "free" })
+	j, _, _ := a.Next(start, func(id string, _ int) bool { return id == "free" })
 	if d := cmp.Diff("free", j); d != "" {
 		t.Error(d)
 	}
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -224,6 +224,8 @@
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
+	// Software version of the server of each run of an item.
+	versions map[string][]string
 	// Response bodies of the first runs of an item, in order, without a length
 	// or chunks. Later runs get the usual response.
 	bodies map[string][]io.ReadCloser
@@ -287,12 +289,13 @@
 	g.failing[item] = true
 }
 
-func (g *fakeEngine) Send(ctx context.Context, _ *wire.BackendServer, request *trail.Request, resume string) (*http.Response, error) {
+func (g *fakeEngine) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, resume string) (*http.Response, error) {
 	g.mu.Lock()
 	g.runs[request.ID()]++
 	if g.resumedAfter == nil {
-		g.resumedAfter = map[string][]string{}
+		g.resumedAfter, g.versions = map[string][]string{}, map[string][]string{}
 	}
+	g.versions[request.ID()] = append(g.versions[request.ID()], server.GetVersion())
 	g.resumedAfter[request.ID()] = append(g.resumedAfter[request.ID()], resume)
 	f := g.failing[request.ID()]
 	g.mu.Unlock()
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/build"
 )
 
 const (
@@ -108,14 +109,17 @@
 	for i, p := range job.progress {
 		// The progress of an item that still runs may change, and a stream
 		// without event ids can't be resumed.
-		if r[i] || p.lastEventID == "" {
+		if r[i] || !p.resumable() {
 			continue
 		}
 		n += len(p.output)
 		if n > maxProgressBytes {
 			break
 		}
-		l = append(l, wire.ItemProgress_builder{Item: proto.String(job.cached.items[i].GetId()), Last: &p.lastEventID, Text: p.output}.Build())
+		l = append(l, wire.ItemProgress_builder{
+			Item: proto.String(job.cached.items[i].GetId()), Last: &p.lastEventID, Text: p.output,
+			Service: proto.String(p.build.Service()), Version: proto.String(p.build.Version()),
+		}.Build())
 	}
 	return l
 }
@@ -190,7 +194,7 @@
 	for n, i := range items {
 		p := l[i.GetId()]
 		if p != nil && !listed[i.GetId()] {
-			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true}
+			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true, build: build.New(p.GetService(), p.GetVersion())}
 		}
 	}
 	return m
--- /dev/null
+++ b/internal/coordination/batch/place.go
@@ -0,0 +1,69 @@
+package batch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/state/rules"
+)
+
+// Longest time for which an item with output waits for a slot at a server of the
+// build that made it, while others are free. Then it starts anew.
+const buildWait = 3 * time.Second
+
+// acquireServer chooses a backend server for the next run of an item, or returns
+// nil. An item with output goes on at the build that made it, and starts anew if
+// that does not serve its route any more. The caller holds the lock.
+func (s *Jobs) acquireServer(now time.Time, table *rules.Table, job *ownedJob, index int) *wire.BackendServer {
+	u := table.Match(job.cached.host, job.cached.path)
+	if u == nil {
+		return nil
+	}
+	p := job.progress[index]
+	if p != nil && p.resumable() && !s.mayGoOn(u, p) {
+		p.reset()
+	}
+	if p != nil && p.resumable() {
+		b := s.fleet.AcquireBatch(now, p.build.Service(), p.build.RunsOn)
+		if b != nil {
+			return b
+		}
+		if p.waitingSince.IsZero() {
+			p.waitingSince = now
+		}
+		if now.Sub(p.waitingSince) < buildWait {
+			return nil
+		}
+	}
+	v := rules.PickService(u, rand.Float64())
+	if v == "" {
+		return nil
+	}
+	b := s.fleet.AcquireBatch(now, v, nil)
+	if b != nil && p != nil && !p.build.RunsOn(b) {
+		p.reset()
+	}
+	return b
+}
+
+// mayGoOn reports whether an item may go on after its output: servers of the same
+// build serve its route.
+func (s *Jobs) mayGoOn(route *wire.RouteRule, progress *itemProgress) bool {
+	b := progress.build
+	if !rules.HasService(route, b.Service()) || !s.fleet.Serves(b) {
+		return false
+	}
+	return b.Known() || s.fleet.Unversioned(b.Service())
+}
+
+// checkProgress discards the output of an item whose last run may have been at
+// another build than the output before, or that can't be resumed.
+func (s *Jobs) checkProgress(run *itemRun, progress *itemProgress) {
+	if !progress.resumable() || s.fleet.BuildOf(run.server) != progress.build {
+		progress.reset()
+	}
+}
+
+// reset discards the output.
+func (p *itemProgress) reset() { *p = itemProgress{} }
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -14,7 +13,6 @@
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/event"
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/rules"
 )
 
 const (
@@ -86,11 +84,8 @@
 	var b *wire.BackendServer
 	o := time.Now()
 	// The job, the index of its item, and whether there is one that may start.
-	i, n, a := s.agenda.Next(o, func(id string) bool {
-		v := pickService(t, s.owned[id].cached)
-		if v != "" {
-			b = s.fleet.AcquireBatch(o, v, nil)
-		}
+	i, n, a := s.agenda.Next(o, func(id string, index int) bool {
+		b = s.acquireServer(o, t, s.owned[id], index)
 		return b != nil
 	})
 	if a {
@@ -99,16 +94,6 @@
 	return a
 }
 
-// pickService chooses a service of the job's route at random by weight. It is
-// empty when the route was removed.
-func pickService(table *rules.Table, cached *cachedJob) string {
-	u := table.Match(cached.host, cached.path)
-	if u == nil {
-		return ""
-	}
-	return rules.PickService(u, rand.Float64())
-}
-
 // startRun starts a run of an item; the caller holds the lock.
 func (s *Jobs) startRun(job *ownedJob, index int, server *wire.BackendServer) {
 	c, f := context.WithCancelCause(job.ctx)
@@ -120,6 +105,7 @@
 		job.progress[index] = p
 	}
 	r.resumedAfter = p.lastEventID
+	p.waitingSince = time.Time{}
 	s.onLoadChange()
 	go s.runItem(c, r, p)
 }
@@ -162,6 +148,9 @@
 	if s.owned[run.job.id] != run.job {
 		return "dropped"
 	}
+	if !done {
+		s.checkProgress(run, progress)
+	}
 	if done || yielded {
 		s.agenda.RecordRun(run.job.id, run.index, duration, done)
 	}
@@ -191,7 +180,7 @@
 		return "failed"
 	}
 	if errors.Is(err, errEventOrder) || errors.Is(err, errUnbounded) {
-		*progress = itemProgress{}
+		progress.reset()
 	}
 	s.agenda.RequeueBroken(w, run.job.id, run.index, progress.lastEventID == run.resumedAfter && trail.VerdictOf(err) != trail.NotRun)
 	if errors.Is(err, errUnbounded) {
@@ -253,10 +242,10 @@
 	case a.StatusCode != http.StatusOK:
 		return false, errors.Newf("backend server answered with status %d", a.StatusCode)
 	}
-	return s.readEvents(a, progress, t)
+	return s.readEvents(a, run, progress, t)
 }
 
-func (s *Jobs) readEvents(response *http.Response, progress *itemProgress, timer *time.Timer) (bool, error) {
+func (s *Jobs) readEvents(response *http.Response, run *itemRun, progress *itemProgress, timer *time.Timer) (bool, error) {
 	r := event.New(response.Body)
 	// Whether this run has had an event.
 	o := false
@@ -274,6 +263,9 @@
 		}
 		o = true
 		timer.Reset(eventTimeout)
+		if progress.build.IsZero() {
+			progress.build = s.fleet.BuildOf(run.server)
+		}
 		if !progress.addEvent(r) {
 			return false, errEventOrder
 		}
