place, sched: on the own interface a preempted stream goes on at its software version

What callers would have seen: a batch answer of the product's own interface whose first tokens come from one version and the rest from another.

Cause: a preempted batch stream resumes after its last token at any runner.

Change: the platform's host list may name a software version. A call knows the version that sent its data; only runners of that version may continue it. Without named versions all runners may continue it, as before.

--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -23,6 +23,8 @@
 	id     string
 	call   *call
 	server *server
+	// Software version of the server when the attempt started.
+	version string
 	// Increases with each dispatch.
 	sequence  uint64
 	startedAt time.Time
@@ -47,7 +49,7 @@
 func (p *Placer) AnswerStarted(now time.Time, id string) []decide.Decision {
 	a := p.inFlight[id]
 	if a != nil {
-		a.call.dataSent = true
+		a.call.recordData(a)
 		a.call.verdict = trail.MayHaveRun
 		a.firstTokenAt = now
 		p.recordBegun(now, a.call)
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -37,6 +37,8 @@
 	name    string
 	address string
 	service *service
+	// Version of its software, empty if unknown.
+	version string
 	ready   bool
 	leaving bool
 	// Whether another scheduler owns it now. It is removed once it is idle.
@@ -185,6 +187,7 @@
 		s.prefixes = prefixHistory{}
 		s.resetHealth()
 	}
+	s.version = host.GetVersion()
 	s.ready = host.GetReady()
 	s.leaving = host.GetLeaving()
 	s.released = false
