proxy, paths, direct, batch: a front without paths to the backend servers sends through others

Cause: each failed attempt counted against its server, so after one failure of each the front left all of them alone and refused; and it had no other way to them. The class of fault: an observer takes its own loss for that of all that it observes.

Change. paths makes all connections to backend servers. Only the sending moves: choice of the server, counts, permits, retries, pinned streams, time limits and cancellation stay with the front that has the caller, and the other sends directly only, so there is no circle. What a server says of itself reaches both. Attempts that fail with the path (path-lost) count neither against their server nor against their request, and the backoffs of before end. Datagrams tell the others which front is cut off. A stopping front finishes the attempts of others first. Batch items take the same way.

Ruled out: handing over whole requests (two fronts would count attempts, time and streams), turning callers away (with most of a zone cut off, the balancer sends to all of them again).

TCP_USER_TIMEOUT: neither net.Dialer nor a library in use sets it, so the three keep-alive probes decide.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -18,7 +18,9 @@
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/jobrpc"
 	"bulrushtrail.example/trail/internal/coordination/member"
+	"bulrushtrail.example/trail/internal/coordination/paths"
 	"bulrushtrail.example/trail/internal/coordination/permit"
+	"bulrushtrail.example/trail/internal/coordination/proxy"
 	"bulrushtrail.example/trail/internal/coordination/relay"
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
@@ -30,7 +32,6 @@
 	"bulrushtrail.example/trail/internal/transport/mesh"
 	"bulrushtrail.example/trail/internal/transport/pool"
 	api "bulrushtrail.example/trail/platform/front"
-	"bulrushtrail.example/trail/platform/server"
 )
 
 const (
@@ -43,6 +44,8 @@
 	// Part of the stop timeout that is reserved for cancelling the batch runs
 	// that have not ended and handing over their jobs.
 	jobReleaseReserve = 1300 * time.Millisecond
+	// Interval between two looks at the attempts of other fronts during a stop.
+	proxiedPollInterval = 20 * time.Millisecond
 	// Fronts of each data centre that are asked for a stream.
 	askedFronts = 2
 )
@@ -65,7 +68,9 @@
 	jobs    *batch.Jobs
 	api     *httpd.Server
 	// Connections to backend servers.
-	pool *pool.Pool
+	pool  *pool.Pool
+	paths *paths.Monitor
+	proxy *proxy.Upstream
 	// Backend servers of the last call of logServerChanges, by id.
 	lastServers map[string]*wire.BackendServer
 }
@@ -119,8 +124,8 @@
 		DataCentre: proto.String(process.settings.GetDataCentre()), PeerAddress: proto.String(process.peerAddress()),
 	}.Build()
 	s.fleet = fleet.New(process.settings.GetName(), process.settings.GetDataCentre())
-	s.pool = pool.New(process.dialer, process.registry)
-	u := permit.New(process.settings.GetName(), s.fleet, server.New(s.pool, s.recordNotice), s, process.logger, process.registry)
+	s.paths = paths.New(ctx, process.dialer, s.fleet.SampleAddresses, s.applyPathChange, process.logger)
+	s.pool = pool.New(s.paths, process.registry)
 	q := crash.New(process.settings.GetName())
 	// The components refer to each other. The callbacks read the fields of s
 	// when they are called, and all fields are set before the first request.
@@ -135,12 +140,14 @@
 	s.hosts = s.newSharedInformer(ctx, "hosts")
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
+	s.proxy = proxy.New(s.connect, s.paths, s.mesh, s.connectedPeers, s.recordNotice, process.logger, process.registry)
+	u := permit.New(process.settings.GetName(), s.fleet, s.proxy, s, process.logger, process.registry)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
-	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds)
+	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger), process.logger, process.registry,
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
@@ -191,6 +198,8 @@
 		switch {
 		case open.HasStore():
 			s.relay.ServeCall(ctx, stream, open.GetStore())
+		case open.HasProxy():
+			s.proxy.Serve(ctx, stream, open.GetProxy())
 		case open.HasFollow():
 			s.fanout.Serve(ctx, stream, open.GetFollow())
 		case open.HasResults():
@@ -212,9 +221,16 @@
 
 // relayPeers returns the peer addresses of the fronts that can reach the
 // platform. Calls are relayed through them when this front cannot.
-func (s *frontRole) relayPeers() []string {
+func (s *frontRole) relayPeers() []string { return s.addresses(s.fleet.PeersWithPlatform(time.Now())) }
+
+// connectedPeers returns the peer addresses of the fronts that can reach the
+// backend servers. Requests are sent through them when this front cannot.
+func (s *frontRole) connectedPeers() []string { return s.addresses(s.fleet.ConnectedPeers(time.Now())) }
+
+// addresses returns the peer addresses of fronts.
+func (s *frontRole) addresses(fronts []string) []string {
 	var l []string
-	for _, n := range s.fleet.PeersWithPlatform(time.Now()) {
+	for _, n := range fronts {
 		a := s.roster.Address(n)
 		if a != "" {
 			l = append(l, a)
@@ -243,6 +259,21 @@
 	c, f := context.WithTimeout(context.Background(), s.stopTimeout()-jobReleaseReserve)
 	defer f()
 	s.jobs.Drain(c)
+	s.finishProxied(c)
+}
+
+// finishProxied waits until the attempts of other fronts that go through this one
+// have ended, or ctx ends.
+func (s *frontRole) finishProxied(ctx context.Context) {
+	t := time.NewTicker(proxiedPollInterval)
+	defer t.Stop()
+	for s.proxy.Active() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // rank returns the position of this front, ordered by name, among the live
--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -9,6 +9,7 @@
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/platform/server"
 )
 
 // recordNotice records what a backend server says of itself with a response.
@@ -24,6 +25,21 @@
 	}
 }
 
+// connect returns an upstream that sends to backend servers directly.
+func (s *frontRole) connect(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream {
+	return server.New(s.pool, onNotice)
+}
+
+// applyPathChange is called when this front has lost its paths to the backend
+// servers, or has them back.
+func (s *frontRole) applyPathChange(lost bool) {
+	if lost {
+		s.fleet.ForgiveFailures()
+	}
+	s.gossip.TriggerSend()
+	s.jobs.TriggerDispatch()
+}
+
 // watchHosts updates the fleet after each change of the registered backend
 // servers until ctx is cancelled.
 func (s *frontRole) watchHosts(ctx context.Context) {
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -166,6 +166,11 @@
 		// It was not sent, which says nothing against the item or the server.
 		s.agenda.RequeuePreempted(run.job.id, run.index)
 		return "limited"
+	case trail.CodeOf(err) == "path-lost":
+		// This front has no path to the backend servers, which says nothing against
+		// the item or the server either.
+		s.agenda.RequeueBroken(w, run.job.id, run.index, false)
+		return "path-lost"
 	case errors.Is(err, errImpossible):
 		s.agenda.Close(run.job.id, run.index)
 		s.addResult(run, true, "")
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -24,6 +24,9 @@
 	codeUnbounded = "answer-unbounded"
 	// Error code for a backend server whose limit allows no request yet.
 	codeLimited = "backend-limited"
+	// Error code of an attempt that failed because this front has no path to the
+	// backend servers.
+	codePathLost = "path-lost"
 )
 
 var (
@@ -84,6 +87,7 @@
 		r.unreachable = trail.CodeOf(err) == "backend-unreachable"
 		r.serverFailed = trail.CodeOf(err) == codeUnbounded
 		r.limited = trail.CodeOf(err) == codeLimited
+		r.pathLost = trail.CodeOf(err) == codePathLost
 		r.connectionLost = trail.CodeOf(err) == "backend-lost" && r.verdict != trail.NotRun && x.ctx.Err() == nil
 	}
 	return r
@@ -96,8 +100,11 @@
 // or not well formed.
 func (x *call) brokenResult(ctx context.Context, err error) result {
 	n := "backend-lost"
-	if trail.CodeOf(err) == codeUnbounded || errors.Is(err, event.ErrTooLong) {
+	switch {
+	case trail.CodeOf(err) == codeUnbounded || errors.Is(err, event.ErrTooLong):
 		n = codeUnbounded
+	case trail.CodeOf(err) == codePathLost:
+		n = codePathLost
 	}
 	return x.failureResult(ctx, trail.WrapError(err, n, trail.MayHaveRun, "answer broke off"))
 }
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -77,6 +77,9 @@
 	connectionLost bool
 	// The backend server's limit allowed no request yet. That is no failure.
 	limited bool
+	// This front has no path to the backend servers, which says nothing about the
+	// one of this attempt.
+	pathLost bool
 	// The caller disconnected, or the deadline passed while the response was
 	// relayed.
 	callerGone bool
@@ -159,12 +162,14 @@
 // the backend server to the crash record.
 func (x *call) recordAttempt(backendServer *wire.BackendServer, outcome result) {
 	x.server.onLoadChange()
-	x.triedServers = append(x.triedServers, backendServer.GetId())
+	if !outcome.pathLost || outcome.verdict != trail.NotRun {
+		x.triedServers = append(x.triedServers, backendServer.GetId())
+	}
 	if outcome.serverFailed {
 		x.server.recordServerFailure(backendServer)
 		return
 	}
-	if outcome.complete || outcome.callerGone || outcome.limited {
+	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost {
 		return
 	}
 	x.server.recordFailure(backendServer, outcome)
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -47,6 +47,10 @@
 	switch r {
 	case "busy":
 		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
+	case "path-lost":
+		return nil, trail.NewError("path-lost", trail.NotRun, "no path")
+	case "answer-lost":
+		return nil, trail.NewError("path-lost", trail.MayHaveRun, "no path")
 	case "unreachable":
 		return nil, trail.NewError("backend-unreachable", trail.NotRun, "unreachable")
 	case "endless":
@@ -162,6 +166,10 @@
 	}{
 		{"complete response", o, []string{"200 a"}, "200 a", 1},
 		{"attempts that did not run are repeated elsewhere", o, []string{"busy", "unreachable", "200 a"}, "200 a", 3},
+		{"no path, then one", o, []string{"path-lost", "path-lost", "200 a"}, "200 a", 3},
+		{"no path", o, []string{"path-lost", "path-lost", "path-lost", "path-lost", "path-lost", "200 a"}, "path-lost not-run", 5},
+		{"answer lost with the path, not repeatable", o, []string{"answer-lost", "200 a"}, "path-lost may-have-run", 1},
+		{"answer lost with the path, repeated", s, []string{"answer-lost", "200 a"}, "200 a", 2},
 		{"no attempt ran", o, []string{"busy", "busy", "busy"}, "no-backend-server not-run", 3},
 		{"connection lost, not repeatable", o, []string{"lost", "200 a"}, "backend-lost may-have-run", 1},
 		{"not run, then connection lost", o, []string{"busy", "lost", "200 a"}, "backend-lost may-have-run", 2},
@@ -229,3 +237,33 @@
 		}
 	})
 }
+
+// Guards against backend servers that are left alone, and requests that count as
+// their crashes, because this front has lost its own paths to the servers.
+func TestLostPathIsHeldAgainstServersAndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l []string
+		for range 20 {
+			l = append(l, "path-lost", "answer-lost")
+		}
+		u := &upstream{replies: l}
+		s, f := newServer(u)
+		r := route(wire.Repeat_REPEAT_ONCE, false, false, 1)
+		for n := range 20 {
+			q := trail.NewRequest(fmt.Sprint("id-", n), "POST", "/p", "h", nil, nil).WithSharedParts([]string{"part"})
+			_ = s.Serve(t.Context(), r, 1, q, httptest.NewRecorder())
+			time.Sleep(100 * time.Millisecond)
+		}
+		u.replies = []string{"200 a"}
+		w := httptest.NewRecorder()
+		e := s.Serve(t.Context(), r, 1, trail.NewRequest("id", "POST", "/p", "h", nil, nil).WithSharedParts([]string{"part"}), w)
+		if d := cmp.Diff("200 a", observed(e, w)); d != "" {
+			t.Error(d)
+		}
+		for _, x := range f.LocalLoads(time.Now()) {
+			if x.GetFailing() {
+				t.Error("other fronts hear of a failing server")
+			}
+		}
+	})
+}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -335,3 +336,18 @@
 	defer f.mu.Unlock()
 	return len(f.servers)
 }
+
+// SampleAddresses returns the addresses of up to n random backend servers that are
+// not about to stop.
+func (f *Fleet) SampleAddresses(n int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []string
+	for _, s := range f.servers {
+		if !s.departing() && s.dropAt.IsZero() {
+			l = append(l, s.entry.GetAddress())
+		}
+	}
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(n, len(l))]
+}
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -199,6 +199,12 @@
 	return f.livePeers(now, func(load *wire.Load) bool { return !load.GetTroubled() })
 }
 
+// ConnectedPeers returns the sorted names of the other fronts that are alive, can
+// reach the backend servers and are not about to stop.
+func (f *Fleet) ConnectedPeers(now time.Time) []string {
+	return f.livePeers(now, func(load *wire.Load) bool { return !load.GetCutOff() && !load.GetLeaving() })
+}
+
 // livePeers returns the sorted names of the fronts that are alive and whose last
 // datagram satisfies accept.
 func (f *Fleet) livePeers(now time.Time, accept func(load *wire.Load) bool) []string {
--- a/internal/coordination/fleet/suspect.go
+++ b/internal/coordination/fleet/suspect.go
@@ -72,6 +72,20 @@
 	return s.backOff(now, s.failures)
 }
 
+// ForgiveFailures ends the backoffs of all backend servers but those that answer
+// with failures. It is called when this front finds that it has lost its own paths
+// to the servers.
+func (f *Fleet) ForgiveFailures() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if !s.failing {
+			s.failures = 0
+			s.backoffUntil = time.Time{}
+		}
+	}
+}
+
 // backOff starts the backoff of a server after consecutive failures, and returns
 // its duration.
 func (s *server) backOff(now time.Time, failures int) time.Duration {
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -19,6 +19,7 @@
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/coordination/paths"
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -56,6 +57,7 @@
 	streams        *resume.Record
 	streamReplies  replies[*wire.StreamReply]
 	builds         *builds.Keeper
+	paths          *paths.Monitor
 	wake           chan struct{}
 	leaving        atomic.Bool
 	sentDatagrams  prometheus.Counter
@@ -87,6 +89,7 @@
 // the next heartbeat.
 type status struct {
 	leaving, troubled bool
+	cutOff            bool
 	released, missed  uint32
 	crashes           uint64
 }
@@ -104,9 +107,9 @@
 // for a new list when their digest and that of another front differ for longer
 // than a change takes to propagate. granter answers the other fronts' requests for
 // permits, and streams their questions.
-func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter, streams *resume.Record, builds *builds.Keeper) *Task {
+func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter, streams *resume.Record, builds *builds.Keeper, paths *paths.Monitor) *Task {
 	t := &Task{
-		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, streams: streams, builds: builds, wake: make(chan struct{}, 1), startTime: time.Now(),
+		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, streams: streams, builds: builds, paths: paths, wake: make(chan struct{}, 1), startTime: time.Now(),
 		sentDatagrams: promauto.With(registry).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -269,7 +272,7 @@
 	return status{
 		leaving: t.leaving.Load(), troubled: t.configs.Unavailable() || t.hosts.Unavailable(),
 		released: t.jobs.ReleaseCount(), missed: t.configs.MissedLists() + t.hosts.MissedLists(),
-		crashes: t.crashes.Changes(),
+		crashes: t.crashes.Changes(), cutOff: t.paths.Lost(),
 	}
 }
 
--- a/network.go
+++ b/network.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
+	"bulrushtrail.example/trail/internal/transport/frame"
 )
 
 // Dialer opens connections to other processes and backend servers. Tests replace
@@ -15,6 +16,14 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// StreamOpener opens streams to other processes of the system.
+type StreamOpener interface {
+	// Open opens a stream to the process at a peer address and sends open as its
+	// first message. The verdict of an error is NotRun if the process can't have
+	// received it.
+	Open(ctx context.Context, address string, open *wire.Open) (*frame.Stream, error)
+}
+
 // Caller sends calls to a target, which is the peer address of a scheduler or the
 // address of a backend server.
 type Caller interface {
