httpd, front: a stopping front takes no request that it can't finish, and cuts none without an answer

Report of another operator: in a planned stop, in calm, late requests were taken and passed on, and cut with no answer at the end of the grace, among them ones that may not be repeated (LOST).

Cause: the end of the drain timeout closed the connections; nothing compared a request's deadline with that end.

Change: when 200 ms are left, the contexts of the requests in progress are cancelled, and each gets the answer that its attempts allow: 502, or 503 if none has run. After the drain delay a request whose deadline lies beyond that moment is refused at once with 503, not run, and its connection closed.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -44,6 +44,9 @@
 	// Part of the stop timeout that is reserved for cancelling the batch runs
 	// that have not ended and handing over their jobs.
 	jobReleaseReserve = 1300 * time.Millisecond
+	// Last part of the stop timeout, in which requests that have not ended are
+	// answered.
+	answerReserve = 200 * time.Millisecond
 	// Interval between two looks at the attempts of other fronts during a stop.
 	proxiedPollInterval = 20 * time.Millisecond
 	// Fronts of each data centre that are asked for a stream.
@@ -148,7 +151,7 @@
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
-	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger), process.logger, process.registry,
+	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
 }
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -43,6 +43,11 @@
 	// Time after the end of Serve's context during which requests are still
 	// accepted.
 	drainDelay time.Duration
+	// Last part of drainTimeout, in which handlers answer the requests that they
+	// can't finish.
+	answerReserve time.Duration
+	// End of the time for requests in progress, nil before the end of drainDelay.
+	drainEnd atomic.Pointer[time.Time]
 	// Returns the time limits for reading a request header and for an idle
 	// connection.
 	timeouts func() (header, idle time.Duration)
@@ -89,6 +94,14 @@
 	return func(s *Server) { s.drainDelay = delay }
 }
 
+// WithAnswerReserve cancels the contexts of the requests that are still in progress
+// when only reserve is left of the drain timeout, so that their handlers can answer
+// them. The handlers must write a response then. The default is 0: the connections
+// are closed without a response.
+func WithAnswerReserve(reserve time.Duration) func(*Server) {
+	return func(s *Server) { s.answerReserve = reserve }
+}
+
 // WithReadinessCheck makes the server ready only while check returns true. The
 // check must not block.
 func WithReadinessCheck(check func() bool) func(*Server) {
@@ -141,7 +154,11 @@
 	// Request contexts do not derive from ctx, so that requests in progress are
 	// not cancelled when it ends.
 	n := newConnTracker()
+	// The parent of all request contexts.
+	r, o := context.WithCancel(context.WithoutCancel(ctx))
+	defer o()
 	h := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return r },
 		Handler:           s.handler,
 		ReadHeaderTimeout: headerTimeoutPlaceholder,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -155,7 +172,7 @@
 		<-a
 	}
 	d := make(chan error, 1)
-	f := context.AfterFunc(ctx, func() { d <- s.shutdown(ctx, h, n, x) })
+	f := context.AfterFunc(ctx, func() { d <- s.shutdown(ctx, h, n, x, o) })
 	s.serving.Store(true)
 	e := h.Serve(l)
 	close(a)
@@ -167,25 +184,47 @@
 	return <-d
 }
 
+// DrainEnd returns when the requests in progress are cancelled. It returns false
+// until the drain delay has passed, from when on a request that may take longer
+// should be refused.
+func (s *Server) DrainEnd() (time.Time, bool) {
+	e := s.drainEnd.Load()
+	if e == nil {
+		return time.Time{}, false
+	}
+	return *e, true
+}
+
 // shutdown shuts server down after the drain delay. stopAccepting closes the
-// listener and returns when no connection is accepted any more.
-func (s *Server) shutdown(ctx context.Context, server *http.Server, conns *connTracker, stopAccepting func()) error {
+// listener and returns when no connection is accepted any more; cancelRequests
+// cancels the contexts of all requests.
+func (s *Server) shutdown(ctx context.Context, server *http.Server, conns *connTracker, stopAccepting, cancelRequests func()) error {
 	s.serving.Store(false)
 	s.logger.WithField("delay", s.drainDelay.String()).Info("httpd: shutdown started")
 	// http.Server.SetKeepAlivesEnabled(false) would close idle connections at
 	// once. Instead, withLimits closes each connection after its next response.
 	time.Sleep(s.drainDelay)
+	d := s.drainTimeout - s.answerReserve
+	e := time.Now().Add(d)
+	s.drainEnd.Store(&e)
 	stopAccepting()
-	c, f := context.WithTimeout(context.WithoutCancel(ctx), s.drainTimeout)
+	c, f := context.WithTimeout(context.WithoutCancel(ctx), d)
 	defer f()
 	// net/http closes connections without a response if it reads their request
 	// after the call of Shutdown.
 	conns.waitFirstRequests(c)
-	e := server.Shutdown(c)
-	if e != nil {
+	x := server.Shutdown(c)
+	if x != nil && s.answerReserve > 0 {
+		s.logger.Warn("httpd: requests in progress are cancelled, the time for them is over")
+		cancelRequests()
+		c, f := context.WithTimeout(context.WithoutCancel(ctx), s.answerReserve)
+		defer f()
+		x = server.Shutdown(c)
+	}
+	if x != nil {
 		_ = server.Close()
-		s.logger.WithError(e).Error("httpd: graceful shutdown failed, remaining connections closed")
-		return errors.Wrap(e, "finish requests in progress")
+		s.logger.WithError(x).Error("httpd: graceful shutdown failed, remaining connections closed")
+		return errors.Wrap(x, "finish requests in progress")
 	}
 	s.logger.Info("httpd: shutdown finished")
 	return nil
--- a/internal/transport/httpd/shutdown_test.go
+++ b/internal/transport/httpd/shutdown_test.go
@@ -186,3 +186,35 @@
 		}
 	})
 }
+
+// Guards against a request that is cut without an answer at the end of the drain
+// timeout.
+func TestRequestIsCutWithoutAnswerAtEndOfDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const b, k = 3 * time.Second, 200 * time.Millisecond
+		h := func(w http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusBadGateway)
+		}
+		x := start(t, h, prometheus.NewRegistry(), httpd.WithDrainTimeout(b), httpd.WithAnswerReserve(k))
+		a := make(chan int)
+		go func() {
+			r, e := x.client.Get("http://server/")
+			if e != nil {
+				a <- 0
+				return
+			}
+			a <- r.StatusCode
+		}()
+		synctest.Wait()
+		_, o := x.server.DrainEnd()
+		n := time.Now()
+		x.stop()
+		synctest.Wait()
+		d, l := x.server.DrainEnd()
+		if d := cmp.Diff([]any{false, true, b - k, http.StatusBadGateway, b - k}, []any{o, l, d.Sub(n), <-a, time.Since(n)}); d != "" {
+			t.Error(d)
+		}
+		x.finish(t)
+	})
+}
