direct: an attempt is not taken for lost while its server may be silent for a second

What callers see: nothing wrong so far; a sound server may fall silent for a second and go on. An attempt that may be repeated was cancelled after three latency targets, 0.3 to 0.9 s on the routes of the sites, and its server left alone.

Change: not before 1.1 s.

Test: 'silent for a second' in TestRequestRunsMoreOftenThanRouteAllows, which failed with a second attempt.

--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -33,9 +33,9 @@
 	notRunRetryAfter = 500 * time.Millisecond
 	// An attempt that may be repeated is cancelled if it has no response within
 	// this multiple of the route's target latency, but not before
-	// minAttemptTimeout.
+	// minAttemptTimeout: a sound server may be silent for a second.
 	attemptTimeoutTargets = 3
-	minAttemptTimeout     = 250 * time.Millisecond
+	minAttemptTimeout     = 1100 * time.Millisecond
 )
 
 // Server serves online requests.
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -47,6 +47,13 @@
 	switch r {
 	case "busy":
 		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
+	case "silent second":
+		select {
+		case <-time.After(time.Second):
+			r = "200 a"
+		case <-ctx.Done():
+			return nil, trail.NewError("backend-lost", trail.MayHaveRun, "silent")
+		}
 	case "path-lost":
 		return nil, trail.NewError("path-lost", trail.NotRun, "no path")
 	case "answer-lost":
@@ -184,6 +191,7 @@
 		{"unbounded response, not repeatable", o, []string{"endless", "200 a"}, "answer-unbounded may-have-run", 1},
 		{"unbounded event, resumed elsewhere", r, []string{"200 " + eventText(1) + "data: " + strings.Repeat("x", 300<<10), "200 " + eventText(2)}, "200 " + eventText(1) + eventText(2), 2},
 		{"unbounded event, not resumable", c, []string{"200 " + eventText(1) + "data: " + strings.Repeat("x", 300<<10)}, "200 " + eventText(1) + "(cut)", 1},
+		{"silent for a second, as a sound server may be", s, []string{"silent second", "200 b"}, "200 a", 1},
 		{"attempt timeout, repeated", s, []string{"silent", "200 a"}, "200 a", 2},
 		{"no response until the deadline, not repeatable", o, []string{"silent"}, "deadline-exceeded may-have-run", 1},
 		{"complete stream", c, []string{"200 " + eventText(1) + eventText(2)}, "200 " + eventText(1) + eventText(2), 1},
