proxy: an answer that breaks off with the front that passes it on is not taken for a whole one

Cause: the error of the lost stream between the fronts wrapped io.EOF, which readers of answers take for the end. The class of fault: one signal for the end of the carrier and of what it carries.

Change: the end of the stream before its last message is an unexpected one. TestAnswerOfLostFrontIsTakenForWhole failed before: no cut was seen. The other users of errors.Is(err, io.EOF) read bodies of the pool, whose errors were checked byte by byte for heads, and by the tests of unframed answers.

--- a/internal/coordination/proxy/body.go
+++ b/internal/coordination/proxy/body.go
@@ -55,7 +55,7 @@
 	e := b.stream.Recv(y)
 	switch {
 	case e != nil:
-		b.err = trail.WrapError(e, codePathLost, trail.MayHaveRun, "answer of front %s broke off", b.address)
+		b.err = brokenError(e, "answer of front %s broke off", b.address)
 	case y.HasData():
 		b.data = y.GetData()
 	case y.GetEnd().GetCode() != "":
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -130,7 +131,7 @@
 	if e != nil {
 		f()
 		closeNow(n)
-		return nil, false, trail.WrapError(e, codePathLost, trail.MayHaveRun, "front %s has not answered", address)
+		return nil, false, brokenError(e, "front %s has not answered", address)
 	}
 	if !y.HasHead() {
 		f()
@@ -145,6 +146,15 @@
 	return decodeHead(h, &replyBody{stream: n, detach: f, address: address}), false, nil
 }
 
+// brokenError returns the error of a stream that has failed before its last
+// message. The end of the stream must not be taken for that of an answer.
+func brokenError(err error, text string, arguments ...any) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return trail.WrapError(err, codePathLost, trail.MayHaveRun, text, arguments...)
+}
+
 // closeNow ends a stream at once, also while it is read.
 func closeNow(stream *frame.Stream) {
 	_ = stream.SetDeadline(time.Unix(1, 0))
