--- a/internal/transport/pool/head_test.go
+++ b/internal/transport/pool/head_test.go
@@ -22,23 +22,23 @@
 		"closed by server": "HTTP/1.1 200 OK\nId: %s\nConnection: close\n\n",
 	} {
 		t.Run(n, func(t *testing.T) {
-			for _, kept := range []bool{false, true} {
+			for _, k := range []bool{false, true} {
 				i := "1"
-				if kept {
+				if k {
 					i = "2"
 				}
 				f := strings.ReplaceAll(fmt.Sprintf(h, i), "\n", "\r\n")
 				for c := range len(f) {
 					s := &server{raw: true, replies: []string{f[:c] + "(cut)"}}
 					w := []string{"backend-lost may-have-run"}
-					ids := []string{"1"}
-					if kept {
+					l := []string{"1"}
+					if k {
 						s.replies = append([]string{strings.ReplaceAll(reply("1", "a"), "\n", "\r\n")}, s.replies...)
 						w = append([]string{"a"}, w...)
-						ids = append(ids, "2")
+						l = append(l, "2")
 					}
-					if d := cmp.Diff(w, sendAll(t, s, ids...)); d != "" {
-						t.Errorf("kept %v, %q: %s", kept, f[:c], d)
+					if d := cmp.Diff(w, sendAll(t, s, l...)); d != "" {
+						t.Errorf("kept %v, %q: %s", k, f[:c], d)
 					}
 				}
 			}
