--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -32,10 +32,8 @@
 
 // applyPathChange is called when this front has lost its paths to the backend
 // servers, or has them back.
-func (s *frontRole) applyPathChange(lost bool) {
-	if lost {
-		s.fleet.ForgiveFailures()
-	}
+func (s *frontRole) applyPathChange(bool) {
+	s.fleet.ForgiveFailures()
 	s.gossip.TriggerSend()
 	s.jobs.TriggerDispatch()
 }
--- a/internal/coordination/resume/record.go
+++ b/internal/coordination/resume/record.go
@@ -21,6 +21,8 @@
 	// A stream is sent to the other fronts for this long after it was recorded, so
 	// that a lost datagram hides none.
 	reportTime = 600 * time.Millisecond
+	// Streams that one datagram holds at most, the newest ones.
+	maxReported = 256
 	// RenewInterval is the time after which a stream that goes on is recorded
 	// again.
 	RenewInterval = lifetime / 3
@@ -94,7 +96,7 @@
 func (r *Record) Report(now time.Time) []*wire.BegunStream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for len(r.recent) > 0 && now.Sub(r.recent[0].at) > reportTime {
+	for len(r.recent) > maxReported || len(r.recent) > 0 && now.Sub(r.recent[0].at) > reportTime {
 		r.recent = r.recent[1:]
 	}
 	var l []*wire.BegunStream
