direct: a new version's servers take streams that others have no place for

What callers would have seen: a stream refused as overloaded while servers of a new version are free, until the version is recorded; longer while the platform is away. Cause: only a service without any server of a recorded version fell back to all servers. Servers without a version were tried second too, so each request counted twice as an arrival on a platform that names none.

Change: all servers are tried whenever those of recorded versions can't take the stream; servers without a version count as recorded. TestStreamAvoidsUnrecordedVersionAtAnyPrice failed before: the second stream was refused.

--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -120,15 +120,15 @@
 
 // acquire chooses the backend server of the next attempt, as fleet.AcquireOnline
 // does. A stream goes on at servers of the build that began it. One that may be
-// resumed begins at a server of a recorded build, if there is any.
+// resumed begins at a server of a recorded build, if one can take it.
 func (x *call) acquire() (*wire.BackendServer, string, time.Duration) {
 	switch {
 	case !x.build.IsZero():
 		return x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && x.build.RunsOn(b) })
 	case x.resumable():
 		k := x.server.builds.Recorded(x.service)
-		b, n, w := x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && k[b.GetVersion()] })
-		if n != fleet.ReasonNoServer {
+		b, n, w := x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && (b.GetVersion() == "" || k[b.GetVersion()]) })
+		if b != nil {
 			return b, n, w
 		}
 	}
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -109,10 +109,18 @@
 // newDirect returns a server for the backend servers of a fleet that knows no
 // streams and asks no other fronts for them.
 func newDirect(fleet *fleet.Fleet, upstream trail.Upstream) *direct.Server {
+	return newDirectWithBuilds(fleet, newBuilds(fleet), upstream)
+}
+
+// newBuilds returns a keeper that has read and recorded nothing.
+func newBuilds(fleet *fleet.Fleet) *builds.Keeper {
+	return builds.New(nil, fleet, func() []string { return []string{"v"} }, func() int { return 0 }, &log.Logger{Handler: discard.New()})
+}
+
+func newDirectWithBuilds(fleet *fleet.Fleet, keeper *builds.Keeper, upstream trail.Upstream) *direct.Server {
 	l := &log.Logger{Handler: discard.New()}
-	k := builds.New(nil, fleet, func() []string { return nil }, func() int { return 0 }, l)
-	s := resume.New(k, nil, func() []string { return nil })
-	return direct.New(fleet, crash.New("front"), s, k, upstream, l, prometheus.NewRegistry(), func() {}, func(string) {})
+	s := resume.New(keeper, nil, func() []string { return nil })
+	return direct.New(fleet, crash.New("front"), s, keeper, upstream, l, prometheus.NewRegistry(), func() {}, func(string) {})
 }
 
 // newServer returns a server with three backend servers.
--- a/internal/coordination/direct/version_test.go
+++ b/internal/coordination/direct/version_test.go
@@ -117,3 +117,30 @@
 	}
 	return fmt.Sprintf("200 %d events%s", strings.Count(observed, "data: "), c)
 }
+
+// Guards against streams that are refused because servers of a new version are left
+// free until it is recorded, and against streams that begin there although others
+// can take them.
+func TestStreamAvoidsUnrecordedVersionAtAnyPrice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New("front", "a")
+		k := newBuilds(f)
+		u := &versionUpstream{}
+		s := newDirectWithBuilds(f, k, u)
+		a, b := versionServer("a", "v1", 1), versionServer("b", "v2", 1)
+		setServers(f, a)
+		d, _ := k.Digest(time.Now())
+		k.Confirm(time.Now(), d)
+		setServers(f, a, b)
+		r := route(wire.Repeat_REPEAT_SAFE, true, true, 1)
+		for n := range 2 {
+			_ = s.Serve(t.Context(), r, 1, trail.NewRequest(fmt.Sprint("id-", n), "POST", "/p", "h", nil, nil), httptest.NewRecorder())
+			for range 16 {
+				f.AcquireOnline(time.Now(), "v", 300*time.Millisecond, 5*time.Second, func(b *wire.BackendServer) bool { return b.GetId() == "a" }, 0)
+			}
+		}
+		if d := cmp.Diff([]string{"v1 after ", "v2 after "}, u.attempts); d != "" {
+			t.Error(d)
+		}
+	})
+}
