direct: a stream of which only comments were relayed may begin again

Before the streams were pinned, a stream that broke off before its first event was begun anew at another server, also when a comment had been relayed. Pinning had taken that away; the new case of TestRequestRunsMoreOftenThanRouteAllows failed. A stream that broke off after events without ids is not begun anew, since its caller would get them twice (new case, passed at once).

--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -205,6 +205,8 @@
 		{"complete stream", c, []string{"200 " + eventText(1) + eventText(2)}, "200 " + eventText(1) + eventText(2), 1},
 		{"stream interrupted, not resumable", c, []string{"200 " + eventText(1) + "id: 2\n(cut)"}, "200 " + eventText(1) + "(cut)", 1},
 		{"stream interrupted, resumed elsewhere", r, []string{"200 " + eventText(1) + "id: 2\n(cut)", "200 " + eventText(2)}, "200 " + eventText(1) + eventText(2), 2},
+		{"stream interrupted after a comment, repeated", r, []string{"200 :\n\n(cut)", "200 " + eventText(1)}, "200 :\n\n" + eventText(1), 2},
+		{"stream interrupted after an event without an id", r, []string{"200 data: x\n\n(cut)", "200 data: x\n\n"}, "200 data: x\n\n(cut)", 1},
 		{"stream resumed at the wrong event", r, []string{"200 " + eventText(1) + "(cut)", "200 " + eventText(1)}, "200 " + eventText(1) + "(cut)", 2},
 		{"stream interrupted, then no attempt ran", r, []string{"200 " + eventText(1) + "(cut)", "busy", "busy"}, "200 " + eventText(1) + "(cut)", 3},
 		{"stream interrupted, then server failure", r, []string{"200 " + eventText(1) + "(cut)", "500 x"}, "200 " + eventText(1) + "(cut)", 2},
--- a/internal/coordination/direct/stream.go
+++ b/internal/coordination/direct/stream.go
@@ -63,7 +63,8 @@
 // another version: the events may be those of either.
 func (x *call) mayGoOn() bool {
 	if !x.resumable() || x.lastEventID == "" {
-		return false
+		// Comments may have been relayed, but no event.
+		return x.resumable() && x.build.IsZero()
 	}
 	b := x.server.fleet.BuildOf(x.backendServer)
 	if b != x.build {
