--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -251,13 +251,11 @@
 }
 
 func (s *Jobs) readEvents(response *http.Response, run *itemRun, progress *itemProgress, timer *time.Timer) (bool, error) {
-	r := event.New(response.Body)
-	// Whether this run has had an event.
-	o := false
+	r := event.FromResponse(response)
 	for {
 		e := r.Next()
 		if errors.Is(e, io.EOF) {
-			return progress.hasData && (o || !event.IsUnframed(response)), nil
+			return progress.hasData, nil
 		}
 		if e != nil {
 			return false, markUnbounded(e)
@@ -266,7 +264,6 @@
 			// Keep-alive comments do not count as progress.
 			continue
 		}
-		o = true
 		timer.Reset(eventTimeout)
 		if progress.build.IsZero() {
 			progress.build = s.fleet.BuildOf(run.server)
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -32,7 +32,6 @@
 var (
 	errAttemptTimeout = errors.New("backend server is silent")
 	errEventSequence  = errors.New("event ids of the stream are not consecutive")
-	errNoEvent        = errors.New("connection ended before the first event of the stream")
 )
 
 // attempt sends the request to one backend server and relays its response.
@@ -187,15 +186,10 @@
 // relayStream relays events as they arrive. Comments that only keep the
 // connection open don't stop the attempt timer.
 func (x *call) relayStream(ctx context.Context, response *http.Response, timer *time.Timer) result {
-	r := event.New(response.Body)
+	r := event.FromResponse(response)
 	response.Header.Del("Content-Length")
-	// Whether this attempt has had an event.
-	o := false
 	for {
 		e := r.Next()
-		if errors.Is(e, io.EOF) && !o && event.IsUnframed(response) {
-			return x.brokenResult(ctx, errNoEvent)
-		}
 		if errors.Is(e, io.EOF) {
 			x.writeHead(response)
 			return result{complete: true, verdict: trail.Ran}
@@ -204,7 +198,6 @@
 			return x.brokenResult(ctx, e)
 		}
 		if !r.Empty() {
-			o = true
 			timer.Stop()
 			x.recordBegun(response.StatusCode)
 		}
--- a/internal/protocol/event/reader.go
+++ b/internal/protocol/event/reader.go
@@ -26,14 +26,35 @@
 	data []byte
 	// Whether the event has a data field. The field may be empty.
 	hasData bool
+	// The stream has neither a length nor chunks and ends with its connection.
+	unframed bool
+	// The stream has had an event that is not empty.
+	begun bool
 }
 
 // New returns a reader of the events in reader.
 func New(reader io.Reader) *Reader { return &Reader{reader: bufio.NewReaderSize(reader, 1<<10)} }
 
+// FromResponse returns a reader of the events in a response.
+func FromResponse(response *http.Response) *Reader {
+	s := New(response.Body)
+	s.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return s
+}
+
 // Next reads one complete event. It returns io.EOF if the stream ends between
-// events, and io.ErrUnexpectedEOF if it ends within one.
+// events, and io.ErrUnexpectedEOF if it ends within one. A stream that ends with
+// its connection before its first event was cut off too.
 func (s *Reader) Next() error {
+	e := s.next()
+	if errors.Is(e, io.EOF) && s.unframed && !s.begun {
+		return io.ErrUnexpectedEOF
+	}
+	s.begun = s.begun || e == nil && !s.Empty()
+	return e
+}
+
+func (s *Reader) next() error {
 	s.raw = s.raw[:0]
 	s.data = s.data[:0]
 	s.id = ""
@@ -133,10 +154,3 @@
 	n, f := strconv.ParseInt(id, 10, 64)
 	return e != nil || f != nil || n == l+1
 }
-
-// IsUnframed reports whether the body of a response has neither a length nor
-// chunks and ends with its connection. Such a stream may end because the server
-// was lost.
-func IsUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
