--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -70,8 +70,9 @@
 
 // setConfig writes a configuration as the operator does.
 func (b *bed) setConfig(version int, routes string) {
-	b.platform.Put("config", "main", fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"assistant","MaxConns":160}],`+
-		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, routes))
+	b.platform.Put("config", "main", fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"assistant","HealthPath":"/health","MaxConns":160,"Protocol":"h1","Tls":false,`+
+		`"Engine":{"KvCapacity":%d,"KvTokenBytes":35136,"LinkMbps":1100000.0,"Moves":true,"Backups":true,"Models":[{"Name":"m"}]}}],`+
+		`"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, routes, engineTokens))
 	b.add("operator: config version %d acknowledged by the store, routes %s", version, routes)
 }
 
@@ -221,17 +222,6 @@
 	return errors.Newf("%s is not ready after %s", f.name, startTimeout)
 }
 
-// signal sends a signal to the process.
-func (f *front) signal(s syscall.Signal) {
-	f.mu.Lock()
-	c := f.cmd
-	f.mu.Unlock()
-	if c != nil {
-		_ = c.Process.Signal(s)
-		f.add("%s: signal %s sent", f.name, s)
-	}
-}
-
 // kill ends the process and waits until it has exited.
 func (f *front) kill() {
 	f.mu.Lock()
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -7,13 +7,19 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Requests that wait at a backend server beside those that run.
-const engineQueue = 24
+const (
+	// Requests that wait at a backend server beside those that run.
+	engineQueue = 24
+	// Memory of a backend server in tokens. A larger request is rejected as if the
+	// server were full.
+	engineTokens = 147261
+)
 
 // engineBehaviour says how the backend servers of a case work.
 type engineBehaviour struct {
@@ -32,9 +38,9 @@
 	id        string
 	behaviour engineBehaviour
 
-	running, waiting atomic.Int64
-	slotsOnce        sync.Once
-	slots            chan struct{}
+	running, waiting, rejected atomic.Int64
+	slotsOnce                  sync.Once
+	slots                      chan struct{}
 }
 
 func (g *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -62,8 +68,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if g.waiting.Add(1) > engineQueue {
+	if g.waiting.Add(1) > engineQueue || requestTokens(r) > engineTokens {
 		g.waiting.Add(-1)
+		g.rejected.Add(1)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -121,3 +128,14 @@
 	}
 	g.add("server %s: %s complete", g.id, id)
 }
+
+// requestTokens returns the tokens of the prompt plus the maximum number of output
+// tokens, as the request states them.
+func requestTokens(r *http.Request) int {
+	n := 0
+	for _, v := range strings.Split(r.Header.Get("X-Token-Usage"), ",") {
+		t, _ := strconv.Atoi(strings.TrimSpace(v))
+		n += t
+	}
+	return n
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(b *bed) (string, error){
 	"results-of-removed-route": resultsOfRemovedRoute,
 	"items-of-removed-route":   itemsOfRemovedRoute,
+	"oversized-item":           oversizedItem,
 	"spoiled-item":             spoiledItem,
 }
 
