--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -22,6 +22,8 @@
 
 const (
 	loopback = "127.0.0.1"
+	// Ports for callers, for readiness checks and for the other fronts.
+	portsPerFront = 3
 	// Limit of the wait until all fronts are ready.
 	startTimeout = 20 * time.Second
 	// Time between the start of the machines and that of the traffic.
@@ -94,8 +96,13 @@
 // startFronts starts one front in each zone, waits until all are ready, and then until
 // the traffic may start.
 func (b *bed) startFronts() error {
-	for _, z := range zones {
-		f, e := newFront(b, "front-"+z, z)
+	// All at once, so that no two fronts get the same.
+	p, e := ports.Free(portsPerFront * len(zones))
+	if e != nil {
+		return e
+	}
+	for n, z := range zones {
+		f, e := newFront(b, "front-"+z, z, p[n*portsPerFront:])
 		if e != nil {
 			return e
 		}
@@ -159,16 +166,13 @@
 	exited chan struct{}
 }
 
-func newFront(b *bed, name, zone string) (*front, error) {
-	l, e := ports.Free(3)
-	if e != nil {
-		return nil, e
-	}
+// newFront writes the settings of a front, which takes the first portsPerFront ports.
+func newFront(b *bed, name, zone string, free []int) (*front, error) {
 	f := &front{
-		record: b.record, name: name, api: fmt.Sprintf("%s:%d", loopback, l[0]), ready: fmt.Sprintf("%s:%d", loopback, l[1]),
+		record: b.record, name: name, api: fmt.Sprintf("%s:%d", loopback, free[0]), ready: fmt.Sprintf("%s:%d", loopback, free[1]),
 		settingsPath: filepath.Join(b.folder, name+".json"), logPath: filepath.Join(b.folder, name+".log"),
 	}
-	s, e := renderSettings(frontValues(name, zone, f.api, f.ready, b.store, l[2]))
+	s, e := renderSettings(frontValues(name, zone, f.api, f.ready, b.store, free[2]))
 	if e != nil {
 		return nil, e
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -26,6 +26,8 @@
 	slots    int
 	events   int
 	interval time.Duration
+	// Added to the data of each event.
+	text string
 	// Returns the bytes that a faulty server sends in place of an event, after which it
 	// breaks the answer off; nil for a sound answer. Nil if all servers are sound.
 	spoil func(r *http.Request, event int) []byte
@@ -41,6 +43,26 @@
 	running, waiting, rejected atomic.Int64
 	slotsOnce                  sync.Once
 	slots                      chan struct{}
+
+	mu sync.Mutex
+	// Ids of the requests that ran.
+	ids map[string]bool
+}
+
+// ran returns whether a request ran.
+func (g *engine) ran(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ids[id]
+}
+
+func (g *engine) markRun(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ids == nil {
+		g.ids = map[string]bool{}
+	}
+	g.ids[id] = true
 }
 
 func (g *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -87,6 +109,7 @@
 		g.running.Add(-1)
 		<-g.slots
 	}()
+	g.markRun(i)
 	g.stream(w, r, i)
 }
 
@@ -108,7 +131,7 @@
 			g.add("server %s: %s dropped after event %d, its channel was closed", g.id, id, n-1)
 			return
 		}
-		v := []byte(fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(id, n)))
+		v := []byte(fmt.Sprintf("id: %d\ndata: %s%s\n\n", n, eventData(id, n), g.behaviour.text))
 		var s []byte
 		if g.behaviour.spoil != nil {
 			s = g.behaviour.spoil(r, n)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,8 @@
 var cases = map[string]func(b *bed) (string, error){
 	"results-of-removed-route": resultsOfRemovedRoute,
 	"items-of-removed-route":   itemsOfRemovedRoute,
+	"smuggling-items":          smugglingItems,
+	"markup-output":            markupOutput,
 	"oversized-item":           oversizedItem,
 	"spoiled-item":             spoiledItem,
 }
