--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -26,6 +26,8 @@
 	slots    int
 	events   int
 	interval time.Duration
+	// Returns whether a request fails at each run; nil if none does.
+	fails func(r *http.Request) bool
 	// Added to the data of each event.
 	text string
 	// Returns the bytes that a faulty server sends in place of an event, after which it
@@ -40,9 +42,9 @@
 	id        string
 	behaviour engineBehaviour
 
-	running, waiting, rejected atomic.Int64
-	slotsOnce                  sync.Once
-	slots                      chan struct{}
+	running, waiting, rejected, failed atomic.Int64
+	slotsOnce                          sync.Once
+	slots                              chan struct{}
 
 	mu sync.Mutex
 	// Ids of the requests that ran.
@@ -110,6 +112,10 @@
 		<-g.slots
 	}()
 	g.markRun(i)
+	if g.behaviour.fails != nil && g.behaviour.fails(r) {
+		g.fail(w, r, i)
+		return
+	}
 	g.stream(w, r, i)
 }
 
@@ -162,3 +168,18 @@
 	}
 	return n
 }
+
+// fail runs a request that fails, and answers 500.
+func (g *engine) fail(w http.ResponseWriter, r *http.Request, id string) {
+	g.add("server %s: runs %s", g.id, id)
+	select {
+	case <-time.After(failingRunTime):
+	case <-r.Context().Done():
+		g.add("server %s: %s dropped, its channel was closed", g.id, id)
+		return
+	}
+	g.failed.Add(1)
+	g.add("server %s: %s failed, answered with 500", g.id, id)
+	w.Header().Set("X-Response-Signature", g.id+"."+id)
+	w.WriteHeader(http.StatusInternalServerError)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"items-of-removed-route":   itemsOfRemovedRoute,
 	"smuggling-items":          smugglingItems,
 	"markup-output":            markupOutput,
+	"handed-over-item":         handedOverItem,
 	"oversized-item":           oversizedItem,
 	"spoiled-item":             spoiledItem,
 }
