--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build.sh" >&2
 	exit 2
 fi
-exec target/review-standin smuggling-items review/3/record.txt
+exec target/review-standin ended-job review/3/record.txt
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -47,24 +47,37 @@
 	slots                              chan struct{}
 
 	mu sync.Mutex
-	// Ids of the requests that ran.
-	ids map[string]bool
+	// Last starts of the requests that ran, by id.
+	starts map[string]time.Time
 }
 
 // ran returns whether a request ran.
 func (g *engine) ran(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ids[id]
+	return !g.starts[id].IsZero()
 }
 
 func (g *engine) markRun(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ids == nil {
-		g.ids = map[string]bool{}
+	if g.starts == nil {
+		g.starts = map[string]time.Time{}
 	}
-	g.ids[id] = true
+	g.starts[id] = time.Now()
+}
+
+// startsAfter returns how many requests that match were last started after a time.
+func (g *engine) startsAfter(t time.Time, match func(id string) bool) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for i, a := range g.starts {
+		if match(i) && a.After(t) {
+			n++
+		}
+	}
+	return n
 }
 
 func (g *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"smuggling-items":          smugglingItems,
 	"markup-output":            markupOutput,
 	"handed-over-item":         handedOverItem,
+	"ended-job":                endedJob,
 	"oversized-item":           oversizedItem,
 	"spoiled-item":             spoiledItem,
 }
--- a/review/standin/oversized.go
+++ b/review/standin/oversized.go
@@ -33,8 +33,11 @@
 		return "", errors.New("job was not accepted")
 	}
 	b.add("traffic ends, batch jobs have %s more", finish)
+	t := time.Now()
 	go b.ask()
 	m := c.readAll(b.fronts[1], jobID, oversizedJobItems, 2*finish)
+	// The questions go on as long without the disruption.
+	time.Sleep(2*finish - time.Since(t))
 	for _, g := range b.engines {
 		b.add("server %s: %d requests run, %d rejections so far", g.id, g.running.Load(), g.rejected.Load())
 	}
