batch: a write of results of unknown outcome is logged with its cause

The loop that writes results reads them again after a conflict and after a write of unknown outcome, and told neither.

No behaviour changes; objects and messages are as before.

--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -34,6 +34,8 @@
 // commit writes the pending results of a job. Those that an owner before or
 // after this one has listed already are dropped.
 func (s *Jobs) commit(ctx context.Context, job *ownedJob) error {
+	// Whether a write of unknown outcome has been logged.
+	w := false
 	for {
 		l, n, p := s.prunePending(job)
 		if len(l) == 0 {
@@ -44,6 +46,10 @@
 			continue
 		}
 		if errors.Is(e, trail.ErrConflict) || errors.Is(e, trail.ErrExists) || trail.VerdictOf(e) != trail.NotRun {
+			if !w && trail.VerdictOf(e) != trail.NotRun {
+				s.logger.WithError(e).WithFields(log.Fields{"job-id": job.id, "results": len(l)}).Warn("batch: write of results may have taken effect, they are read again")
+				w = true
+			}
 			// The cached part is stale, or the write may have taken effect.
 			e = s.refreshResults(ctx, job.id, job.cached)
 			if e == nil {
