batch, object: an error that repeats is not taken for a lost answer

Cause: the loop that writes results goes on at once after a write of unknown outcome, whatever the read that follows shows, and an error without a verdict counts as such a write. The error of a message that cannot be encoded had no verdict, though nothing was sent and the next try fails in the same way.

Change: object.Encode marks its errors, and their verdict is not-run. A hand-over tries five times at most, so that time is left to release the job. The job whose object is gone is not marked as complete for ever, a second apart.

Other loops around calls to the platform were read: ledger, builds, member, claim, jobs and the end of a job pause or end.

--- a/error.go
+++ b/error.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 // Error is a failure with a stable code and a verdict. The arguments of its text
@@ -81,15 +83,18 @@
 // should not.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
-// VerdictOf returns the verdict of the outermost Error in the chain of err.
-// It is MayHaveRun for an error without a verdict, and Ran for nil.
+// VerdictOf returns the verdict of the outermost Error in the chain of err. Without
+// one it is NotRun for a message that could not be encoded, which has not been sent,
+// and MayHaveRun for all other errors. It is Ran for nil.
 func VerdictOf(err error) Verdict {
-	if err == nil {
-		return Ran
-	}
 	var t *Error
-	if errors.As(err, &t) {
+	switch {
+	case err == nil:
+		return Ran
+	case errors.As(err, &t):
 		return t.verdict
+	case errors.Is(err, object.ErrNotEncodable):
+		return NotRun
 	}
 	return MayHaveRun
 }
--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -32,10 +32,9 @@
 }
 
 // commit writes the pending results of a job. Those that an owner before or
-// after this one has listed already are dropped.
+// after this one has listed already are dropped. A failed write is repeated at
+// once only if the results have changed since.
 func (s *Jobs) commit(ctx context.Context, job *ownedJob) error {
-	// Whether a write of unknown outcome has been logged.
-	w := false
 	for {
 		l, n, p := s.prunePending(job)
 		if len(l) == 0 {
@@ -45,22 +44,25 @@
 		if e == nil {
 			continue
 		}
-		if errors.Is(e, trail.ErrConflict) || errors.Is(e, trail.ErrExists) || trail.VerdictOf(e) != trail.NotRun {
-			if !w && trail.VerdictOf(e) != trail.NotRun {
-				s.logger.WithError(e).WithFields(log.Fields{"job-id": job.id, "results": len(l)}).Warn("batch: write of results may have taken effect, they are read again")
-				w = true
-			}
-			// The cached part is stale, or the write may have taken effect.
-			e = s.refreshResults(ctx, job.id, job.cached)
-			if e == nil {
+		if isOutdatedOrUnknown(e) {
+			// The cached part is outdated, or the write may have taken effect.
+			f := s.refreshResults(ctx, job.id, job.cached)
+			if f == nil && s.newestPart(job) != p {
 				continue
 			}
+			e = errors.CombineErrors(e, f)
 		}
 		s.logger.WithError(e).WithFields(log.Fields{"job-id": job.id, "results": len(l)}).Warn("batch: write of results failed, they stay pending")
 		return e
 	}
 }
 
+// isOutdatedOrUnknown reports whether a write failed because its object has changed,
+// or may have taken effect.
+func isOutdatedOrUnknown(err error) bool {
+	return errors.Is(err, trail.ErrConflict) || errors.Is(err, trail.ErrExists) || trail.VerdictOf(err) != trail.NotRun
+}
+
 // prunePending removes the results that are listed already from the pending
 // ones. It returns the others and the newest results object with its index, nil
 // and -1 if there is none. Only that version of the object is known to lack
@@ -77,11 +79,15 @@
 		}
 	}
 	job.pendingResults = l
-	n := len(job.cached.parts) - 1
-	if n < 0 {
-		return l, n, nil
-	}
-	return l, n, job.cached.parts[n]
+	return l, len(job.cached.parts) - 1, job.cached.newestPart()
+}
+
+// newestPart returns the newest results object of a job that is known, nil if there
+// is none.
+func (s *Jobs) newestPart(job *ownedJob) *part {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return job.cached.newestPart()
 }
 
 // appendResults adds results to the newest results object, as many as fit. An
@@ -163,7 +169,8 @@
 	e := s.updateObject(job.ctx, b, f)
 	for e != nil && job.ctx.Err() == nil {
 		e = s.updateJob(job.ctx, job.id, f)
-		if e == nil {
+		if e == nil || errors.Is(e, trail.ErrNotFound) {
+			// A job whose object is gone needs no mark.
 			break
 		}
 		s.logger.WithError(e).WithField("job-id", job.id).Warn("batch: marking of a job as complete failed and is retried")
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -15,6 +15,9 @@
 const (
 	// Timeout for the hand-over of a job by a stopping front.
 	handOverTimeout = 1200 * time.Millisecond
+	// Writes of the pending results before a hand-over, which needs the rest of its
+	// timeout to release the job.
+	handOverCommitTries = 5
 	// Timeout for the takeover of a job that another front has handed over.
 	takeOverTimeout = 3 * time.Second
 	// Time within which cancelled runs have returned.
@@ -71,6 +74,9 @@
 	c, f := context.WithTimeout(context.Background(), handOverTimeout)
 	defer f()
 	e := s.commit(c, job)
+	for n := 1; e != nil && n < handOverCommitTries && sleep(c, writeRetryInterval); n++ {
+		e = s.commit(c, job)
+	}
 	if e != nil {
 		s.logger.WithError(e).WithField("job-id", job.id).Warn("batch: write of results before a hand-over failed, the items run again")
 	}
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -162,6 +162,14 @@
 	return l[after:]
 }
 
+// newestPart returns the newest known results object, nil if there is none.
+func (k *cachedJob) newestPart() *part {
+	if len(k.parts) == 0 {
+		return nil
+	}
+	return k.parts[len(k.parts)-1]
+}
+
 // listedIDs returns the ids of the items with a result.
 func (k *cachedJob) listedIDs() map[string]bool {
 	m := map[string]bool{}
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -1,10 +1,15 @@
 package object
 
 import (
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 )
 
+// ErrNotEncodable marks the error of a message that has no JSON form, such as one
+// with text that is not valid UTF-8. Encoding it again fails in the same way.
+var ErrNotEncodable = errors.New("message cannot be encoded")
+
 // Object is one object stored by the platform. It is immutable.
 type Object struct {
 	// Plural in kebab case, such as "jobs".
@@ -23,11 +28,12 @@
 	return Object{kind: kind, name: name, version: version, value: value}
 }
 
-// Encode returns an object whose value is message in the protojson format.
+// Encode returns an object whose value is message in the protojson format. Its
+// error matches ErrNotEncodable.
 func Encode(kind, name string, version int64, message proto.Message) (Object, error) {
 	b, e := protojson.Marshal(message)
 	if e != nil {
-		return Object{}, e
+		return Object{}, errors.Mark(errors.Wrapf(e, "encode %s/%s", kind, name), ErrNotEncodable)
 	}
 	return New(kind, name, version, b), nil
 }
