batch: an event that is not text breaks its answer off

Cause: the data of an event became part of the item's output whatever its bytes. A results object is JSON, which holds text only, so the object of all pending results could not be encoded.

Evidence: the log line "encode batch-results/...: contains invalid UTF-8, results 50". TestSpoiledAnswerHidesAllResults failed before for data, half a rune, an id, and an id with a control character; TestInheritedOutputHidesAllResults for output that an earlier version hands over, and for its event id.

Change: such an event ends the answer before it, as if the server had broken off there. The events before it stay, so the item goes on after them. It counts against the server like any broken answer, and no more: an item whose sound answers were no text must not keep online requests away from sound servers.

--- a/internal/coordination/batch/faulty_test.go
+++ b/internal/coordination/batch/faulty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -129,3 +130,31 @@
 		}
 	})
 }
+
+// Guards against one answer with bytes that are not text, which keeps all results of
+// its job from being listed: no object can hold them. The item must go on after its
+// last sound event.
+func TestSpoiledAnswerHidesAllResults(t *testing.T) {
+	for _, k := range []struct{ name, event string }{
+		{"data", "id: 2\ndata: \xff\xfe\x80\xc3\n\n"},
+		{"half a rune", "id: 2\ndata: \xe2\x82\n\n"},
+		{"id", "id: \xff\ndata: x\n\n"},
+		{"id with a control character", "id: 2\x01\ndata: x\n\n"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+				engine.setBodies("i0", io.NopCloser(strings.NewReader("id: 1\ndata: i0\n\n"+k.event)))
+				j := newJobs(t, ctx, "a", store, engine, valueBytes)
+				accept(t, ctx, j, "job", 4)
+				time.Sleep(15 * time.Second)
+				w := []string{"i0 " + wantOutput("i0"), "i1 " + wantOutput("i1"), "i2 " + wantOutput("i2"), "i3 " + wantOutput("i3")}
+				if d := cmp.Diff(w, slices.Sorted(slices.Values(listResults(t, ctx, j, "job")))); d != "" {
+					t.Error(d)
+				}
+				if d := cmp.Diff([]string{"", "1"}, engine.resumedAfter["i0"]); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -4,10 +4,12 @@
 	"context"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
+	"bulrushtrail.example/trail/internal/protocol/event"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/build"
 )
@@ -199,13 +201,19 @@
 	}
 	for n, i := range items {
 		p := l[i.GetId()]
-		if p != nil && !listed[i.GetId()] {
+		if p != nil && !listed[i.GetId()] && isText(p) {
 			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true, build: build.New(p.GetService(), p.GetVersion())}
 		}
 	}
 	return m
 }
 
+// isText reports whether the output of an item that another front has handed over
+// can be part of a result. Earlier versions of the program take any bytes.
+func isText(progress *wire.ItemProgress) bool {
+	return utf8.Valid(progress.GetText()) && event.IsIDText(progress.GetLast())
+}
+
 // ReleaseCount returns how many jobs this front has released without a successor
 // that acknowledged the hand-over. Heartbeats publish the count, and the other
 // fronts call TriggerReconcile when it changes, which finds the job.
--- a/internal/coordination/batch/handover_test.go
+++ b/internal/coordination/batch/handover_test.go
@@ -151,6 +151,37 @@
 	})
 }
 
+// Guards against output of an earlier version of the program that is no text, is
+// handed over with a job, and keeps all results of the job from being listed.
+func TestInheritedOutputHidesAllResults(t *testing.T) {
+	for _, k := range []struct{ name, last, text string }{{"output", "1", "\xff"}, {"event id", "\xff", "i0"}} {
+		t.Run(k.name, func(t *testing.T) {
+			withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+				r := newCluster(ctx, store, engine, "front-1", "front-2")
+				r.advance(5*time.Second, "")
+				accept(t, ctx, r.jobs["front-1"], "job", 2)
+				store.peers.unreachable = true
+				c, f := context.WithCancel(ctx)
+				f()
+				r.jobs["front-1"].Drain(c)
+				o, _ := store.Get(ctx, "batch-jobs", "job")
+				r.jobs["front-2"].HandleNotice(wire.JobNotice_builder{
+					Name: proto.String("job"), Version: proto.Int64(o.Version()), Value: o.Value(),
+					Progress: []*wire.ItemProgress{wire.ItemProgress_builder{Item: proto.String("i0"), Last: &k.last, Text: []byte(k.text), Service: proto.String("v")}.Build()},
+				}.Build())
+				r.advance(5*time.Second, "front-1")
+				w := []string{"i0 " + wantOutput("i0"), "i1 " + wantOutput("i1")}
+				if d := cmp.Diff(w, slices.Sorted(slices.Values(listResults(t, ctx, r.jobs["front-2"], "job")))); d != "" {
+					t.Error(d)
+				}
+				if d := cmp.Diff([]string{""}, engine.resumedAfter["i0"]); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
+
 // Guards against items that are listed twice, because the hand-over of a stopping
 // front and its commit loop write the pending results of a job at the same time.
 func TestConcurrentCommitsListItemsTwice(t *testing.T) {
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -28,6 +28,8 @@
 	errYielded    = errors.New("item was preempted by an online request")
 	errSilent     = errors.New("backend server is silent")
 	errEventOrder = errors.New("event stream has a gap or a repeated event")
+	// The events before stay: the item goes on after the last one.
+	errNotText = errors.New("event is not text")
 	// errUnbounded marks the failure of a backend server that sends bytes
 	// without end: the answer, an event or the output exceeds its limit.
 	errUnbounded = errors.New("answer of the backend server exceeds the size limit")
@@ -264,6 +266,9 @@
 			// Keep-alive comments do not count as progress.
 			continue
 		}
+		if !r.IsText() {
+			return false, errNotText
+		}
 		timer.Reset(eventTimeout)
 		if progress.build.IsZero() {
 			progress.build = s.fleet.BuildOf(run.server)
--- a/internal/protocol/event/reader.go
+++ b/internal/protocol/event/reader.go
@@ -6,6 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -143,6 +146,16 @@
 // HasData reports whether the event has a data field, which may be empty.
 func (s *Reader) HasData() bool { return s.hasData }
 
+// IsText reports whether the event is text: its data is valid UTF-8, and so is its
+// id, which has no control characters and can be sent in a header.
+func (s *Reader) IsText() bool { return utf8.Valid(s.data) && IsIDText(s.id) }
+
+// IsIDText reports whether the id of an event is valid UTF-8 without control
+// characters.
+func IsIDText(id string) bool {
+	return utf8.ValidString(id) && strings.IndexFunc(id, unicode.IsControl) < 0
+}
+
 // Follows reports whether an event with the given id may directly follow the
 // one with the id last. Numeric ids must increase by one. Ids that are missing
 // or not numeric are not compared.
