--- a/internal/coordination/entry/entry.go
+++ b/internal/coordination/entry/entry.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -205,6 +206,11 @@
 		return
 	}
 	defer s.inFlight.Done()
+	e := checkIDHeaders(r.Header)
+	if e != nil {
+		s.refuse(w, e)
+		return
+	}
 	// http.ServeMux is not used because it redirects paths that are not in
 	// canonical form. The path of a plain service must be kept as it is.
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
@@ -217,6 +223,17 @@
 	s.handler.ServeHTTP(w, r)
 }
 
+// checkIDHeaders returns an error if an id that is stored with the request is not
+// UTF-8: the platform's objects hold text only.
+func checkIDHeaders(header http.Header) error {
+	for _, h := range []string{requestIDHeader, idempotencyKeyHeader} {
+		if !utf8.ValidString(header.Get(h)) {
+			return trail.NewError("bad-request", trail.NotRun, "header %s is not UTF-8 text", h)
+		}
+	}
+	return nil
+}
+
 // requestBodyLimit returns the limit of the request body, in bytes, for paths
 // outside plain services: the largest limit of any service, or that of files.
 func (s *Entry) requestBodyLimit(r *http.Request) int64 {
--- a/internal/coordination/entry/files.go
+++ b/internal/coordination/entry/files.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -59,7 +60,8 @@
 	}
 	m.SetId(i)
 	m.SetCaller(callerFrom(ctx))
-	m.SetFilename(req.File.Name)
+	// The name is only shown to callers, and objects hold text only.
+	m.SetFilename(strings.ToValidUTF8(req.File.Name, string(utf8.RuneError)))
 	m.SetPurpose(string(req.Purpose))
 	m.SetCreatedUnix(time.Now().Unix())
 	m.SetSegments([]*wire.Segment{g})
