--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -16,6 +16,8 @@
 const (
 	// Delay before a failed write is retried.
 	writeRetryInterval = 60 * time.Millisecond
+	// Code of a write that the platform would refuse each time.
+	codeRefused = "platform-refused"
 	// Retry-After for callers whose job could not be stored.
 	acceptRetryAfter = 700 * time.Millisecond
 )
@@ -81,9 +83,9 @@
 	return s.cached[id] != nil
 }
 
-// createObject creates an object and retries failed writes until ctx ends. When
-// the object exists after a try of unknown outcome, that try has created it,
-// and the call succeeds.
+// createObject creates an object and retries failed writes until ctx ends, unless
+// the platform would refuse the object each time. When the object exists after a
+// try of unknown outcome, that try has created it, and the call succeeds.
 func (s *Jobs) createObject(ctx context.Context, kind, name string, message proto.Message) (object.Object, error) {
 	o, e := object.Encode(kind, name, 0, message)
 	if e != nil {
@@ -101,7 +103,7 @@
 		}
 		e = f
 		d = d || trail.VerdictOf(e) != trail.NotRun
-		if !sleep(ctx, writeRetryInterval) {
+		if trail.CodeOf(e) == codeRefused || !sleep(ctx, writeRetryInterval) {
 			break
 		}
 	}
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -39,18 +39,20 @@
 	lossDelay time.Duration
 	// Get fails.
 	unavailable bool
-	// Returned from each write of a results object, which has no effect; nil for none.
-	resultsError error
+	// Returned from each write of an object of a kind, which has no effect; nil for
+	// none.
+	failingKind string
+	writeError  error
 	// Writes that have failed with it.
 	failedWrites int
 }
 
-// failResults makes all writes of results objects fail without effect, or none if
+// failWrites makes all writes of objects of a kind fail without effect, or none if
 // err is nil.
-func (s *memStore) failResults(err error) {
+func (s *memStore) failWrites(kind string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.resultsError = err
+	s.failingKind, s.writeError = kind, err
 }
 
 func (s *memStore) setUnavailable(unavailable bool) {
@@ -158,9 +160,9 @@
 }
 
 func (s *memStore) put(obj object.Object) (object.Object, error) {
-	if s.resultsError != nil && obj.Kind() == "batch-results" {
+	if s.writeError != nil && obj.Kind() == s.failingKind {
 		s.failedWrites++
-		e := s.resultsError
+		e := s.writeError
 		s.mu.Unlock()
 		time.Sleep(callDuration)
 		s.mu.Lock()
