batch: a front that may have been presumed dead reads its jobs before it runs them

Cause: a front took itself for the owner of a job until an old copy told otherwise, looked at each 1.5 s, and the time until all items of an ended job have stopped was reckoned with copies of 3 s at the most, which nobody promised.

Evidence: its log has "platform had not confirmed the copy for a while" when it wakes, and no look at its jobs before the old copy of 5 s.

Change: the fleet knows from the front's own clock and from datagrams when it may have been presumed dead. While that may be, an item starts only within a second of a read from the platform itself that names this process as the owner; after it, each job is read once. The same read decides whether the front may say that no results are listed, in place of a look at old copies 3 s later. A front that stood still takes no jobs over for 2.5 s. An end whose owner can't be notified raises the released count, upon which all fronts look for it at the platform. Former owners are notified once they are heard again.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -51,6 +51,7 @@
 		// The successor runs the job.
 		j.SetOwner("")
 	}
+	b := time.Now()
 	o, e := s.createObject(ctx, kindJobs, id, j)
 	if errors.Is(e, trail.ErrExists) {
 		return nil
@@ -67,7 +68,7 @@
 		s.notifySuccessor(ctx, id, nil)
 		return nil
 	}
-	s.startJob(o, j, items, true)
+	s.startJob(o, j, items, b, true)
 	return nil
 }
 
--- /dev/null
+++ b/internal/coordination/batch/cluster_test.go
@@ -0,0 +1,62 @@
+package batch_test
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// cluster is a set of fronts that receive each other's heartbeats.
+type cluster struct {
+	names    []string
+	fleets   map[string]*fleet.Fleet
+	jobs     map[string]*batch.Jobs
+	sequence uint64
+	// A front that receives no heartbeats, or the empty string.
+	deaf string
+}
+
+func newCluster(ctx context.Context, store *memStore, engine *fakeEngine, names ...string) *cluster {
+	r := &cluster{names: names, fleets: map[string]*fleet.Fleet{}, jobs: map[string]*batch.Jobs{}}
+	for _, n := range names {
+		r.fleets[n] = fleet.New(n, "a")
+		r.jobs[n] = newJobsWithFleet(ctx, r.fleets[n], n, store, engine, valueBytes)
+	}
+	return r
+}
+
+// advance lets time pass in which every front receives the heartbeats of all
+// others, except those of the silent one.
+func (r *cluster) advance(d time.Duration, silent string) {
+	for b := time.Now(); time.Since(b) < d; time.Sleep(250 * time.Millisecond) {
+		r.sequence++
+		for _, n := range r.names {
+			if n != silent {
+				r.sendHeartbeat(n)
+			}
+			for range r.fleets[n].ExpirePeers(time.Now()) {
+				r.jobs[n].HandlePeerLost()
+			}
+		}
+	}
+}
+
+// sendHeartbeat sends the heartbeat of a front to all others.
+func (r *cluster) sendHeartbeat(name string) {
+	l := wire.Load_builder{Name: &name, Incarnation: proto.Uint64(1), Sequence: &r.sequence}
+	for _, p := range r.names {
+		if p != name && !r.fleets[name].ReceivedWithin(time.Now(), p, fleet.HeartbeatTimeout) {
+			l.Unheard = append(l.Unheard, p)
+		}
+	}
+	for _, p := range r.names {
+		if p != name && p != r.deaf {
+			r.fleets[p].UpdatePeer(time.Now(), l.Build())
+		}
+	}
+}
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -167,6 +167,12 @@
 		}
 		s.logger.WithError(e).WithFields(log.Fields{"job-id": id, "front": n}).Warn("batch: front that comes next for a job was not told")
 	}
+	s.requestSearch()
+}
+
+// requestSearch raises the released count, upon which all fronts compare the
+// current objects of all jobs with what they run.
+func (s *Jobs) requestSearch() {
 	s.released.Add(1)
 	s.onLoadChange()
 }
@@ -176,8 +182,7 @@
 // instead, so that all fronts look for the job.
 func (s *Jobs) acceptHandOver(id string, progress []*wire.ItemProgress) {
 	if s.isDraining() || !s.discoveryDone() {
-		s.released.Add(1)
-		s.onLoadChange()
+		s.requestSearch()
 		return
 	}
 	c, f := context.WithTimeout(context.Background(), takeOverTimeout)
@@ -215,6 +220,7 @@
 }
 
 // ReleaseCount returns how many jobs this front has released without a successor
-// that acknowledged the hand-over. Heartbeats publish the count, and the other
-// fronts call TriggerReconcile when it changes, which finds the job.
+// that acknowledged the hand-over, or ended without their owner's word. Heartbeats
+// publish the count, and the other fronts call TriggerReconcile when it changes,
+// which finds the job.
 func (s *Jobs) ReleaseCount() uint32 { return s.released.Load() }
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -75,7 +75,10 @@
 	// without an owner.
 	peerLostSignal chan struct{}
 	startTime      time.Time
-	// Jobs released without a successor that acknowledged the hand-over.
+	// Ends when the process does, and with it all work of its own accord.
+	running context.Context
+	// Jobs released without a successor that acknowledged the hand-over, and jobs
+	// ended without their owner's acknowledgement.
 	released atomic.Uint32
 
 	mu sync.Mutex
@@ -90,8 +93,6 @@
 	runs map[string][]*itemRun
 	// The front is stopping; no new items are started.
 	draining bool
-	// Start time of the last successful reconciliation.
-	reconciled time.Time
 
 	outcomes *prometheus.CounterVec
 }
@@ -99,7 +100,7 @@
 // New starts to run the jobs that this front owns, until ctx ends.
 func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routeTable func() *rules.Table, valueBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
 	s := &Jobs{
-		self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routeTable: routeTable, logger: logger, onLoadChange: onLoadChange,
+		running: ctx, self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routeTable: routeTable, logger: logger, onLoadChange: onLoadChange,
 		payloadBytes: int(float64(valueBytes) * payloadShare), dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), startTime: time.Now(),
 		cached: map[string]*cachedJob{}, owned: map[string]*ownedJob{}, inheritedProgress: map[string][]*wire.ItemProgress{}, agenda: agenda.New(), runs: map[string][]*itemRun{},
 		outcomes: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	trail "bulrushtrail.example/trail"
@@ -215,6 +216,26 @@
 	return len(v.GetResults())
 }
 
+// setOwner makes a front the owner of a job, as a takeover does.
+func (s *memStore) setOwner(t *testing.T, job, front string) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, o := &wire.BatchJob{}, s.objects["batch-jobs/"+job]
+	e := o.Decode(v)
+	if e != nil {
+		t.Fatal(e)
+	}
+	v.SetOwner(front)
+	o, e = object.Encode("batch-jobs", job, o.Version(), v)
+	if e == nil {
+		_, e = s.put(o)
+	}
+	if e != nil {
+		t.Fatal(e)
+	}
+}
+
 // owner returns the front that owns a job, or the empty string.
 func (s *memStore) owner(job string) string {
 	s.mu.Lock()
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -37,6 +37,11 @@
 	// takeover such a write of an earlier owner can't be ruled out until the
 	// first successful write of this front.
 	writesSettled bool
+	// Start of the last read or write of the job's object that found this process
+	// as its owner, zero for none.
+	confirmedAt time.Time
+	// A read of the job's object is in progress, or has failed just now.
+	confirming bool
 	// Ends when the job is no longer run here, and with it its runs and
 	// commits.
 	ctx    context.Context
@@ -64,8 +69,9 @@
 
 // startJob starts to run a job whose items are loaded. It does nothing when the
 // job already runs here or has ended, or when this front is stopping.
-// firstOwner says that no other front has run the job before.
-func (s *Jobs) startJob(obj object.Object, value *wire.BatchJob, items []*wire.BatchItem, firstOwner bool) {
+// confirmedAt is the start of the read or write that has found this process as
+// the owner; firstOwner says that no other front has run the job before.
+func (s *Jobs) startJob(obj object.Object, value *wire.BatchJob, items []*wire.BatchItem, confirmedAt time.Time, firstOwner bool) {
 	d := obj.Name()
 	k := s.cacheJob(obj, value)
 	s.mu.Lock()
@@ -75,7 +81,7 @@
 	}
 	k.items = items
 	h := k.listedIDs()
-	o := &ownedJob{id: d, cached: k, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner}
+	o := &ownedJob{id: d, cached: k, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
 	o.ctx, o.cancel = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	// Time from the acceptance of the job until it is due.
@@ -145,7 +151,6 @@
 func (s *Jobs) reconcileLoop(ctx context.Context) {
 	for {
 		w := s.awaitTrigger(ctx)
-		b := time.Now()
 		var l []object.Object
 		var e error
 		switch w {
@@ -164,9 +169,6 @@
 		for _, o := range l {
 			s.reconcileObject(ctx, o)
 		}
-		s.mu.Lock()
-		s.reconciled = b
-		s.mu.Unlock()
 	}
 }
 
@@ -241,8 +243,8 @@
 	case o != nil || v || value.GetEnded() || value.GetComplete():
 	case s.isOwner(value):
 		// The outcome of the creation or the takeover was unknown; it
-		// succeeded.
-		s.loadAndStart(ctx, id)
+		// succeeded. The object may be stale.
+		s.loadAndStart(ctx, id, time.Time{})
 	case s.orphaned(value) && (value.GetOwner() == s.self.GetName() || s.isSuccessor(id)):
 		s.takeOver(ctx, id)
 	}
@@ -268,9 +270,12 @@
 	return s.discoveryDone() && !s.fleet.Alive(time.Now(), value.GetOwner())
 }
 
-// discoveryDone says whether this process has run long enough to know which
-// other fronts are alive.
-func (s *Jobs) discoveryDone() bool { return time.Since(s.startTime) >= discoveryTime }
+// discoveryDone says whether this process has run long enough, since its start and
+// since it last stood still, to know which other fronts are alive.
+func (s *Jobs) discoveryDone() bool {
+	n := time.Now()
+	return n.Sub(s.startTime) >= discoveryTime && n.Sub(s.fleet.AwakeSince(n)) >= discoveryTime
+}
 
 // isSuccessor says whether this front is the first of all live fronts in the
 // rendezvous order of a job.
@@ -298,9 +303,11 @@
 
 // takeOver makes this front the owner of an orphaned job and starts the job.
 func (s *Jobs) takeOver(ctx context.Context, id string) {
-	d := false
+	// Whether the job is taken over, and its owner before.
+	d, w := false, ""
+	b := time.Now()
 	e := s.updateJob(ctx, id, func(j *wire.BatchJob) bool {
-		d = !j.GetEnded() && !j.GetComplete() && s.orphaned(j)
+		d, w = !j.GetEnded() && !j.GetComplete() && s.orphaned(j), j.GetOwner()
 		if !d {
 			return false
 		}
@@ -316,12 +323,15 @@
 	if !d {
 		return
 	}
-	s.loadAndStart(ctx, id)
+	if w != "" && w != s.self.GetName() {
+		s.remindLater(w, id)
+	}
+	s.loadAndStart(ctx, id, b)
 }
 
-// loadAndStart reads the items and results of a job that this front owns and
-// starts the job.
-func (s *Jobs) loadAndStart(ctx context.Context, id string) {
+// loadAndStart reads the items and results of a job that this front owned at
+// confirmedAt and starts the job.
+func (s *Jobs) loadAndStart(ctx context.Context, id string, confirmedAt time.Time) {
 	k, e := s.getJob(ctx, id)
 	if e == nil {
 		e = s.loadItems(ctx, id, k)
@@ -338,7 +348,7 @@
 	o, j, i := k.object, k.job, k.items
 	s.mu.Unlock()
 	s.logger.WithField("job-id", id).Info("batch: job run here from now on")
-	s.startJob(o, j, i, false)
+	s.startJob(o, j, i, confirmedAt, false)
 }
 
 func (s *Jobs) ownedCount() int {
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -120,14 +120,12 @@
 
 // isAuthoritative says whether this front is sure to know all listed results of
 // a job that it runs. For this no write to them may be of unknown outcome, and
-// no other front can have taken the job over: none has presumed this front
-// dead, or a reconciliation has found the job unchanged that began maxStaleness
-// later, so that even its stale reads show any takeover.
+// this front must be sure to be the owner.
 func (s *Jobs) isAuthoritative(job *ownedJob) bool {
 	d := s.fleet.LastPresumedDead(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.owned[job.id] == job && job.writesSettled && s.reconciled.After(d.Add(maxStaleness))
+	return s.owned[job.id] == job && job.writesSettled && job.confirmed(d)
 }
 
 // limitResults cuts results to the size of one response, but keeps at least
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -60,6 +60,8 @@
 			return
 		case <-s.dispatchSignal:
 		case <-t.C:
+			// A process that stood still notices it here.
+			s.confirmAll(time.Now())
 		}
 		s.yieldAll()
 		if time.Since(b) < startInterval || !s.startNext() {
@@ -85,8 +87,12 @@
 	}
 	var b *wire.BackendServer
 	o := time.Now()
+	d := s.fleet.LastPresumedDead(o)
 	// The job, the index of its item, and whether there is one that may start.
 	i, n, a := s.agenda.Next(o, func(id string, index int) bool {
+		if !s.mayStart(o, d, s.owned[id]) {
+			return false
+		}
 		b = s.acquireServer(o, t, s.owned[id], index)
 		return b != nil
 	})
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -85,6 +85,8 @@
 	immediatePeers int
 	// When another front may last have presumed this one dead.
 	lastPresumedDead time.Time
+	// When this process last went on after it had stood still.
+	awakeSince time.Time
 	// When fronts timed out without having announced that they stop, by name.
 	lostPeers         map[string]time.Time
 	lastLivenessCheck time.Time
--- a/internal/coordination/fleet/liveness.go
+++ b/internal/coordination/fleet/liveness.go
@@ -24,8 +24,17 @@
 	return f.lastPresumedDead
 }
 
-// checkLiveness updates lastPresumedDead from the fronts that are silent and
-// from the time since the last check. The caller holds the lock.
+// AwakeSince returns when this process last went on after it had stood still, or
+// when it started. The silence of other fronts before that says nothing about them.
+func (f *Fleet) AwakeSince(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkLiveness(now)
+	return f.awakeSince
+}
+
+// checkLiveness updates lastPresumedDead and awakeSince from the fronts that are
+// silent and from the time since the last check. The caller holds the lock.
 func (f *Fleet) checkLiveness(now time.Time) {
 	l := f.lastLivenessCheck
 	f.lastLivenessCheck = now
@@ -33,6 +42,7 @@
 	// not.
 	if now.Sub(l) > HeartbeatTimeout || now.Round(0).Sub(l.Round(0)) > HeartbeatTimeout {
 		f.lastPresumedDead = now
+		f.awakeSince = now
 		return
 	}
 	for n, t := range f.lostPeers {
