--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -165,6 +165,16 @@
 	return s.cacheJob(o, j), nil
 }
 
+// Origin returns the host and the path of the submission of a job. The errors are
+// "job-missing" and those of the platform.
+func (s *Jobs) Origin(ctx context.Context, id string) (host, path string, err error) {
+	k, e := s.getJob(ctx, id)
+	if e != nil {
+		return "", "", e
+	}
+	return k.host, k.path, nil
+}
+
 // getImmutable reads an object of which any version will do: stale first, and
 // from the platform itself if the stale copy lacks it.
 func (s *Jobs) getImmutable(ctx context.Context, kind, name string) (object.Object, error) {
--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -43,8 +43,7 @@
 // Match returns the route of host with the longest path prefix that matches
 // path, or nil. Host names are case-insensitive, and a port in host is ignored.
 func (s *Table) Match(host, path string) *wire.RouteRule {
-	h, _, _ := strings.Cut(host, ":")
-	for _, r := range s.routesByHost[strings.ToLower(h)] {
+	for _, r := range s.routesByHost[hostKey(host)] {
 		if strings.HasPrefix(path, r.GetPrefix()) {
 			return r
 		}
@@ -55,8 +54,16 @@
 // HasHost reports whether the configuration has routes for host. It ignores
 // case and port like Match.
 func (s *Table) HasHost(host string) bool {
+	return len(s.routesByHost[hostKey(host)]) > 0
+}
+
+// SameHost reports whether two hosts are the same but for case and port.
+func SameHost(a, b string) bool { return hostKey(a) == hostKey(b) }
+
+// hostKey returns a host in lower case without its port.
+func hostKey(host string) string {
 	h, _, _ := strings.Cut(host, ":")
-	return len(s.routesByHost[strings.ToLower(h)]) > 0
+	return strings.ToLower(h)
 }
 
 // Service returns the configuration of a service, or nil if there is none.
