batch: items that cannot run any more are given up and listed

Cause: the route of a job is looked up in the configuration of now when an item is to start, and an item that never starts had no outcome; MaxWaitS was not read.

Evidence: no run and no log line after the removal. TestItemsOfChangedRouteWaitForEver failed before: 0 of 12 items given up after the removal, with the host, and at a service without servers after its longest wait; 20 items run by the online route. TestItemsOfRemovedRouteOutliveTheirFront, TestItemWithoutSuccessIsNeverGivenUp and TestItemIsGivenUpTooSoonByOtherClock failed too.

Change: a job's route is a batch route only. Without one for 5 s the waiting items are given up; after the longest wait of the route those that no server could take or whose last run did not succeed. Only a front that is sure to own the job does so. Items that run, or only wait for a slot, are left.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -63,6 +63,8 @@
 	runTime time.Duration
 	// Number of consecutive runs that were lost without an event.
 	consecutiveLosses int
+	// The last run was refused, broke off or failed.
+	broken bool
 }
 
 // New returns an empty agenda.
@@ -201,7 +203,14 @@
 }
 
 // RequeuePreempted requeues an item that was preempted, without a backoff.
-func (a *Agenda) RequeuePreempted(id string, index int) { a.requeue(id, index, time.Time{}) }
+func (a *Agenda) RequeuePreempted(id string, index int) {
+	j := a.find(id)
+	if j == nil {
+		return
+	}
+	j.items[index].broken = false
+	a.requeue(id, index, time.Time{})
+}
 
 // RequeueBroken requeues an item whose run was refused or broke off. lost says
 // that the run may have started but produced no event.
@@ -212,6 +221,7 @@
 	}
 	d := brokenBackoff
 	i := &j.items[index]
+	i.broken = true
 	if !lost {
 		i.consecutiveLosses = 0
 	} else {
@@ -232,6 +242,7 @@
 		return false
 	}
 	i := &j.items[index]
+	i.broken = true
 	i.failures++
 	if i.failures >= maxAttempts {
 		a.Close(id, index)
@@ -260,6 +271,22 @@
 	j.unfinished--
 }
 
+// Waiting returns the indexes of the waiting items of a job, or only of those whose
+// last run was refused, broke off or failed.
+func (a *Agenda) Waiting(id string, onlyBroken bool) []int {
+	j := a.find(id)
+	if j == nil {
+		return nil
+	}
+	var l []int
+	for n, i := range j.items {
+		if i.state == waiting && (i.broken || !onlyBroken) {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // Unfinished returns the number of items of a job that are not closed.
 func (a *Agenda) Unfinished(id string) int {
 	j := a.find(id)
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -21,7 +21,6 @@
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
-	"bulrushtrail.example/trail/internal/state/rules"
 )
 
 // fakeEngine is the backend server. It answers an item with two events after
@@ -32,6 +31,8 @@
 	runs map[string]int
 	// Items that fail in every run.
 	failing map[string]bool
+	// Item whose runs all lose their backend server.
+	lost string
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
@@ -51,12 +52,19 @@
 	g.losses = count
 }
 
-// takeLoss returns whether the current run loses its backend server.
-func (g *fakeEngine) takeLoss() bool {
+// loseItem makes all runs of an item lose their backend server.
+func (g *fakeEngine) loseItem(item string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost = item
+}
+
+// takeLoss returns whether the current run of an item loses its backend server.
+func (g *fakeEngine) takeLoss(item string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.losses--
-	return g.losses >= 0
+	return g.losses >= 0 || item == g.lost
 }
 
 // setBodies sets the response bodies of the first runs of an item.
@@ -113,7 +121,7 @@
 	if f {
 		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
 	}
-	if g.takeLoss() {
+	if g.takeLoss(request.ID()) {
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
 	}
 	if b := g.nextBody(request.ID()); b != nil {
@@ -216,18 +224,22 @@
 	fleet.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{
 		Id: proto.String("s"), Service: proto.String("v"), DataCentre: proto.String("a"), Slots: proto.Int32(8),
 	}.Build()}, time.Now(), time.Now())
-	r := rules.New(wire.RouteTable_builder{Routes: []*wire.RouteRule{wire.RouteRule_builder{
-		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
-		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
-	}.Build(), quotaRoute()}}.Build())
 	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
 	x := store.peers
-	j := batch.New(ctx, n, store, x, fleet, engine, func() *rules.Table { return r }, valueBytes,
+	j := batch.New(ctx, n, store, x, fleet, engine, store.routeTable, valueBytes,
 		&log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {})
 	x.add(name, j)
 	return j
 }
 
+// batchRoute returns the route of the jobs that accept submits.
+func batchRoute() *wire.RouteRule {
+	return wire.RouteRule_builder{
+		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
+		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
+	}.Build()
+}
+
 func newItems(n int) []*wire.BatchItem {
 	var l []*wire.BatchItem
 	for i := range n {
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -13,6 +13,7 @@
 	"bulrushtrail.example/trail/internal/coordination/batch"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
+	"bulrushtrail.example/trail/internal/state/rules"
 )
 
 // Duration of a call to the platform that fails.
@@ -34,6 +35,8 @@
 	listCalls int
 	// The fronts on this platform, as they reach each other.
 	peers *fakePeers
+	// The configuration.
+	routes *rules.Table
 	// The next write takes effect and then fails, as if its response was lost.
 	loseAnswer bool
 	// Time until that write returns its failure.
@@ -69,7 +72,22 @@
 }
 
 func newStore() *memStore {
-	return &memStore{objects: map[string]object.Object{}, getCalls: map[string]int{}, peers: &fakePeers{fronts: map[string]*batch.Jobs{}}}
+	s := &memStore{objects: map[string]object.Object{}, getCalls: map[string]int{}, peers: &fakePeers{fronts: map[string]*batch.Jobs{}}}
+	s.setRoutes(batchRoute(), quotaRoute())
+	return s
+}
+
+// setRoutes puts a configuration in force.
+func (s *memStore) setRoutes(routes ...*wire.RouteRule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routes = rules.New(wire.RouteTable_builder{Routes: routes}.Build())
+}
+
+func (s *memStore) routeTable() *rules.Table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes
 }
 
 func newError(cause error, verdict trail.Verdict) error {
@@ -218,6 +236,12 @@
 
 // setOwner makes a front the owner of a job, as a takeover does.
 func (s *memStore) setOwner(t *testing.T, job, front string) {
+	t.Helper()
+	s.changeJob(t, job, func(j *wire.BatchJob) { j.SetOwner(front) })
+}
+
+// changeJob changes the object of a job.
+func (s *memStore) changeJob(t *testing.T, job string, change func(j *wire.BatchJob)) {
 	t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,7 +250,7 @@
 	if e != nil {
 		t.Fatal(e)
 	}
-	v.SetOwner(front)
+	change(v)
 	o, e = object.Encode("batch-jobs", job, o.Version(), v)
 	if e == nil {
 		_, e = s.put(o)
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -37,6 +37,10 @@
 	// takeover such a write of an earlier owner can't be ruled out until the
 	// first successful write of this front.
 	writesSettled bool
+	// When the job was accepted, or later: clocks differ between hosts.
+	acceptedAt time.Time
+	// Since when the configuration has no route for the job, zero if it has one.
+	unroutedSince time.Time
 	// Start of the last read or write of the job's object that found this process
 	// as its owner, zero for none.
 	confirmedAt time.Time
@@ -96,9 +100,11 @@
 	s.holdTokens(o)
 	// Age of the job. It is clamped, as clocks differ between hosts and may be
 	// set.
-	a := time.Since(time.UnixMilli(value.GetAcceptedUnixMs()))
+	n := time.Now()
+	a := n.Sub(time.UnixMilli(value.GetAcceptedUnixMs()))
+	o.acceptedAt = n.Add(-max(a-maxClockSkew, 0))
 	a = min(max(a, 0), u)
-	s.agenda.Add(d, time.Now().Add(u-a), u, l, h)
+	s.agenda.Add(d, n.Add(u-a), u, l, h)
 	if s.agenda.Unfinished(d) == 0 {
 		// An earlier owner has listed all results.
 		go s.completeJob(o)
@@ -106,16 +112,6 @@
 	s.TriggerDispatch()
 }
 
-// route returns the route of a job, nil when the route was removed or no
-// configuration is known.
-func (s *Jobs) route(cached *cachedJob) *wire.RouteRule {
-	t := s.routeTable()
-	if t == nil {
-		return nil
-	}
-	return t.Match(cached.host, cached.path)
-}
-
 // maxFailures returns how often an item may fail before it is given up. The
 // platform allows one to three times the attempts of the route. A later owner
 // does not know how often the items have failed before and uses one times, so
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -12,11 +12,32 @@
 // build that made it, while others are free. Then it starts anew.
 const buildWait = 3 * time.Second
 
+// route returns the route of a job, nil when the route was removed or no
+// configuration is known.
+func (s *Jobs) route(cached *cachedJob) *wire.RouteRule {
+	t := s.routeTable()
+	if t == nil {
+		return nil
+	}
+	return routeIn(t, cached)
+}
+
+// routeIn returns the route of a job in a configuration, nil if there is none. A route
+// for online requests that matches the job's path is another one, and may lead to
+// other services.
+func routeIn(table *rules.Table, cached *cachedJob) *wire.RouteRule {
+	u := table.Match(cached.host, cached.path)
+	if !u.GetBatch() {
+		return nil
+	}
+	return u
+}
+
 // acquireServer chooses a backend server for the next run of an item, or returns
 // nil. An item with output goes on at the build that made it, and starts anew if
 // that does not serve its route any more. The caller holds the lock.
 func (s *Jobs) acquireServer(now time.Time, table *rules.Table, job *ownedJob, index int) *wire.BackendServer {
-	u := table.Match(job.cached.host, job.cached.path)
+	u := routeIn(table, job.cached)
 	if u == nil {
 		return nil
 	}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -62,6 +62,7 @@
 		case <-t.C:
 			// A process that stood still notices it here.
 			s.confirmAll(time.Now())
+			s.giveUpAll(time.Now())
 		}
 		s.yieldAll()
 		if time.Since(b) < startInterval || !s.startNext() {
@@ -165,7 +166,7 @@
 	switch {
 	case done:
 		s.agenda.Close(run.job.id, run.index)
-		s.addResult(run, false, string(progress.output))
+		s.addResult(run.job, run.index, false, string(progress.output))
 		return "done"
 	case yielded:
 		s.agenda.RequeuePreempted(run.job.id, run.index)
@@ -181,13 +182,13 @@
 		return "path-lost"
 	case errors.Is(err, errImpossible):
 		s.agenda.Close(run.job.id, run.index)
-		s.addResult(run, true, "")
+		s.addResult(run.job, run.index, true, "")
 		return "impossible"
 	case errors.Is(err, errFailed):
 		s.fleet.RecordFailedAnswer(w, run.server.GetId())
 		s.onLoadChange()
 		if s.agenda.RequeueFailed(w, run.job.id, run.index, s.maxFailures(run.job)) {
-			s.addResult(run, true, "")
+			s.addResult(run.job, run.index, true, "")
 			return "given-up"
 		}
 		return "failed"
@@ -208,20 +209,21 @@
 // addResult adds the result of an item to the pending ones and makes sure that
 // a commit loop writes them. The last result of a job is written at once. The
 // caller holds the lock.
-func (s *Jobs) addResult(run *itemRun, failed bool, output string) {
-	delete(run.job.progress, run.index)
-	s.setWaitingTokens(run.job, run.job.waitingTokens-run.item.GetTokens())
-	i := run.item.GetId()
-	run.job.pendingResults = append(run.job.pendingResults, wire.BatchResult_builder{Id: &i, Failed: &failed, Output: &output}.Build())
-	if run.job.committing {
+func (s *Jobs) addResult(job *ownedJob, index int, failed bool, output string) {
+	delete(job.progress, index)
+	i := job.cached.items[index]
+	s.setWaitingTokens(job, job.waitingTokens-i.GetTokens())
+	n := i.GetId()
+	job.pendingResults = append(job.pendingResults, wire.BatchResult_builder{Id: &n, Failed: &failed, Output: &output}.Build())
+	if job.committing {
 		return
 	}
-	run.job.committing = true
+	job.committing = true
 	d := commitWindow
-	if s.agenda.Unfinished(run.job.id) == 0 {
+	if s.agenda.Unfinished(job.id) == 0 {
 		d = 0
 	}
-	go s.commitLoop(run.job, d)
+	go s.commitLoop(job, d)
 }
 
 var (
--- a/internal/coordination/fleet/build.go
+++ b/internal/coordination/fleet/build.go
@@ -30,6 +30,14 @@
 	return false
 }
 
+// HasServers reports whether a backend server of a service is known.
+func (f *Fleet) HasServers(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.services[service]
+	return v != nil && len(v.servers) > 0
+}
+
 // BuildOf returns the build that has run a request, where entry is the server's
 // entry when the request was sent. If the server has started again with another
 // version, and the request may have reached either process, the version is
