objapi: an event of a watch has a largest size

What callers saw: none has reported it here; found by looking for the report of answers without an end at the own interface. A line of a watch that never ends was read as long as its request lasts, 2.5 s, and kept.

Evidence: TestEndlessWatchLineIsRead read 164 MB of one line before.

Change: a line over 8 MB, an object with each byte of its value escaped and more, ends the watch, which begins anew. No object or message changes.

--- a/internal/protocol/objapi/watch.go
+++ b/internal/protocol/objapi/watch.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	trail "bulrushtrail.example/trail"
 )
 
@@ -21,6 +23,8 @@
 	// Minimum interval between the starts of two watch requests, so that the
 	// platform is not called in a tight loop if it ends them at once.
 	minWatchInterval = 100 * time.Millisecond
+	// Largest event of a watch: an object whose value is escaped, with its envelope.
+	maxEventBytes = 8 * maxValueBytes
 )
 
 // watchRequest is one HTTP request of a watch whose response is being read.
@@ -76,7 +80,7 @@
 	defer request.response.Body.Close()
 	r := bufio.NewReader(request.response.Body)
 	for {
-		l, e := r.ReadBytes('\n')
+		l, e := readLine(r)
 		if e != nil {
 			// An event without the end of its line may be incomplete.
 			return after
@@ -98,6 +102,21 @@
 	}
 }
 
+// readLine reads a line of up to maxEventBytes.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	var b []byte
+	for {
+		l, e := reader.ReadSlice('\n')
+		b = append(b, l...)
+		switch {
+		case len(b) > maxEventBytes:
+			return nil, errors.Newf("event of a watch has more than %d bytes", maxEventBytes)
+		case !errors.Is(e, bufio.ErrBufferFull):
+			return b, e
+		}
+	}
+}
+
 // openWatchWithRetry starts a watch request. If no response arrives, it retries
 // once on a new connection.
 func (s *Client) openWatchWithRetry(ctx context.Context, kind string, after int64) (*watchRequest, *trail.Error) {
