direct, batch: responses without an end share a bounded part of the memory

What callers saw: reported by other operators: a faulty server sends bytes without end in a body, the machine that had called it keeps them and runs out of memory, and the requests of its other clients end with it.

Cause: the limits on bodies hold for one response each, and nothing bounded all of them together; a body too long to be buffered stayed in memory until its caller had read all of it.

TestFaultyStreamIsAbortedAndRerun: an item stayed for ever at a server that sends ids without data, or more events than the item has tokens.

A body without room is relayed as it comes.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -148,8 +148,8 @@
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
-	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
-	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
+	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
+	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
--- a/internal/command/daemon/process.go
+++ b/internal/command/daemon/process.go
@@ -22,6 +22,14 @@
 // kernel after about 2.5 s: 1 s idle and three probes 500 ms apart.
 var keepalive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
+const (
+	// Fraction of the host's memory that the responses of backend servers to online
+	// requests may hold, and those to batch items.
+	bufferFraction = 0.12
+	// The same without a memory limit, in bytes.
+	defaultBufferBytes = 64 << 20
+)
+
 // process holds the state that all roles share.
 type process struct {
 	role        string
@@ -84,3 +92,12 @@
 func (p *process) peerAddress() string {
 	return net.JoinHostPort(p.settings.GetHostAddress(), strconv.Itoa(int(p.settings.GetPeerPort())))
 }
+
+// bufferBytes returns the bytes that responses of backend servers may hold in memory
+// together, for online requests and as much again for batch items.
+func (p *process) bufferBytes() int64 {
+	if m := p.settings.GetMemoryMb(); m > 0 {
+		return int64(float64(m<<20) * bufferFraction)
+	}
+	return defaultBufferBytes
+}
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -71,7 +71,10 @@
 func (g *fakeEngine) setBodies(item string, bodies ...io.ReadCloser) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.bodies = map[string][]io.ReadCloser{item: bodies}
+	if g.bodies == nil {
+		g.bodies = map[string][]io.ReadCloser{}
+	}
+	g.bodies[item] = bodies
 }
 
 // nextBody returns the response body set for the next run of an item, nil if
@@ -226,7 +229,7 @@
 	}.Build()}, time.Now(), time.Now())
 	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
 	x := store.peers
-	j := batch.New(ctx, n, store, x, fleet, engine, store.routeTable, valueBytes,
+	j := batch.New(ctx, n, store, x, fleet, engine, store.routeTable, valueBytes, outputBytes,
 		&log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {})
 	x.add(name, j)
 	return j
@@ -240,10 +243,13 @@
 	}.Build()
 }
 
+// Tokens of an item of newItems.
+const itemTokens = 50
+
 func newItems(n int) []*wire.BatchItem {
 	var l []*wire.BatchItem
 	for i := range n {
-		l = append(l, wire.BatchItem_builder{Id: proto.String(fmt.Sprint("i", i)), Path: proto.String("/b/x"), Body: []byte("body")}.Build())
+		l = append(l, wire.BatchItem_builder{Id: proto.String(fmt.Sprint("i", i)), Path: proto.String("/b/x"), Body: []byte("body"), Tokens: proto.Int64(itemTokens)}.Build())
 	}
 	return l
 }
--- a/internal/coordination/batch/faulty_test.go
+++ b/internal/coordination/batch/faulty_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,14 +36,22 @@
 func TestFaultyStreamIsAbortedAndRerun(t *testing.T) {
 	l := []struct {
 		name string
+		// Runs until the item is done: one goes on after the ids, to no avail.
+		runs int
 		body func() io.ReadCloser
 	}{
-		{"keep-alive comments only", func() io.ReadCloser { return repeatingBody(time.Second, func(int) string { return ":\n\n" }) }},
-		{"partial event, byte by byte", func() io.ReadCloser { return repeatingBody(time.Second, func(int) string { return "d" }) }},
-		{"endless events without ids", func() io.ReadCloser {
+		{"keep-alive comments only", 2, func() io.ReadCloser { return repeatingBody(time.Second, func(int) string { return ":\n\n" }) }},
+		{"ids without data", 3, func() io.ReadCloser {
+			return repeatingBody(time.Second, func(n int) string { return fmt.Sprintf("id: %d\n\n", n) })
+		}},
+		{"more events than tokens", 2, func() io.ReadCloser {
+			return repeatingBody(100*time.Millisecond, func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) })
+		}},
+		{"partial event, byte by byte", 2, func() io.ReadCloser { return repeatingBody(time.Second, func(int) string { return "d" }) }},
+		{"endless events without ids", 2, func() io.ReadCloser {
 			return repeatingBody(time.Microsecond, func(int) string { return "data: " + strings.Repeat("x", 1000) + "\n\n" })
 		}},
-		{"one endless event", func() io.ReadCloser {
+		{"one endless event", 2, func() io.ReadCloser {
 			return repeatingBody(time.Microsecond, func(int) string { return strings.Repeat("x", 1000) })
 		}},
 	}
@@ -57,7 +66,7 @@
 				if d := cmp.Diff([]string{"i0 " + wantOutput("i0")}, listResults(t, ctx, j, "j1")); d != "" {
 					t.Error(d)
 				}
-				if d := cmp.Diff(2, engine.runCount("i0")); d != "" {
+				if d := cmp.Diff(k.runs, engine.runCount("i0")); d != "" {
 					t.Error(d)
 				}
 			})
@@ -65,6 +74,53 @@
 	}
 }
 
+// countedBody counts the bytes that are read until it is closed.
+type countedBody struct {
+	io.ReadCloser
+	// Bytes of all open bodies, and of this one.
+	total *atomic.Int64
+	own   atomic.Int64
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, e := b.ReadCloser.Read(p)
+	b.total.Add(int64(n))
+	b.own.Add(int64(n))
+	return n, e
+}
+
+func (b *countedBody) Close() error {
+	b.total.Add(-b.own.Swap(0))
+	return b.ReadCloser.Close()
+}
+
+// Guards against many backend servers that send events without end, at a moderate
+// pace, so that the outputs of all items together use up the memory of the front.
+func TestManyEndlessOutputsExhaustMemory(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		var n atomic.Int64
+		for i := range 8 {
+			b := repeatingBody(10*time.Millisecond, func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 1000)) })
+			engine.setBodies(fmt.Sprint("i", i), &countedBody{ReadCloser: b, total: &n})
+		}
+		j := newJobs(t, ctx, "a", store, engine, valueBytes)
+		accept(t, ctx, j, "job", 8)
+		m := int64(0)
+		for range 600 {
+			time.Sleep(10 * time.Millisecond)
+			m = max(m, n.Load())
+		}
+		// Beside the limit, each output may grow by a step before it is counted.
+		if m > outputBytes+8*(70<<10) {
+			t.Error("bytes of unfinished outputs:", m)
+		}
+		time.Sleep(time.Minute)
+		if d := cmp.Diff(8, len(listResults(t, ctx, j, "job"))); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a slow but sound stream that is aborted. It sends one event
 // every 2.9 s, within the event timeout of 4 s.
 func TestSlowStreamIsNotAborted(t *testing.T) {
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -208,6 +208,7 @@
 		p := l[i.GetId()]
 		if p != nil && !listed[i.GetId()] && isText(p) {
 			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true, build: build.New(p.GetService(), p.GetVersion())}
+			m[n].size.Store(int64(len(p.GetText())))
 		}
 	}
 	return m
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -18,6 +18,7 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
+	"bulrushtrail.example/trail/internal/transport/buffer"
 )
 
 // Kinds of the platform objects.
@@ -67,7 +68,11 @@
 	// report: slots taken or freed, failures of backend servers, released jobs.
 	onLoadChange func()
 	// Largest payload of an input or results object in bytes.
-	payloadBytes   int
+	payloadBytes int
+	// Bytes that long events hold while they are read.
+	eventRoom *buffer.Limit
+	// Bytes that the outputs of unfinished items may hold together.
+	outputBytes    int64
 	dispatchSignal chan struct{}
 	// Holds a value while a reconciliation from current objects is requested.
 	reconcileSignal chan struct{}
@@ -97,11 +102,12 @@
 	outcomes *prometheus.CounterVec
 }
 
-// New starts to run the jobs that this front owns, until ctx ends.
-func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routeTable func() *rules.Table, valueBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
+// New starts to run the jobs that this front owns, until ctx ends. The platform takes
+// objects of up to valueBytes; outputs of unfinished items hold up to outputBytes.
+func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routeTable func() *rules.Table, valueBytes, outputBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
 	s := &Jobs{
 		running: ctx, self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routeTable: routeTable, logger: logger, onLoadChange: onLoadChange,
-		payloadBytes: int(float64(valueBytes) * payloadShare), dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), startTime: time.Now(),
+		payloadBytes: int(float64(valueBytes) * payloadShare), eventRoom: buffer.New(outputBytes), outputBytes: outputBytes, dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), startTime: time.Now(),
 		cached: map[string]*cachedJob{}, owned: map[string]*ownedJob{}, inheritedProgress: map[string][]*wire.ItemProgress{}, agenda: agenda.New(), runs: map[string][]*itemRun{},
 		outcomes: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_batch_runs_total",
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -13,7 +13,10 @@
 	"bulrushtrail.example/trail/internal/coordination/batch"
 )
 
-const valueBytes = 1 << 20
+const (
+	valueBytes  = 1 << 20
+	outputBytes = 2 << 20
+)
 
 // withFakes runs a test under a fake clock with a store and an engine.
 func withFakes(t *testing.T, test func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine)) {
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/build"
 	"bulrushtrail.example/trail/internal/state/object"
 )
 
@@ -52,25 +51,6 @@
 	cancel context.CancelCauseFunc
 }
 
-// itemProgress is the output of an item received so far.
-type itemProgress struct {
-	// Id of the last event, empty before the first.
-	lastEventID string
-	// Data of the events so far, joined by line feeds.
-	output []byte
-	// Whether any event with data was received.
-	hasData bool
-	// Build of the backend servers that made the output, zero before the first
-	// event.
-	build build.Build
-	// Since when the item waits for a slot at a server of that build, zero while it
-	// does not.
-	waitingSince time.Time
-}
-
-// resumable reports whether the item can go on after the output so far.
-func (p *itemProgress) resumable() bool { return p.lastEventID != "" }
-
 // startJob starts to run a job whose items are loaded. It does nothing when the
 // job already runs here or has ended, or when this front is stopping.
 // confirmedAt is the start of the read or write that has found this process as
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -85,6 +85,3 @@
 		progress.reset()
 	}
 }
-
-// reset discards the output.
-func (p *itemProgress) reset() { *p = itemProgress{} }
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -42,6 +41,8 @@
 	item   *wire.BatchItem
 	server *wire.BackendServer
 	cancel context.CancelCauseFunc
+	// Output of the item, which the run extends.
+	progress *itemProgress
 	// Id of the last event of the earlier runs, empty for a run from the start.
 	resumedAfter string
 	// The run no longer counts towards the load of the backend server.
@@ -113,6 +114,7 @@
 		p = &itemProgress{}
 		job.progress[index] = p
 	}
+	r.progress = p
 	r.resumedAfter = p.lastEventID
 	p.waitingSince = time.Time{}
 	s.onLoadChange()
@@ -262,6 +264,8 @@
 
 func (s *Jobs) readEvents(response *http.Response, run *itemRun, progress *itemProgress, timer *time.Timer) (bool, error) {
 	r := event.FromResponse(response)
+	r.ShareRoom(s.eventRoom)
+	defer r.Release()
 	for {
 		e := r.Next()
 		if errors.Is(e, io.EOF) {
@@ -270,23 +274,29 @@
 		if e != nil {
 			return false, markUnbounded(e)
 		}
+		if !r.IsText() {
+			return false, errNotText
+		}
 		if r.Empty() {
-			// Keep-alive comments do not count as progress.
 			continue
 		}
-		if !r.IsText() {
-			return false, errNotText
+		if r.HasData() {
+			// Neither keep-alive comments nor ids without data count as progress.
+			timer.Reset(eventTimeout)
 		}
-		timer.Reset(eventTimeout)
 		if progress.build.IsZero() {
 			progress.build = s.fleet.BuildOf(run.server)
 		}
+		n := len(progress.output)
 		if !progress.addEvent(r) {
 			return false, errEventOrder
 		}
-		if len(progress.output) > s.payloadBytes {
+		if len(progress.output) > s.payloadBytes || progress.exceeds(run.item) {
 			return false, errUnbounded
 		}
+		if n/outputStep != len(progress.output)/outputStep {
+			s.limitOutputs()
+		}
 	}
 }
 
@@ -299,25 +309,6 @@
 	return err
 }
 
-// addEvent appends the next event. It returns false when the event does not
-// follow the last one.
-func (p *itemProgress) addEvent(reader *event.Reader) bool {
-	if !event.Follows(p.lastEventID, reader.ID()) {
-		return false
-	}
-	if reader.HasData() {
-		if p.hasData {
-			p.output = append(p.output, '\n')
-		}
-		p.output = append(p.output, reader.Data()...)
-		p.hasData = true
-	}
-	if reader.ID() != "" {
-		p.lastEventID = strings.Clone(reader.ID())
-	}
-	return true
-}
-
 // endRun removes a run and frees its slot, unless yieldLocked has freed it
 // already.
 func (s *Jobs) endRun(run *itemRun, answered bool) {
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -16,7 +16,7 @@
 )
 
 // A response body up to this size is buffered completely before its header is
-// relayed, so that another attempt can replace it if it is interrupted.
+// relayed, if the bodies of all responses leave room for it.
 const maxBufferedBody = 1 << 20
 
 const (
@@ -108,9 +108,12 @@
 	return x.failureResult(ctx, trail.WrapError(err, n, trail.MayHaveRun, "answer broke off"))
 }
 
-// relayBody relays a response that is not an event stream.
+// relayBody relays a response that is not an event stream. It buffers the body first,
+// so that another attempt can replace a body that breaks off; a body for which there is
+// no room is relayed as it comes.
 func (x *call) relayBody(ctx context.Context, response *http.Response, timer *time.Timer) result {
-	b, e := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	b, d, e := x.server.buffers.Fill(response.Body, maxBufferedBody)
+	defer func() { x.server.buffers.Release(b) }()
 	if e != nil {
 		return x.brokenResult(ctx, e)
 	}
@@ -122,12 +125,18 @@
 		return result{verdict: trail.MayHaveRun, serverFailed: f, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", response.StatusCode)}
 	}
 	x.recordBegun(response.StatusCode)
-	if len(b) <= maxBufferedBody {
-		response.Header.Set("Content-Length", strconv.Itoa(len(b)))
+	if d {
+		response.Header.Set("Content-Length", strconv.Itoa(totalBytes(b)))
 	}
 	x.writeHead(response)
-	_, e = x.writer.Write(b)
-	if e == nil && len(b) > maxBufferedBody {
+	for len(b) > 0 && e == nil {
+		_, e = x.writer.Write(b[0])
+		x.server.buffers.Release(b[:1])
+		// The callers of large bodies may read slowly.
+		b[0] = nil
+		b = b[1:]
+	}
+	if e == nil && !d {
 		_, e = io.Copy(x.writer, response.Body)
 	}
 	if e != nil {
@@ -136,6 +145,14 @@
 	return result{complete: true, serverFailed: f, verdict: trail.Ran}
 }
 
+func totalBytes(blocks [][]byte) int {
+	n := 0
+	for _, b := range blocks {
+		n += len(b)
+	}
+	return n
+}
+
 // isServerFailure returns whether the status shows a fault of the backend server
 // itself: any 5xx but 504.
 func isServerFailure(response *http.Response) bool {
@@ -187,6 +204,8 @@
 // connection open don't stop the attempt timer.
 func (x *call) relayStream(ctx context.Context, response *http.Response, timer *time.Timer) result {
 	r := event.FromResponse(response)
+	r.ShareRoom(x.server.buffers)
+	defer r.Release()
 	response.Header.Del("Content-Length")
 	for {
 		e := r.Next()
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -21,6 +21,7 @@
 	"bulrushtrail.example/trail/internal/coordination/retry"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/rules"
+	"bulrushtrail.example/trail/internal/transport/buffer"
 )
 
 const (
@@ -52,7 +53,9 @@
 	// Called when a backend server has more requests than slots, so that batch
 	// items must be preempted.
 	onOversubscribed func(server string)
-	table            atomic.Pointer[rules.Table]
+	// Bodies of responses that are not relayed yet.
+	buffers *buffer.Limit
+	table   atomic.Pointer[rules.Table]
 
 	mu sync.Mutex
 	// By service.
@@ -66,11 +69,12 @@
 	requestSeconds   *prometheus.HistogramVec
 }
 
-// New returns a server without a configuration.
-func New(fleet *fleet.Fleet, crashes *crash.Record, streams *resume.Record, builds *builds.Keeper, upstream trail.Upstream, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
+// New returns a server without a configuration. It buffers up to bufferBytes of
+// responses.
+func New(fleet *fleet.Fleet, crashes *crash.Record, streams *resume.Record, builds *builds.Keeper, upstream trail.Upstream, bufferBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func(), onOversubscribed func(server string)) *Server {
 	b := prometheus.ExponentialBuckets(0.005, 2, 12)
 	return &Server{
-		fleet: fleet, crashes: crashes, streams: streams, builds: builds, upstream: upstream, logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{}, stopped: map[string]bool{},
+		fleet: fleet, crashes: crashes, streams: streams, builds: builds, upstream: upstream, buffers: buffer.New(bufferBytes), logger: logger, onLoadChange: onLoadChange, onOversubscribed: onOversubscribed, retryBudgets: map[string]*retry.Budget{}, stopped: map[string]bool{},
 		requestsTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_requests_total",
 			Help: "Online requests by route kind and outcome (ok or error code).",
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -120,7 +120,7 @@
 func newDirectWithBuilds(fleet *fleet.Fleet, keeper *builds.Keeper, upstream trail.Upstream) *direct.Server {
 	l := &log.Logger{Handler: discard.New()}
 	s := resume.New(keeper, nil, func() []string { return nil })
-	return direct.New(fleet, crash.New("front"), s, keeper, upstream, l, prometheus.NewRegistry(), func() {}, func(string) {})
+	return direct.New(fleet, crash.New("front"), s, keeper, upstream, 1<<20, l, prometheus.NewRegistry(), func() {}, func(string) {})
 }
 
 // newServer returns a server with three backend servers.
--- a/internal/protocol/event/reader.go
+++ b/internal/protocol/event/reader.go
@@ -13,12 +13,23 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes is larger than any event of a correctly working backend server.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes is larger than any event of a correctly working backend server.
+	maxEventBytes = 256 << 10
+	// An event takes room for this many bytes at a time, beyond the first ones.
+	roomStep = 16 << 10
+)
 
-// ErrTooLong is returned for an event that exceeds the size limit of 256 KiB.
+// ErrTooLong is returned for an event that exceeds the size limit of 256 KiB, or for
+// which the long events of other streams leave no room.
 var ErrTooLong = errors.New("event is too long")
 
+// room is memory that several readers share.
+type room interface {
+	Take(bytes int) bool
+	Return(bytes int)
+}
+
 // Reader reads events one at a time.
 type Reader struct {
 	reader *bufio.Reader
@@ -33,6 +44,10 @@
 	unframed bool
 	// The stream has had an event that is not empty.
 	begun bool
+	// Shared with other readers, nil for no limit.
+	room room
+	// Bytes that the current event has taken of it.
+	taken int
 }
 
 // New returns a reader of the events in reader.
@@ -45,6 +60,36 @@
 	return s
 }
 
+// ShareRoom makes long events take room that other readers take too. Release must be
+// called in the end.
+func (s *Reader) ShareRoom(room room) { s.room = room }
+
+// Release gives back the room that the current event has taken. The event must not be
+// used any more.
+func (s *Reader) Release() {
+	if s.taken == 0 {
+		return
+	}
+	s.room.Return(s.taken)
+	s.taken = 0
+	s.raw, s.data = nil, nil
+}
+
+// fits reports whether there is room for what was read of the current event.
+func (s *Reader) fits() bool {
+	if len(s.raw) > maxEventBytes {
+		return false
+	}
+	for s.room != nil && len(s.raw) > s.taken/2+roomStep {
+		// The data is copied from what is read.
+		if !s.room.Take(2 * roomStep) {
+			return false
+		}
+		s.taken += 2 * roomStep
+	}
+	return true
+}
+
 // Next reads one complete event. It returns io.EOF if the stream ends between
 // events, and io.ErrUnexpectedEOF if it ends within one. A stream that ends with
 // its connection before its first event was cut off too.
@@ -58,6 +103,7 @@
 }
 
 func (s *Reader) next() error {
+	s.Release()
 	s.raw = s.raw[:0]
 	s.data = s.data[:0]
 	s.id = ""
@@ -65,7 +111,7 @@
 	for {
 		l, e := s.reader.ReadSlice('\n')
 		s.raw = append(s.raw, l...)
-		if len(s.raw) > maxEventBytes {
+		if !s.fits() {
 			return ErrTooLong
 		}
 		if errors.Is(e, bufio.ErrBufferFull) {
@@ -95,7 +141,7 @@
 	for {
 		l, e := s.reader.ReadSlice('\n')
 		s.raw = append(s.raw, l...)
-		if len(s.raw) > maxEventBytes {
+		if !s.fits() {
 			return ErrTooLong
 		}
 		if !errors.Is(e, bufio.ErrBufferFull) {
--- a/internal/protocol/event/reader_test.go
+++ b/internal/protocol/event/reader_test.go
@@ -56,6 +56,44 @@
 	}
 }
 
+// room is memory that readers share.
+type room struct{ free int }
+
+func (r *room) Take(bytes int) bool {
+	if bytes > r.free {
+		return false
+	}
+	r.free -= bytes
+	return true
+}
+
+func (r *room) Return(bytes int) { r.free += bytes }
+
+// Guards against long events of many streams that together use up the memory of the
+// process, and against room that is not given back.
+func TestLongEventsShareRoom(t *testing.T) {
+	o := "data: " + strings.Repeat("x", 100<<10) + "\n\n"
+	m := &room{free: 300 << 10}
+	a, b := event.New(strings.NewReader(o+"data: a\n\n")), event.New(strings.NewReader(o+o))
+	a.ShareRoom(m)
+	b.ShareRoom(m)
+	l := []error{a.Next(), b.Next()}
+	n := len(a.Data())
+	l = append(l, a.Next())
+	b.Release()
+	l = append(l, event.New(strings.NewReader(o)).Next())
+	if d := cmp.Diff([]any{nil, event.ErrTooLong.Error(), nil, nil, 100 << 10, 300 << 10}, []any{textOf(l[0]), textOf(l[1]), textOf(l[2]), textOf(l[3]), n, m.free}); d != "" {
+		t.Error(d)
+	}
+}
+
+func textOf(err error) any {
+	if err == nil {
+		return nil
+	}
+	return err.Error()
+}
+
 // Guards against a resumed stream that repeats or skips an event unnoticed.
 func TestGapsInEventIDsAreDetected(t *testing.T) {
 	l := []struct {
