resume, builds: a stream that a front does not know goes on by the platform's word only

Cause: the only version of a service that a front had seen for a minute counted as the one that had begun any stream, before other fronts were asked. A front out of step has seen neither the new version nor the streams.

Evidence: TestFrontOutOfStepJoinsStreams, with paused time: the stream went on in all seven cases in which it must not, among them a front that knows better, none that answers, and two versions recorded at the platform.

Change: other fronts are asked first. If none answers although there are some, the stream is refused, not run. If they don't know it, the recorded versions are read from the platform itself.

Beside a front of: no object or message changes; such a front answers the question as before, and asks as it did.

--- a/internal/coordination/builds/keeper.go
+++ b/internal/coordination/builds/keeper.go
@@ -91,8 +91,8 @@
 }
 
 // Only returns the build of a service that has begun all of its streams which can
-// still go on. It returns false if there may be several, or while this front has
-// not read which there are.
+// still go on, as far as this front knows. It returns false if there may be several,
+// or while this front has not read which there are.
 func (k *Keeper) Only(now time.Time, service string) (build.Build, bool) {
 	defer k.observe(now)()
 	var f build.Build
--- a/internal/coordination/builds/write.go
+++ b/internal/coordination/builds/write.go
@@ -82,6 +82,38 @@
 	return nil
 }
 
+// ConfirmOnly returns the build of a service that has begun all of its streams which
+// can still go on. Unlike Only it reads the versions that the platform has recorded, so
+// that it is right also for a front that stood still or was cut off while servers of
+// another version joined. It returns false too if the platform does not answer.
+func (k *Keeper) ConfirmOnly(ctx context.Context, service string) (build.Build, bool) {
+	b, o := k.Only(time.Now(), service)
+	if !o {
+		return b, false
+	}
+	c, f := context.WithTimeout(ctx, callTimeout)
+	defer f()
+	x, e := k.store.Get(c, kind, service)
+	switch {
+	case errors.Is(e, trail.ErrNotFound):
+		// No version is recorded: the servers name none, or nobody has recorded
+		// theirs yet.
+		return b, !b.Known()
+	case e != nil:
+		k.logger.WithError(e).WithField("service", service).Warn("builds: versions of a service not read, streams that no front knows are not resumed")
+		return b, false
+	}
+	n := time.Now()
+	k.takeOver(n, x)
+	return k.Only(n, service)
+}
+
+// takeOver takes over an object that was read.
+func (k *Keeper) takeOver(now time.Time, obj object.Object) {
+	defer k.observe(now)()
+	k.storeRead(now, obj)
+}
+
 // storeRead takes over an object that was read after the start. An object that
 // can't be decoded names an unknown version, so that no stream is resumed by it.
 // The caller holds the lock.
--- a/internal/coordination/resume/record.go
+++ b/internal/coordination/resume/record.go
@@ -134,16 +134,21 @@
 // Find returns the build at which a stream may go on. attempt is the id of the
 // attempt that brought its first event; services are those of its route. The
 // verdict of an error is NotRun.
+//
+// A stream that neither this front nor another one knows goes on only if its service
+// has had one build for long, by the platform's word. What this front believes of that
+// by itself may be out of date: it may have stood still or been cut off.
 func (r *Record) Find(ctx context.Context, attempt string, services []string) (build.Build, error) {
 	h := xxhash.Sum64String(attempt)
 	r.mu.Lock()
 	b, k := r.get(h)
 	r.mu.Unlock()
-	if !k && len(services) == 1 {
-		b, k = r.builds.Only(time.Now(), services[0])
-	}
+	a := false
 	if !k {
-		b, k = r.ask(ctx, h)
+		b, k, a = r.ask(ctx, h)
+	}
+	if !k && a && len(services) == 1 {
+		b, k = r.builds.ConfirmOnly(ctx, services[0])
 	}
 	if !k || !r.MayGoOn(b) {
 		return build.Build{}, trail.NewError("stream-unknown", trail.NotRun, "software version that began the stream is not known").WithPlace(attempt)
@@ -161,8 +166,10 @@
 	return k && o == b
 }
 
-// ask returns the first answer of another front that knows a stream.
-func (r *Record) ask(ctx context.Context, stream uint64) (build.Build, bool) {
+// ask asks other fronts for a stream. It returns the first answer of one that knows
+// the stream, and whether any has answered, or there is none to ask: a front that no
+// other one answers may be cut off.
+func (r *Record) ask(ctx context.Context, stream uint64) (b build.Build, known, answered bool) {
 	c, f := context.WithTimeout(ctx, askTimeout)
 	defer f()
 	l := r.fronts()
@@ -176,13 +183,15 @@
 			a <- p
 		}()
 	}
+	answered = len(l) == 0
 	for range l {
 		p := <-a
+		answered = answered || p != nil
 		if p.HasStream() {
 			s := []*wire.BegunStream{p.GetStream()}
 			r.Merge(time.Now(), s)
-			return build.New(s[0].GetService(), s[0].GetVersion()), true
+			return build.New(s[0].GetService(), s[0].GetVersion()), true, true
 		}
 	}
-	return build.Build{}, false
+	return build.Build{}, false, answered
 }
--- a/internal/coordination/resume/record_test.go
+++ b/internal/coordination/resume/record_test.go
@@ -8,14 +8,18 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/build"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 func newRecord() *resume.Record {
@@ -57,6 +61,109 @@
 	})
 }
 
+// versions is a platform that has recorded software versions of the service "v".
+type versions struct {
+	trail.Store
+	recorded []string
+	// All calls fail.
+	unavailable bool
+}
+
+func (s *versions) object() (object.Object, error) {
+	if s.unavailable {
+		return object.Object{}, trail.WrapError(trail.ErrUnavailable, "store", trail.NotRun, "unavailable")
+	}
+	if s.recorded == nil {
+		return object.Object{}, trail.WrapError(trail.ErrNotFound, "store", trail.NotRun, "missing")
+	}
+	return object.Encode("service-versions", "v", 1, wire.ServiceVersions_builder{Versions: s.recorded}.Build())
+}
+
+func (s *versions) Get(context.Context, string, string) (object.Object, error) { return s.object() }
+
+func (s *versions) List(context.Context, string) ([]object.Object, int64, error) {
+	o, e := s.object()
+	if errors.Is(e, trail.ErrNotFound) {
+		return nil, 1, nil
+	}
+	return []object.Object{o}, 1, e
+}
+
+func (s *versions) Create(context.Context, object.Object) (object.Object, error) {
+	return object.Object{}, trail.WrapError(trail.ErrUnavailable, "store", trail.NotRun, "unavailable")
+}
+
+// asker is another front, which knows streams by their hash, or does not answer.
+type asker struct {
+	streams map[uint64]string
+	silent  bool
+}
+
+func (a *asker) AskStream(ctx context.Context, _ string, query *wire.StreamQuery) (*wire.StreamReply, error) {
+	if a.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r := wire.StreamReply_builder{Id: proto.Uint64(query.GetId())}
+	if v, k := a.streams[query.GetStream()]; k {
+		r.Stream = wire.BegunStream_builder{Stream: proto.Uint64(query.GetStream()), Service: proto.String("v"), Version: &v}.Build()
+	}
+	return r.Build(), nil
+}
+
+// Guards against a front that joins texts of two versions: it stood still or was cut
+// off while servers of a second version joined, and believes that there is one.
+func TestFrontOutOfStepJoinsStreams(t *testing.T) {
+	h := xxhash.Sum64String("a")
+	l := []struct {
+		name string
+		// Version of the only server that the front knows.
+		known string
+		// Other fronts, and what they answer.
+		fronts []string
+		asker  asker
+		// What the platform has recorded since the front last heard of it.
+		recorded    []string
+		unavailable bool
+		want        string
+	}{
+		{"another front knows the stream", "v1", []string{"b"}, asker{streams: map[uint64]string{h: "v2"}}, []string{"v1"}, false, "v2"},
+		{"no front answers", "v1", []string{"b"}, asker{silent: true}, []string{"v1"}, false, "none"},
+		{"two versions are recorded", "v1", []string{"b"}, asker{}, []string{"v1", "v2"}, false, "none"},
+		{"one version is recorded", "v1", []string{"b"}, asker{}, []string{"v1"}, false, "v1"},
+		{"platform does not answer", "v1", []string{"b"}, asker{}, []string{"v1"}, true, "none"},
+		{"no other front", "v1", nil, asker{}, []string{"v1"}, false, "v1"},
+		{"no other front, two versions", "v1", nil, asker{}, []string{"v1", "v2"}, false, "none"},
+		{"servers name no version", "", []string{"b"}, asker{}, nil, false, ""},
+		{"other servers name a version", "", []string{"b"}, asker{}, []string{"v2"}, false, "none"},
+		{"version is not recorded", "v1", []string{"b"}, asker{}, nil, false, "none"},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, f := context.WithCancel(t.Context())
+				defer f()
+				s := &versions{}
+				if k.known != "" {
+					s.recorded = []string{k.known}
+				}
+				x := fleet.New("a", "z")
+				x.SetServers(time.Now(), []*wire.BackendServer{wire.BackendServer_builder{Id: proto.String("s"), Service: proto.String("v"), Version: &k.known, Slots: proto.Int32(1)}.Build()}, time.Now(), time.Now())
+				b := builds.New(s, x, func() []string { return []string{"v"} }, func() int { return 0 }, &log.Logger{Handler: discard.New()})
+				go b.Run(c)
+				time.Sleep(2 * time.Minute)
+				s.recorded, s.unavailable = k.recorded, k.unavailable
+				r := resume.New(b, &k.asker, func() []string { return k.fronts })
+				if d := cmp.Diff(k.want, find(r, "a")); d != "" {
+					t.Error(d)
+				}
+				f()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against datagrams that grow with the rate of streams.
 func TestReportGrowsWithoutBound(t *testing.T) {
 	r := newRecord()
