valid, front, pool: a request is written as the one that its caller means

Cause: items come out of JSON, where any string can stand. Nothing checked them when the job was accepted, nor where the request was written.

The same check stands where a request is written and before one is handed to another front. What fails it has not run, counts against no server and is not repeated; an item that an earlier version has accepted is given up (TestInvalidItemIsTriedForEver).

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -33,6 +33,8 @@
 	failing map[string]bool
 	// Item whose runs all lose their backend server.
 	lost string
+	// Item that can't be sent.
+	invalid string
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
@@ -124,6 +126,9 @@
 	if f {
 		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
 	}
+	if request.ID() == g.invalid {
+		return nil, trail.NewError("request-invalid", trail.NotRun, "invalid")
+	}
 	if g.takeLoss(request.ID()) {
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
 	}
--- a/internal/coordination/batch/faulty_test.go
+++ b/internal/coordination/batch/faulty_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
 )
 
 // repeatingBody returns a body that yields the next text after each pause until
@@ -214,3 +216,23 @@
 		})
 	}
 }
+
+// Guards against an item that an earlier version of the program has accepted and that
+// can't be sent as one request: it is tried for ever, and the servers that it was meant
+// for are avoided as if they had failed.
+func TestInvalidItemIsTriedForEver(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		engine.invalid = "i0"
+		f := fleet.New("a", "a")
+		j := newJobsWithFleet(ctx, f, "a", store, engine, valueBytes)
+		accept(t, ctx, j, "job", 40)
+		time.Sleep(9 * time.Second)
+		n, m := countResults(t, ctx, j, "job")
+		if d := cmp.Diff([]int{39, 1, 1}, []int{n, m, engine.runCount("i0")}); d != "" {
+			t.Error(d)
+		}
+		if l := f.LocalLoads(time.Now()); len(l) > 0 {
+			t.Error("server is avoided:", l)
+		}
+	})
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -11,6 +11,7 @@
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/event"
+	"bulrushtrail.example/trail/internal/protocol/valid"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -182,7 +183,9 @@
 		// the item or the server either.
 		s.agenda.RequeueBroken(w, run.job.id, run.index, false)
 		return "path-lost"
-	case errors.Is(err, errImpossible):
+	case errors.Is(err, errImpossible), trail.CodeOf(err) == valid.CodeInvalid:
+		// Items that can't be sent are not accepted, but an earlier version of the
+		// program may have accepted this one.
 		s.agenda.Close(run.job.id, run.index)
 		s.addResult(run.job, run.index, true, "")
 		return "impossible"
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -12,6 +12,7 @@
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/event"
+	"bulrushtrail.example/trail/internal/protocol/valid"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -87,6 +88,7 @@
 		r.serverFailed = trail.CodeOf(err) == codeUnbounded
 		r.limited = trail.CodeOf(err) == codeLimited
 		r.pathLost = trail.CodeOf(err) == codePathLost
+		r.invalid = trail.CodeOf(err) == valid.CodeInvalid
 		r.connectionLost = trail.CodeOf(err) == "backend-lost" && r.verdict != trail.NotRun && x.ctx.Err() == nil
 	}
 	return r
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -80,6 +80,8 @@
 	// This front has no path to the backend servers, which says nothing about the
 	// one of this attempt.
 	pathLost bool
+	// The request can't be written as it is, to no server.
+	invalid bool
 	// The caller disconnected, or the deadline passed while the response was
 	// relayed.
 	callerGone bool
@@ -169,7 +171,7 @@
 		x.server.recordServerFailure(backendServer)
 		return
 	}
-	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost {
+	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid {
 		return
 	}
 	x.server.recordFailure(backendServer, outcome)
@@ -183,7 +185,7 @@
 // may have run.
 func (x *call) shouldRetry(outcome result) bool {
 	x.lastResult = outcome
-	if x.ctx.Err() != nil || outcome.callerGone {
+	if x.ctx.Err() != nil || outcome.callerGone || outcome.invalid {
 		return false
 	}
 	if outcome.limited {
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -16,6 +16,7 @@
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/paths"
+	"bulrushtrail.example/trail/internal/protocol/valid"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/transport/frame"
 )
@@ -93,9 +94,14 @@
 // sendThrough sends an attempt through another front. It tries a second one if the
 // first can't be reached, or has no path to the backend servers either.
 func (s *Upstream) sendThrough(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*http.Response, error) {
+	// A front of an earlier version writes the request without a look at it.
+	e := valid.Request(request.Method(), request.Target(), request.Host(), request.Header())
+	if e != nil {
+		return nil, e
+	}
 	l := s.fronts()
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	var e error = trail.NewError(codePathLost, trail.NotRun, "no path to the backend servers, and no other front has one")
+	e = trail.NewError(codePathLost, trail.NotRun, "no path to the backend servers, and no other front has one")
 	for _, a := range l[:min(len(l), maxFronts)] {
 		var r *http.Response
 		var d bool
--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -55,8 +55,8 @@
 	finishOnce   sync.Once
 }
 
-// writeRequest writes the request. If no byte was written, the error's verdict is
-// not-run.
+// writeRequest writes the request, whose parts are valid. If no byte was written, the
+// error's verdict is not-run.
 func (x *exchange) writeRequest(target string, request *http.Request, body []byte) error {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, target, request.Host)
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/protocol/valid"
 )
 
 const (
@@ -51,13 +52,17 @@
 // true. The target is path and query as they stand in the request line. The
 // caller must close the body of the response.
 //
-// An error has a verdict and one of the codes backend-unreachable, backend-lost
-// and answer-unbounded. Reading a body over the size limit also fails with
-// answer-unbounded. The argument fresh of matches is true if the connection has
+// An error has a verdict and one of the codes request-invalid, backend-unreachable,
+// backend-lost and answer-unbounded. Reading a body over the size limit also fails
+// with answer-unbounded. The argument fresh of matches is true if the connection has
 // carried no request before; otherwise a response that does not identify its
 // request may be a late duplicate of an earlier one. When ctx ends, the
 // connection is aborted, also while the body is read.
 func (s *Pool) Do(ctx context.Context, address, target string, request *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*http.Response, error) {
+	e := valid.Request(request.Method, target, request.Host, request.Header)
+	if e != nil {
+		return nil, e
+	}
 	n, e := s.acquire(ctx, address)
 	if e != nil {
 		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "no connection to backend server").WithPlace(address)
--- /dev/null
+++ b/internal/transport/pool/request_test.go
@@ -0,0 +1,84 @@
+package pool_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/transport/pool"
+)
+
+// recordingConn records what is written to it, and ends when a request was written.
+type recordingConn struct {
+	net.Conn
+	written bytes.Buffer
+}
+
+func (c *recordingConn) Write(p []byte) (int, error) { return c.written.Write(p) }
+
+func (c *recordingConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *recordingConn) Close() error { return nil }
+
+func (c *recordingConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+// readRequests returns how many requests a standard reader finds, and the last one with
+// its body.
+func readRequests(written []byte) (int, *http.Request, []byte, error) {
+	r := bufio.NewReader(bytes.NewReader(written))
+	var q *http.Request
+	var b []byte
+	for n := 0; ; n++ {
+		x, e := http.ReadRequest(r)
+		if errors.Is(e, io.EOF) {
+			return n, q, b, nil
+		}
+		if e != nil {
+			return n, nil, nil, e
+		}
+		q = x
+		b, e = io.ReadAll(q.Body)
+		if e != nil {
+			return n, nil, nil, e
+		}
+	}
+}
+
+// Guards against request smuggling: whatever a caller supplies, a backend server finds
+// exactly the one request that was meant, or nothing is sent and the request has not
+// run.
+func FuzzWrittenRequestIsOne(f *testing.F) {
+	f.Add("POST", "/a/b?q=1", "h.example", "X-Model", "m", []byte("body"))
+	f.Add("POST", "/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\nPOST /a", "h", "X-Model", "m", []byte("body"))
+	f.Add("POST", "/a", "h", "Transfer-Encoding", "chunked", []byte("0\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add("POST", "/a", "h", "Content-Length", "0", []byte("POST /b HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add("GET", "/a", "h", "X\r\nY", "1", []byte{})
+	f.Add("GET", "/a", "h", "X", "1\nTransfer-Encoding: chunked", []byte{})
+	f.Add("GET /b HTTP/1.1\r\nHost: h\r\n\r\nGET", "/a", "h", "X", "1", []byte{})
+	f.Add("PUT", "/a", "h\r\nContent-Length: 1", "X", "1", []byte("ab"))
+	f.Fuzz(func(t *testing.T, method, target, host, name, value string, body []byte) {
+		c := &recordingConn{}
+		p := pool.New(c, prometheus.NewRegistry())
+		q := &http.Request{Method: method, Host: host, Header: http.Header{"X-Attempt-Id": {"1"}}}
+		q.Header[http.CanonicalHeaderKey(name)] = []string{value}
+		_, e := p.Do(t.Context(), "server", target, q, body, func(*http.Response, bool) bool { return true })
+		if trail.VerdictOf(e) == trail.NotRun {
+			if c.written.Len() > 0 {
+				t.Fatalf("bytes of a request that has not run: %q", c.written.Bytes())
+			}
+			return
+		}
+		n, r, b, e := readRequests(c.written.Bytes())
+		if e != nil || n != 1 || r.Method != method || r.RequestURI != target || !bytes.Equal(b, body) {
+			t.Fatalf("%d requests, %v, in %q", n, e, c.written.Bytes())
+		}
+	})
+}
