batch: an item with more events than tokens gets its result

Cause: since a run of an item ends as one without end after as many events as the item has tokens. The soak's engines send 12 events for items of 10 tokens. Each run was cut off, and the item was run again for ever.

The logs have no run that ends by itself.

Change: 1,000 events beyond the tokens are allowed. A stream without end still ends.

--- a/internal/coordination/batch/output.go
+++ b/internal/coordination/batch/output.go
@@ -10,9 +10,14 @@
 	"bulrushtrail.example/trail/internal/state/build"
 )
 
-// The outputs of all items are added up each time that one has grown by this many
-// bytes, which is more than most outputs have.
-const outputStep = 64 << 10
+const (
+	// The outputs of all items are added up each time that one has grown by this many
+	// bytes, which is more than most outputs have.
+	outputStep = 64 << 10
+	// Events that an output may have beyond the tokens of its item: some hold no
+	// token, and the tokens are what the client says.
+	spareEvents = 1000
+)
 
 // itemProgress is the output of an item received so far.
 type itemProgress struct {
@@ -58,9 +63,9 @@
 	return true
 }
 
-// exceeds reports whether the output has more events than the item can have tokens.
+// exceeds reports whether the output has far more events than the item can have tokens.
 func (p *itemProgress) exceeds(item *wire.BatchItem) bool {
-	return item.GetTokens() > 0 && p.events > item.GetTokens()
+	return item.GetTokens() > 0 && p.events > item.GetTokens()+spareEvents
 }
 
 // reset discards the output.
