resume: the test of a front out of step has no race of its own

Cause: the test changes what its platform answers while the keeper of builds, which reads every few seconds, may be reading. Only the test holds that state.

Change: a lock around that state. What is checked stays as it is.

--- a/internal/coordination/resume/record_test.go
+++ b/internal/coordination/resume/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,12 +65,22 @@
 // versions is a platform that has recorded software versions of the service "v".
 type versions struct {
 	trail.Store
+
+	mu       sync.Mutex
 	recorded []string
 	// All calls fail.
 	unavailable bool
 }
 
+func (s *versions) set(recorded []string, unavailable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded, s.unavailable = recorded, unavailable
+}
+
 func (s *versions) object() (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.unavailable {
 		return object.Object{}, trail.WrapError(trail.ErrUnavailable, "store", trail.NotRun, "unavailable")
 	}
@@ -152,7 +163,7 @@
 				b := builds.New(s, x, func() []string { return []string{"v"} }, func() int { return 0 }, &log.Logger{Handler: discard.New()})
 				go b.Run(c)
 				time.Sleep(2 * time.Minute)
-				s.recorded, s.unavailable = k.recorded, k.unavailable
+				s.set(k.recorded, k.unavailable)
 				r := resume.New(b, &k.asker, func() []string { return k.fronts })
 				if d := cmp.Diff(k.want, find(r, "a")); d != "" {
 					t.Error(d)
