gossip: dropped datagrams are logged at most every ten seconds

Cause: each datagram that is malformed or from nobody known had a line of its own, at a rate that the sender decides.

Change: the first one is logged, then one line in ten seconds at most, with the number since the line before.

--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -83,6 +83,9 @@
 	sentStatus status
 	// Reports of the crash evidence and of the limits of backend servers.
 	crashReport, limitReport changeReport
+
+	// Used by the receiving goroutine only.
+	dropped droppedDatagrams
 }
 
 // status is the part of the state of which a change is sent to all fronts with
@@ -325,7 +328,7 @@
 		var l wire.Load
 		e = proto.Unmarshal(b[:n], &l)
 		if e != nil || l.GetName() == "" || l.GetName() == t.self.GetName() {
-			t.logger.WithField("from", a.String()).Warn("gossip: datagram dropped, malformed or not from another front")
+			t.dropped.log(t.logger, time.Now(), a)
 			continue
 		}
 		if t.handleMessage(&l, a) {
--- a/internal/coordination/gossip/task_test.go
+++ b/internal/coordination/gossip/task_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
@@ -127,6 +127,7 @@
 	crashes       *crash.Record
 	gossip        *gossip.Task
 	streams       *resume.Record
+	logs          memory.Handler
 }
 
 func (f *front) AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error) {
@@ -171,7 +172,7 @@
 }
 
 func (f *front) start(ctx context.Context, network *network, platform *platform) {
-	l := &log.Logger{Handler: discard.New()}
+	l := &log.Logger{Handler: &f.logs, Level: log.InfoLevel}
 	a, _ := net.ResolveUDPAddr("udp", f.address)
 	s := &socket{network: network, address: a, inbox: make(chan datagram, 1000), closed: make(chan struct{})}
 	network.mu.Lock()
