direct, batch, resume, daemon: logs tell the processes behind a stream, and why a take-up went on

Change, no logic: the start of the process that the registry names stands in the lines of answered and failed requests, of ended runs of items, and of listed servers, which are logged whenever their entry changes (before: only when the address or the draining changed, so a server that started again under its id left no line). A further attempt of a stream has a line with both processes. A take-up has the version at which it goes on and how that is known, and is counted by this and its outcome in bulrushtrail_take_ups_total.

Old and new builds: nothing is sent to other fronts.

--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
@@ -98,9 +99,9 @@
 	var d []string
 	for n, b := range servers {
 		o := s.lastServers[n]
-		if o == nil || o.GetDraining() != b.GetDraining() || o.GetAddress() != b.GetAddress() {
+		if !proto.Equal(o, b) {
 			s.logger.WithFields(log.Fields{
-				"server": n, "service": b.GetService(), "address": b.GetAddress(), "draining": b.GetDraining(), "version": b.GetVersion(),
+				"server": n, "service": b.GetService(), "address": b.GetAddress(), "draining": b.GetDraining(), "version": b.GetVersion(), "born": b.GetBorn(),
 			}).Info("bulrushd: backend server listed")
 		}
 	}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -140,7 +140,7 @@
 	n := s.recordOutcome(run, progress, a, v, e, time.Since(b))
 	s.outcomes.WithLabelValues(n).Inc()
 	l := s.logger.WithFields(log.Fields{
-		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "outcome": n,
+		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "born": run.server.GetBorn(), "outcome": n,
 		"after-event": run.resumedAfter, "last-event": x, "ms": time.Since(b).Milliseconds(),
 	})
 	if e != nil {
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -55,6 +55,9 @@
 	lastEventID string
 	// Build at which the stream goes on, zero before its first event.
 	build build.Build
+	// How the build of a stream that the call takes up is known, empty for other
+	// calls.
+	streamSource string
 	// When the stream was last recorded.
 	recordedAt time.Time
 }
@@ -103,6 +106,9 @@
 		if b == nil {
 			return x.refusalError(n, w)
 		}
+		if x.backendServer != nil && x.status != 0 {
+			x.logGoesOn(x.backendServer, b)
+		}
 		x.backendServer = b
 		x.attempts++
 		x.server.onLoadChange()
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -64,6 +64,7 @@
 	stopped map[string]bool
 
 	requestsTotal    *prometheus.CounterVec
+	takeUpsTotal     *prometheus.CounterVec
 	lostTotal        *prometheus.CounterVec
 	firstByteSeconds *prometheus.HistogramVec
 	requestSeconds   *prometheus.HistogramVec
@@ -79,6 +80,10 @@
 			Name: "bulrushtrail_requests_total",
 			Help: "Online requests by route kind and outcome (ok or error code).",
 		}, []string{"service", "outcome"}),
+		takeUpsTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
+			Name: "bulrushtrail_take_ups_total",
+			Help: "Requests that take up a stream, by how its software version is known and outcome (ok or error code).",
+		}, []string{"service", "known_by", "outcome"}),
 		lostTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_backend_losses_total",
 			Help: "Attempts whose backend server was lost, by whether an answer had begun.",
@@ -193,12 +198,12 @@
 	n := "ok"
 	l := x.server.logger.WithFields(log.Fields{
 		"request-id": x.request.ID(), "route": x.route.GetName(), "service": x.service, "config-version": version,
-		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
+		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 		"left-ms": time.Until(x.request.Deadline()).Milliseconds(),
 	})
 	if i := x.request.LastEventID(); i != "" {
-		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i})
+		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i, "stream-version": x.build.Version(), "known-by": x.streamSource})
 	}
 	if err != nil {
 		n = trail.CodeOf(err)
@@ -211,4 +216,5 @@
 		x.server.firstByteSeconds.WithLabelValues(x.service).Observe(x.timeToFirstByte.Seconds())
 	}
 	x.server.requestsTotal.WithLabelValues(x.service, n).Inc()
+	x.reportTakeUp(n)
 }
--- a/internal/coordination/direct/stream.go
+++ b/internal/coordination/direct/stream.go
@@ -4,8 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/resume"
+	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
 // resumable returns whether the request is for a stream that may be resumed.
@@ -23,7 +26,8 @@
 			l = append(l, s.GetService())
 		}
 	}
-	b, e := x.server.streams.Find(x.ctx, x.request.ResumedAttempt(), l)
+	b, s, e := x.server.streams.Find(x.ctx, x.request.ResumedAttempt(), l)
+	x.streamSource = s
 	if e != nil {
 		return e
 	}
@@ -34,6 +38,24 @@
 	return nil
 }
 
+// reportTakeUp counts a call that takes up a stream, by its outcome and by how the
+// build of the stream is known.
+func (x *call) reportTakeUp(outcome string) {
+	if x.streamSource != "" {
+		x.server.takeUpsTotal.WithLabelValues(x.service, x.streamSource, outcome).Inc()
+	}
+}
+
+// logGoesOn logs a further attempt of a stream of which a part was relayed, with the
+// processes of both attempts as the registry names them.
+func (x *call) logGoesOn(last, next *wire.BackendServer) {
+	x.server.logger.WithFields(log.Fields{
+		"request-id": x.request.ID(), "after-event": x.lastEventID, "version": x.build.Version(),
+		"last-server": last.GetId(), "last-version": last.GetVersion(), "last-born": last.GetBorn(),
+		"server": next.GetId(), "server-version": next.GetVersion(), "born": next.GetBorn(),
+	}).Info("direct: stream goes on at another server")
+}
+
 // streamID returns the id by which the stream of the call is recorded: that of the
 // caller's attempt that brought its first event.
 func (x *call) streamID() string {
--- a/internal/coordination/gossip/query_test.go
+++ b/internal/coordination/gossip/query_test.go
@@ -64,13 +64,13 @@
 		e.mu.Unlock()
 		for n, x := range l[1:] {
 			c, f := context.WithTimeout(context.Background(), time.Second)
-			g, r := x.streams.Find(c, "id", []string{"v", "w"})
+			g, _, r := x.streams.Find(c, "id", []string{"v", "w"})
 			if r != nil || g != b {
 				t.Error("front", n+1, g, r)
 			}
 			f()
 		}
-		_, r := l[1].streams.Find(context.Background(), "other", []string{"v", "w"})
+		_, _, r := l[1].streams.Find(context.Background(), "other", []string{"v", "w"})
 		if d := cmp.Diff("stream-unknown not-run", trail.CodeOf(r)+" "+trail.VerdictOf(r).String()); d != "" {
 			t.Error(d)
 		}
--- a/internal/coordination/resume/record.go
+++ b/internal/coordination/resume/record.go
@@ -47,6 +47,17 @@
 	recent []begun
 }
 
+// Sources of what a front knows of a stream, for logs and metrics.
+const (
+	// This front knows it, by itself or by the datagram of another one.
+	SourceRecord = "record"
+	// Another front has answered a question.
+	SourceFront = "front"
+	// Its service has had a single build.
+	SourceOnlyBuild = "only-build"
+	SourceNone      = "none"
+)
+
 // begun is a stream as this front reports it.
 type begun struct {
 	stream uint64
@@ -132,28 +143,40 @@
 }
 
 // Find returns the build at which a stream may go on. attempt is the id of the
-// attempt that brought its first event; services are those of its route. The
-// verdict of an error is NotRun.
+// attempt that brought its first event; services are those of its route. The source
+// says how the build is known, also if the stream may not go on there. The verdict of
+// an error is NotRun.
 //
 // A stream that neither this front nor another one knows goes on only if its service
 // has had one build for long, by the platform's word. What this front believes of that
 // by itself may be out of date: it may have stood still or been cut off.
-func (r *Record) Find(ctx context.Context, attempt string, services []string) (build.Build, error) {
-	h := xxhash.Sum64String(attempt)
+func (r *Record) Find(ctx context.Context, attempt string, services []string) (b build.Build, source string, err error) {
+	b, source = r.lookUp(ctx, xxhash.Sum64String(attempt), services)
+	if source == SourceNone || !r.MayGoOn(b) {
+		return build.Build{}, source, trail.NewError("stream-unknown", trail.NotRun, "software version that began the stream is not known").WithPlace(attempt)
+	}
+	return b, source, nil
+}
+
+// lookUp returns the build of a stream and how it is known.
+func (r *Record) lookUp(ctx context.Context, stream uint64, services []string) (b build.Build, source string) {
 	r.mu.Lock()
-	b, k := r.get(h)
+	b, k := r.get(stream)
 	r.mu.Unlock()
-	a := false
-	if !k {
-		b, k, a = r.ask(ctx, h)
+	if k {
+		return b, SourceRecord
 	}
-	if !k && a && len(services) == 1 {
-		b, k = r.builds.ConfirmOnly(ctx, services[0])
+	b, k, a := r.ask(ctx, stream)
+	if k {
+		return b, SourceFront
 	}
-	if !k || !r.MayGoOn(b) {
-		return build.Build{}, trail.NewError("stream-unknown", trail.NotRun, "software version that began the stream is not known").WithPlace(attempt)
+	if a && len(services) == 1 {
+		b, k = r.builds.ConfirmOnly(ctx, services[0])
+		if k {
+			return b, SourceOnlyBuild
+		}
 	}
-	return b, nil
+	return build.Build{}, SourceNone
 }
 
 // MayGoOn reports whether a stream that a build has begun may go on at servers of
--- a/internal/coordination/resume/record_test.go
+++ b/internal/coordination/resume/record_test.go
@@ -30,7 +30,7 @@
 
 // find returns the version at which a stream may go on, or "none".
 func find(record *resume.Record, attempt string) string {
-	b, e := record.Find(context.Background(), attempt, []string{"v"})
+	b, _, e := record.Find(context.Background(), attempt, []string{"v"})
 	if e != nil {
 		return "none"
 	}
