pool, direct, batch: a stream belongs to the process that sends it, not to the one that the registry names

Cause: which software runs was taken from the registry's entry of a server. A server may start again under its id, and the entry is late by as long as it likes. So the events of a process of the next version were taken for those of the old one, recorded and told to other fronts as such, and went on at the old version; and a stream of the old version went on at a server that had started again with the next one.

Change: a connection can't outlive its process. So each new connection to a model engine is asked once, by the report of the engine's state, for the start of the process at its other end; kept connections know it. A stream or an item goes on only at a process that its server's entry describes, otherwise the attempt has not run (backend-replaced). Events are attributed to the version of the process that sends them; while the registry does not name it, the version is unknown and nothing goes on. In return a stream is no longer given up because the entry of its server has changed since: what sent it is known. A server that does not report (a plain service, or an entry without a start) is believed by its entry as before; a run that goes on there and ends while the entry has changed is not taken for whole any more.

Weighed: asking only when a stream is broken comes too late, the process is gone by then; holding back what goes on until the registry has been heard after the break has no bound, since an entry may be late for as long as the platform is away. The question costs a round trip for a new connection (some 0.2 to 1 ms), none for a kept one.

Old and new builds: a front that sends an attempt through another one adds the service to the request (ProxyRequest.service), and gets the start of the process with the head (ProxyHead.born). Requests of old fronts have no service; a new front sends them without asking, as the old ones do.

--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -28,7 +28,14 @@
 
 // connect returns an upstream that sends to backend servers directly.
 func (s *frontRole) connect(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream {
-	return server.New(s.pool, onNotice)
+	return server.New(s.pool, s.reportsProcess, onNotice)
+}
+
+// reportsProcess reports whether the servers of a service tell which process they are,
+// as model engines do.
+func (s *frontRole) reportsProcess(service string) bool {
+	t := s.direct.Table()
+	return t != nil && t.Service(service).GetEngine()
 }
 
 // applyPathChange is called when this front has lost its paths to the backend
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -38,6 +38,8 @@
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
+	// Start of the process that answers, 0 if it does not tell.
+	born int64
 	// Software version of the server of each run of an item.
 	versions map[string][]string
 	// Response bodies of the first runs of an item, in order, without a length
@@ -92,6 +94,14 @@
 	return l[0]
 }
 
+// setBorn sets the start of the process that answers from now on, 0 if it does not
+// tell.
+func (g *fakeEngine) setBorn(born int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.born = born
+}
+
 // runCount returns the number of runs of an item.
 func (g *fakeEngine) runCount(item string) int {
 	g.mu.Lock()
@@ -113,7 +123,7 @@
 	g.failing[item] = true
 }
 
-func (g *fakeEngine) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, resume string) (*http.Response, error) {
+func (g *fakeEngine) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, resume string) (*trail.Response, error) {
 	g.mu.Lock()
 	g.runs[request.ID()]++
 	if g.resumedAfter == nil {
@@ -121,10 +131,10 @@
 	}
 	g.versions[request.ID()] = append(g.versions[request.ID()], server.GetVersion())
 	g.resumedAfter[request.ID()] = append(g.resumedAfter[request.ID()], resume)
-	f := g.failing[request.ID()]
+	f, o := g.failing[request.ID()], g.born
 	g.mu.Unlock()
 	if f {
-		return &http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, nil
+		return trail.NewResponse(&http.Response{StatusCode: http.StatusInternalServerError, Body: http.NoBody}, 0), nil
 	}
 	if request.ID() == g.invalid {
 		return nil, trail.NewError("request-invalid", trail.NotRun, "invalid")
@@ -134,7 +144,7 @@
 	}
 	if b := g.nextBody(request.ID()); b != nil {
 		context.AfterFunc(ctx, func() { _ = b.Close() })
-		return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: b}, nil
+		return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: b}, o), nil
 	}
 	select {
 	case <-time.After(time.Second):
@@ -145,7 +155,7 @@
 	if resume == "" {
 		b = fmt.Sprintf("id: 1\ndata: %s\n\n", request.ID()) + b
 	}
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewBufferString(b))}, nil
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewBufferString(b))}, 0), nil
 }
 
 // fakePeers connects fronts in the same process.
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -79,9 +79,25 @@
 }
 
 // checkProgress discards the output of an item whose last run may have been at
-// another build than the output before, or that can't be resumed.
-func (s *Jobs) checkProgress(run *itemRun, progress *itemProgress) {
-	if !progress.resumable() || s.fleet.BuildOf(run.server) != progress.build {
+// another build than the output before, or that is not complete and can't be resumed.
+// It returns whether the item is done, and the error of its last run.
+func (s *Jobs) checkProgress(run *itemRun, progress *itemProgress, done bool, err error) (bool, error) {
+	j := s.mayBeJoined(run, progress)
+	switch {
+	case done && (run.resumedAfter == "" || !j):
+		return true, nil
+	case done:
+		err = errOtherBuild
+	}
+	if j || !progress.resumable() {
 		progress.reset()
 	}
+	return false, err
+}
+
+// mayBeJoined reports whether a run has added to the output of an item and may have
+// been at another build: its server does not tell which process it is, and its entry
+// has changed.
+func (s *Jobs) mayBeJoined(run *itemRun, progress *itemProgress) bool {
+	return run.born == 0 && progress.lastEventID != run.resumedAfter && s.fleet.BuildOf(run.server, 0) != progress.build
 }
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -28,6 +28,7 @@
 	errYielded    = errors.New("item was preempted by an online request")
 	errSilent     = errors.New("backend server is silent")
 	errEventOrder = errors.New("event stream has a gap or a repeated event")
+	errOtherBuild = errors.New("backend server may have started again with another version")
 	// The events before stay: the item goes on after the last one.
 	errNotText = errors.New("event is not text")
 	// errUnbounded marks the failure of a backend server that sends bytes
@@ -46,6 +47,8 @@
 	progress *itemProgress
 	// Id of the last event of the earlier runs, empty for a run from the start.
 	resumedAfter string
+	// Start of the process that answers, 0 if unknown.
+	born int64
 	// The run no longer counts towards the load of the backend server.
 	slotReleased bool
 }
@@ -140,7 +143,7 @@
 	n := s.recordOutcome(run, progress, a, v, e, time.Since(b))
 	s.outcomes.WithLabelValues(n).Inc()
 	l := s.logger.WithFields(log.Fields{
-		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "born": run.server.GetBorn(), "outcome": n,
+		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "born": run.server.GetBorn(), "process": run.born, "outcome": n,
 		"after-event": run.resumedAfter, "last-event": x, "ms": time.Since(b).Milliseconds(),
 	})
 	if e != nil {
@@ -160,9 +163,7 @@
 	if s.owned[run.job.id] != run.job {
 		return "dropped"
 	}
-	if !done {
-		s.checkProgress(run, progress)
-	}
+	done, err = s.checkProgress(run, progress, done, err)
 	if done || yielded {
 		s.agenda.RecordRun(run.job.id, run.index, duration, done)
 	}
@@ -254,6 +255,7 @@
 		return false, markUnbounded(e)
 	}
 	defer func() { _ = a.Body.Close() }()
+	run.born = a.Born()
 	switch {
 	case a.StatusCode == http.StatusUnprocessableEntity:
 		return false, errImpossible
@@ -262,7 +264,7 @@
 	case a.StatusCode != http.StatusOK:
 		return false, errors.Newf("backend server answered with status %d", a.StatusCode)
 	}
-	return s.readEvents(a, run, progress, t)
+	return s.readEvents(a.Response, run, progress, t)
 }
 
 func (s *Jobs) readEvents(response *http.Response, run *itemRun, progress *itemProgress, timer *time.Timer) (bool, error) {
@@ -288,7 +290,7 @@
 			timer.Reset(eventTimeout)
 		}
 		if progress.build.IsZero() {
-			progress.build = s.fleet.BuildOf(run.server)
+			progress.build = s.fleet.BuildOf(run.server, run.born)
 		}
 		n := len(progress.output)
 		if !progress.addEvent(r) {
--- a/internal/coordination/batch/version_test.go
+++ b/internal/coordination/batch/version_test.go
@@ -44,14 +44,18 @@
 	a, b := versionServer("a", "v1", 1), versionServer("b", "v2", 1)
 	l := []struct {
 		name string
+		// Start of the process that answers the first run, 0 if it does not tell.
+		born int64
 		// Servers when the first run breaks off.
 		servers []*wire.BackendServer
 		want    []string
 	}{
-		{"same version serves", []*wire.BackendServer{a, b}, []string{"v1 ", "v1 1"}},
-		{"only another version serves", []*wire.BackendServer{b}, []string{"v1 ", "v2 "}},
-		{"server has started again with another version", []*wire.BackendServer{versionServer("a", "v2", 2)}, []string{"v1 ", "v2 "}},
-		{"server has started again with the same version", []*wire.BackendServer{versionServer("a", "v1", 2)}, []string{"v1 ", "v1 1"}},
+		{"same version serves", 0, []*wire.BackendServer{a, b}, []string{"v1 ", "v1 1"}},
+		{"only another version serves", 0, []*wire.BackendServer{b}, []string{"v1 ", "v2 "}},
+		{"server has started again with another version", 0, []*wire.BackendServer{versionServer("a", "v2", 2)}, []string{"v1 ", "v2 "}},
+		{"server has started again with the same version", 0, []*wire.BackendServer{versionServer("a", "v1", 2)}, []string{"v1 ", "v1 1"}},
+		{"registry names the process before", 2, []*wire.BackendServer{a}, []string{"v1 ", "v1 "}},
+		{"server has started again after the run", 1, []*wire.BackendServer{versionServer("a", "v2", 2), versionServer("c", "v1", 1)}, []string{"v1 ", "v1 1"}},
 	}
 	for _, k := range l {
 		t.Run(k.name, func(t *testing.T) {
@@ -60,8 +64,10 @@
 				j := newJobsWithFleet(ctx, f, "front", store, engine, valueBytes)
 				setServers(f, a)
 				engine.setBodies("i0", brokenBody())
+				engine.setBorn(k.born)
 				accept(t, ctx, j, "j1", 1)
 				time.Sleep(time.Second)
+				engine.setBorn(0)
 				setServers(f, k.servers...)
 				time.Sleep(15 * time.Second)
 				synctest.Wait()
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -41,18 +41,19 @@
 	defer f(nil)
 	t := x.startAttemptTimer(f)
 	defer t.Stop()
-	x.sentAt = time.Now()
+	x.sentAt, x.born, x.hasEvent = time.Now(), 0, false
 	a, e := x.server.upstream.Send(c, backendServer, x.request, x.lastEventID)
 	if e != nil {
 		x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
 		return x.failureResult(c, e)
 	}
 	defer func() { _ = a.Body.Close() }()
+	x.born = a.Born()
 	var r result
 	if x.route.GetStream() && a.StatusCode == http.StatusOK {
-		r = x.relayStream(c, a, t)
+		r = x.relayStream(c, a.Response, t)
 	} else {
-		r = x.relayBody(c, a, t)
+		r = x.relayBody(c, a.Response, t)
 	}
 	h := time.Since(x.sentAt)
 	if !r.complete || r.serverFailed {
@@ -226,6 +227,7 @@
 			return x.brokenResult(ctx, errEventSequence)
 		}
 		if !r.Empty() {
+			x.hasEvent = true
 			x.recordStream()
 		}
 		x.writeHead(response)
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -41,6 +41,10 @@
 	attempts int
 	// Backend server of the last attempt.
 	backendServer *wire.BackendServer
+	// Start of its process by the response of the last attempt, 0 if unknown.
+	born int64
+	// The last attempt has brought an event.
+	hasEvent bool
 	// Why the fleet chose the last backend server, or none.
 	selectionReason string
 	lastResult      result
--- a/internal/coordination/direct/crash_test.go
+++ b/internal/coordination/direct/crash_test.go
@@ -94,7 +94,7 @@
 	return g.alive[id]
 }
 
-func (g *engines) Send(ctx context.Context, backendServer *wire.BackendServer, request *trail.Request, _ string) (*http.Response, error) {
+func (g *engines) Send(ctx context.Context, backendServer *wire.BackendServer, request *trail.Request, _ string) (*trail.Response, error) {
 	i := backendServer.GetId()
 	c := g.accept(i, request)
 	if c == nil {
@@ -109,7 +109,7 @@
 		g.crash(i)
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "connection closed")
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(strings.NewReader(eventText(1)), &restOfStream{ctx: ctx, crashed: c}))}, nil
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(strings.NewReader(eventText(1)), &restOfStream{ctx: ctx, crashed: c}))}, 0), nil
 }
 
 // restOfStream is the second event of a stream, which comes after streamTime
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -198,7 +198,7 @@
 	n := "ok"
 	l := x.server.logger.WithFields(log.Fields{
 		"request-id": x.request.ID(), "route": x.route.GetName(), "service": x.service, "config-version": version,
-		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
+		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "process": x.born, "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 		"left-ms": time.Until(x.request.Deadline()).Milliseconds(),
 	})
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -37,7 +37,7 @@
 	attempts []string
 }
 
-func (u *upstream) Send(ctx context.Context, backendServer *wire.BackendServer, _ *trail.Request, resume string) (*http.Response, error) {
+func (u *upstream) Send(ctx context.Context, backendServer *wire.BackendServer, _ *trail.Request, resume string) (*trail.Response, error) {
 	u.attempts = append(u.attempts, strings.TrimSpace(backendServer.GetId()+" "+resume))
 	r := "busy"
 	if len(u.replies) > 0 {
@@ -74,7 +74,7 @@
 		return nil, e
 	}
 	_, t, _ := strings.Cut(r, " ")
-	return &http.Response{StatusCode: s, Header: http.Header{"Signature": {backendServer.GetId()}}, Body: body(t)}, nil
+	return trail.NewResponse(&http.Response{StatusCode: s, Header: http.Header{"Signature": {backendServer.GetId()}}, Body: body(t)}, 0), nil
 }
 
 func body(text string) io.ReadCloser {
--- a/internal/coordination/direct/stream.go
+++ b/internal/coordination/direct/stream.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if x.build.IsZero() {
-		x.build = x.server.fleet.BuildOf(x.backendServer)
+		x.build = x.server.fleet.BuildOf(x.backendServer, x.born)
 	}
 	x.recordedAt = o
 	x.server.streams.Add(o, x.streamID(), x.build)
@@ -81,17 +81,17 @@
 }
 
 // mayGoOn returns whether a stream of which a part was relayed may go on at
-// another backend server. It may not if the last server has started again with
-// another version: the events may be those of either.
+// another backend server. It may not if the last server does not tell its process and
+// has started again with another version: the events may be those of either.
 func (x *call) mayGoOn() bool {
 	if !x.resumable() || x.lastEventID == "" {
 		// Comments may have been relayed, but no event.
 		return x.resumable() && x.build.IsZero()
 	}
-	b := x.server.fleet.BuildOf(x.backendServer)
-	if b != x.build {
+	b := x.server.fleet.BuildOf(x.backendServer, x.born)
+	if x.hasEvent && x.born == 0 && b != x.build {
 		x.server.streams.Add(time.Now(), x.streamID(), b)
 		return false
 	}
-	return x.server.streams.MayGoOn(b)
+	return x.server.streams.MayGoOn(x.build)
 }
--- a/internal/coordination/direct/unframed_test.go
+++ b/internal/coordination/direct/unframed_test.go
@@ -23,13 +23,13 @@
 	reset bool
 }
 
-func (u *unframed) Send(context.Context, *wire.BackendServer, *trail.Request, string) (*http.Response, error) {
+func (u *unframed) Send(context.Context, *wire.BackendServer, *trail.Request, string) (*trail.Response, error) {
 	var b io.Reader = strings.NewReader(u.bodies[0])
 	u.bodies = u.bodies[1:]
 	if u.reset {
 		b = io.MultiReader(b, brokenReader{})
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1, Close: true, Body: io.NopCloser(b)}, nil
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1, Close: true, Body: io.NopCloser(b)}, 0), nil
 }
 
 // Guards against an answer without a length that is taken for complete although
--- a/internal/coordination/direct/version_test.go
+++ b/internal/coordination/direct/version_test.go
@@ -23,11 +23,13 @@
 // server. The first attempt ends after its second event.
 type versionUpstream struct {
 	attempts []string
-	// Called before the first attempt ends.
-	beforeEnd func()
+	// Start of the process that answers the first attempt, 0 if it does not tell.
+	born int64
+	// Called before the first attempt is answered, and before it ends.
+	beforeAnswer, beforeEnd func()
 }
 
-func (u *versionUpstream) Send(_ context.Context, server *wire.BackendServer, _ *trail.Request, resume string) (*http.Response, error) {
+func (u *versionUpstream) Send(_ context.Context, server *wire.BackendServer, _ *trail.Request, resume string) (*trail.Response, error) {
 	u.attempts = append(u.attempts, server.GetVersion()+" after "+resume)
 	n := 0
 	_, _ = fmt.Sscan(resume, &n)
@@ -36,10 +38,13 @@
 	for n++; n <= l; n++ {
 		t += fmt.Sprintf("id: %d\ndata: %s\n\n", n, server.GetVersion())
 	}
+	if len(u.attempts) == 1 && u.beforeAnswer != nil {
+		u.beforeAnswer()
+	}
 	if len(u.attempts) > 1 {
-		return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body(t)}, nil
+		return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body(t)}, 0), nil
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(body(t), &endReader{u.beforeEnd}))}, nil
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(io.MultiReader(body(t), &endReader{u.beforeEnd}))}, u.born), nil
 }
 
 // endReader calls a function and then fails as a lost connection does.
@@ -106,6 +111,58 @@
 	}
 }
 
+// Guards against events that are attributed to the process that the registry names
+// although another one sends them, and against streams that can't go on because their
+// server has started again since.
+func TestEventsAreAttributedToAnotherProcess(t *testing.T) {
+	a, c := versionServer("a", "v1", 1), versionServer("c", "v1", 1)
+	b, d := versionServer("a", "v2", 2), versionServer("d", "v2", 1)
+	l := []struct {
+		name string
+		// Start of the process of "a" that answers.
+		born                             int64
+		servers, beforeAnswer, beforeEnd []*wire.BackendServer
+		want                             string
+		attempts                         []string
+		takenUpAt                        string
+	}{
+		{"registry names the process before", 2, []*wire.BackendServer{a}, nil, []*wire.BackendServer{a, c, d}, "200 2 events(cut)", []string{"v1 after "}, "none"},
+		{"registry names the process when it answers", 2, []*wire.BackendServer{a}, []*wire.BackendServer{b}, []*wire.BackendServer{b, c, d}, "200 4 events", []string{"v1 after ", "v2 after 2"}, "v2"},
+		{"registry names the next process before the end", 1, []*wire.BackendServer{a}, nil, []*wire.BackendServer{b, c, d}, "200 4 events", []string{"v1 after ", "v1 after 2"}, "v1"},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fleet.New("front", "a")
+				setServers(f, k.servers...)
+				u := &versionUpstream{born: k.born, beforeEnd: func() { setServers(f, k.beforeEnd...) }}
+				if k.beforeAnswer != nil {
+					u.beforeAnswer = func() { setServers(f, k.beforeAnswer...) }
+				}
+				s := newDirect(f, u)
+				w := httptest.NewRecorder()
+				r := route(wire.Repeat_REPEAT_SAFE, true, true, 2)
+				g := observed(s.Serve(t.Context(), r, 1, trail.NewRequest("id", "POST", "/p", "h", nil, nil), w), w)
+				if d := cmp.Diff(k.want, countEvents(g)); d != "" {
+					t.Error(d)
+				}
+				if d := cmp.Diff(k.attempts, u.attempts); d != "" {
+					t.Error(d)
+				}
+				n := len(u.attempts)
+				_ = s.Serve(t.Context(), r, 1, trail.NewRequest("again", "POST", "/p", "h", nil, nil).WithResumption("id", "2"), httptest.NewRecorder())
+				v := "none"
+				if len(u.attempts) > n {
+					v, _, _ = strings.Cut(u.attempts[n], " ")
+				}
+				if d := cmp.Diff(k.takenUpAt, v); d != "" {
+					t.Error("taken up:", d)
+				}
+			})
+		})
+	}
+}
+
 // countEvents replaces the events of an observed response by their number.
 func countEvents(observed string) string {
 	if !strings.HasPrefix(observed, "200 ") {
--- a/internal/coordination/fleet/build.go
+++ b/internal/coordination/fleet/build.go
@@ -38,15 +38,24 @@
 	return v != nil && len(v.servers) > 0
 }
 
-// BuildOf returns the build that has run a request, where entry is the server's
-// entry when the request was sent. If the server has started again with another
-// version, and the request may have reached either process, the version is
-// unknown.
-func (f *Fleet) BuildOf(entry *wire.BackendServer) build.Build {
+// BuildOf returns the build that runs a request, where entry is the server's entry
+// when the request was sent, and born the start of the process that answers, by its
+// own word, or 0 if it does not tell.
+//
+// The version is unknown if the registry does not name that process yet. It is also
+// unknown if the process does not tell and the entry has another version now: either
+// process may answer.
+func (f *Fleet) BuildOf(entry *wire.BackendServer, born int64) build.Build {
+	if born != 0 && born == entry.GetBorn() {
+		return build.Of(entry)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[entry.GetId()]
-	if s != nil && !build.Of(entry).RunsOn(s.entry) {
+	switch {
+	case born != 0 && s != nil && s.entry.GetBorn() == born:
+		return build.Of(s.entry)
+	case born != 0, s != nil && !build.Of(entry).RunsOn(s.entry):
 		return build.New(entry.GetService(), "")
 	}
 	return build.Of(entry)
--- a/internal/coordination/permit/upstream.go
+++ b/internal/coordination/permit/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -59,7 +58,7 @@
 // Send implements trail.Upstream. Its errors are those of the upstream that it
 // sends through, and backend-limited, with the verdict NotRun and the time until
 // the server takes the next request.
-func (s *Upstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*http.Response, error) {
+func (s *Upstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*trail.Response, error) {
 	l := s.fleet.Limit(server.GetId())
 	if l > 0 {
 		e := s.acquire(ctx, server, l)
--- a/internal/coordination/permit/upstream_test.go
+++ b/internal/coordination/permit/upstream_test.go
@@ -60,9 +60,9 @@
 }
 
 // Send implements trail.Upstream for the server.
-func (n *network) Send(context.Context, *wire.BackendServer, *trail.Request, string) (*http.Response, error) {
+func (n *network) Send(context.Context, *wire.BackendServer, *trail.Request, string) (*trail.Response, error) {
 	n.sent = append(n.sent, time.Now())
-	return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, 0), nil
 }
 
 // join adds a front that knows the server and its limit.
--- a/internal/coordination/proxy/serve.go
+++ b/internal/coordination/proxy/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -98,10 +97,11 @@
 	return wire.ProxyReply_builder{End: d.Build()}.Build()
 }
 
-func encodeHead(response *http.Response, notice *wire.ServerNotice) *wire.ProxyReply {
+func encodeHead(response *trail.Response, notice *wire.ServerNotice) *wire.ProxyReply {
 	return wire.ProxyReply_builder{Head: wire.ProxyHead_builder{
 		Status: proto.Int32(int32(response.StatusCode)), Headers: encodeHeader(response.Header), ContentLength: &response.ContentLength,
 		Chunked: proto.Bool(len(response.TransferEncoding) > 0), Close: &response.Close, Notice: notice,
+		Born: proto.Int64(response.Born()),
 	}.Build()}.Build()
 }
 
@@ -110,6 +110,6 @@
 	if n := request.GetBudgetMs(); n > 0 {
 		q = q.WithDeadline(time.Now().Add(time.Duration(n) * time.Millisecond))
 	}
-	b := wire.BackendServer_builder{Id: proto.String(request.GetServer()), Address: proto.String(request.GetAddress()), Born: proto.Int64(request.GetBorn())}.Build()
+	b := wire.BackendServer_builder{Id: proto.String(request.GetServer()), Address: proto.String(request.GetAddress()), Born: proto.Int64(request.GetBorn()), Service: proto.String(request.GetService())}.Build()
 	return b, q
 }
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -67,7 +67,7 @@
 // Send implements trail.Upstream. Its errors are those of the upstream for direct
 // attempts, path-lost if this front has lost its paths, and those of the mesh for
 // other fronts.
-func (s *Upstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*http.Response, error) {
+func (s *Upstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*trail.Response, error) {
 	if s.monitor.Lost() {
 		return s.sendThrough(ctx, server, request, lastEventID)
 	}
@@ -93,7 +93,7 @@
 
 // sendThrough sends an attempt through another front. It tries a second one if the
 // first can't be reached, or has no path to the backend servers either.
-func (s *Upstream) sendThrough(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*http.Response, error) {
+func (s *Upstream) sendThrough(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*trail.Response, error) {
 	// A front of an earlier version writes the request without a look at it.
 	e := valid.Request(request.Method(), request.Target(), request.Host(), request.Header())
 	if e != nil {
@@ -103,7 +103,7 @@
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	e = trail.NewError(codePathLost, trail.NotRun, "no path to the backend servers, and no other front has one")
 	for _, a := range l[:min(len(l), maxFronts)] {
-		var r *http.Response
+		var r *trail.Response
 		var d bool
 		r, d, e = s.sendTo(ctx, a, server, request, lastEventID)
 		if !d {
@@ -124,7 +124,7 @@
 
 // sendTo sends an attempt through the front at an address. another is true if the
 // attempt did not run and another front may do better.
-func (s *Upstream) sendTo(ctx context.Context, address string, server *wire.BackendServer, request *trail.Request, lastEventID string) (response *http.Response, another bool, err error) {
+func (s *Upstream) sendTo(ctx context.Context, address string, server *wire.BackendServer, request *trail.Request, lastEventID string) (response *trail.Response, another bool, err error) {
 	n, e := s.streams.Open(ctx, address, wire.Open_builder{Proxy: encodeRequest(server, request, lastEventID)}.Build())
 	if e != nil {
 		v := trail.VerdictOf(e)
@@ -149,7 +149,7 @@
 	}
 	h := y.GetHead()
 	s.notice(server, h.GetNotice())
-	return decodeHead(h, &replyBody{stream: n, detach: f, address: address}), false, nil
+	return trail.NewResponse(decodeHead(h, &replyBody{stream: n, detach: f, address: address}), h.GetBorn()), false, nil
 }
 
 // brokenError returns the error of a stream that has failed before its last
@@ -188,7 +188,7 @@
 
 func encodeRequest(server *wire.BackendServer, request *trail.Request, lastEventID string) *wire.ProxyRequest {
 	q := wire.ProxyRequest_builder{
-		Server: proto.String(server.GetId()), Address: proto.String(server.GetAddress()), Born: proto.Int64(server.GetBorn()),
+		Server: proto.String(server.GetId()), Address: proto.String(server.GetAddress()), Born: proto.Int64(server.GetBorn()), Service: proto.String(server.GetService()),
 		Id: proto.String(request.ID()), Method: proto.String(request.Method()), Target: proto.String(request.Target()), Host: proto.String(request.Host()),
 		Headers: encodeHeader(request.Header()), Body: request.Body(), LastEventId: &lastEventID,
 	}
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -18,6 +18,9 @@
 	address string
 	// The connection has carried a request.
 	hasSent bool
+	// Start of the process at its other end in Unix milliseconds, 0 if unknown. A
+	// connection ends with its process.
+	born int64
 	// When the idle connection must no longer be used, by the last response.
 	expires time.Time
 }
--- a/internal/transport/pool/faulty_test.go
+++ b/internal/transport/pool/faulty_test.go
@@ -72,7 +72,7 @@
 			defer f()
 			p := pool.New(&net.Dialer{}, prometheus.NewRegistry())
 			q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {"1"}}}
-			_, e := p.Do(c, a, "/", q, nil, func(*http.Response, bool) bool { return true })
+			_, e := p.Do(c, trail.NewDestination(a, nil), "/", q, nil, func(*http.Response, bool) bool { return true })
 			if d := cmp.Diff("answer-unbounded may-have-run", trail.CodeOf(e)+" "+trail.VerdictOf(e).String()); d != "" {
 				t.Error(d)
 			}
@@ -93,7 +93,7 @@
 	defer f()
 	p := pool.New(&net.Dialer{}, prometheus.NewRegistry())
 	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {"1"}}}
-	r, e := p.Do(c, a, "/", q, nil, func(*http.Response, bool) bool { return true })
+	r, e := p.Do(c, trail.NewDestination(a, nil), "/", q, nil, func(*http.Response, bool) bool { return true })
 	if e != nil {
 		t.Fatal(e)
 	}
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -17,6 +17,7 @@
 
 const (
 	dialTimeout       = time.Second
+	probeTimeout      = time.Second
 	maxIdlePerAddress = 12
 	// Keep-alive time if the response states none.
 	defaultKeepAlive = 4 * time.Second
@@ -48,24 +49,24 @@
 	}
 }
 
-// Do writes the request and returns the first response for which matches returns
-// true. The target is path and query as they stand in the request line. The
-// caller must close the body of the response.
+// Do writes the request to the destination and returns the first response for which
+// matches returns true. The target is path and query as they stand
+// in the request line. The caller must close the body of the response.
 //
 // An error has a verdict and one of the codes request-invalid, backend-unreachable,
-// backend-lost and answer-unbounded. Reading a body over the size limit also fails
-// with answer-unbounded. The argument fresh of matches is true if the connection has
-// carried no request before; otherwise a response that does not identify its
-// request may be a late duplicate of an earlier one. When ctx ends, the
-// connection is aborted, also while the body is read.
-func (s *Pool) Do(ctx context.Context, address, target string, request *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*http.Response, error) {
+// backend-replaced, backend-lost and answer-unbounded. Reading a body over the size
+// limit also fails with answer-unbounded. The argument fresh of matches is true if the
+// connection has carried no request but that of a probe before; otherwise a response
+// that does not identify its request may be a late duplicate of an earlier one. When
+// ctx ends, the connection is aborted, also while the body is read.
+func (s *Pool) Do(ctx context.Context, destination trail.Destination, target string, request *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*trail.Response, error) {
 	e := valid.Request(request.Method, target, request.Host, request.Header)
 	if e != nil {
 		return nil, e
 	}
-	n, e := s.acquire(ctx, address)
+	n, e := s.acquire(ctx, destination)
 	if e != nil {
-		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "no connection to backend server").WithPlace(address)
+		return nil, e
 	}
 	x := &exchange{pool: s, conn: n, detachContext: context.AfterFunc(ctx, n.abort)}
 	e = x.writeRequest(target, request, body)
@@ -77,32 +78,78 @@
 	if e != nil {
 		x.finish(false)
 		if errors.Is(e, errUnbounded) || n.limited.remaining <= 0 {
-			return nil, unboundedError(e, address)
+			return nil, unboundedError(e, destination.Address())
 		}
-		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").WithPlace(address)
+		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").WithPlace(destination.Address())
+	}
+	b := n.born
+	if destination.Probe() == nil {
+		b = 0
 	}
-	return a, nil
+	return trail.NewResponse(a, b), nil
 }
 
-// acquire returns an idle connection that is still usable, or a new one. It
-// closes idle connections that are not.
-func (s *Pool) acquire(ctx context.Context, address string) (*connection, error) {
+// acquire returns an idle connection to a destination that is still usable, or a new
+// one. It closes idle connections that are not.
+func (s *Pool) acquire(ctx context.Context, destination trail.Destination) (*connection, error) {
 	for {
-		n := s.popIdle(address)
+		n := s.popIdle(destination.Address())
 		if n == nil {
 			break
 		}
-		if n.usable() {
+		if n.usable() && destination.Accepts(n.born) {
 			return n, nil
 		}
 		n.close()
 	}
+	n, e := s.connect(ctx, destination)
+	if e != nil {
+		return nil, e
+	}
+	if !destination.Accepts(n.born) {
+		// The process is sound, and later requests may be for it.
+		n.expires = time.Now().Add(defaultKeepAlive)
+		s.putIdle(n)
+		return nil, trail.NewError("backend-replaced", trail.NotRun, "another process of the backend server has the address").WithPlace(destination.Address())
+	}
+	return n, nil
+}
+
+// connect opens a connection to a destination, and asks which process is at its other
+// end if there is a probe.
+func (s *Pool) connect(ctx context.Context, destination trail.Destination) (*connection, error) {
+	n, e := s.dial(ctx, destination.Address())
+	if e != nil || destination.Probe() == nil {
+		return n, e
+	}
+	c, f := context.WithTimeout(ctx, probeTimeout)
+	defer f()
+	d, e := s.identify(c, n, destination.Probe())
+	if e != nil {
+		n.close()
+		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "process of backend server not known").WithPlace(destination.Address())
+	}
+	if !d {
+		return n, nil
+	}
+	// The server closes its connections after each response. The next connection
+	// is opened at once, so it is to the same process.
+	n.close()
+	b := n.born
+	n, e = s.dial(ctx, destination.Address())
+	if e == nil {
+		n.born = b
+	}
+	return n, e
+}
+
+func (s *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	c, f := context.WithTimeout(ctx, dialTimeout)
 	defer f()
 	s.dialsTotal.Inc()
 	n, e := s.dialer.DialContext(c, "tcp", address)
 	if e != nil {
-		return nil, e
+		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "no connection to backend server").WithPlace(address)
 	}
 	return newConnection(n, address), nil
 }
--- a/internal/transport/pool/pool_test.go
+++ b/internal/transport/pool/pool_test.go
@@ -94,7 +94,7 @@
 // connection only.
 func send(ctx context.Context, conns *pool.Pool, id string) string {
 	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
-	a, e := conns.Do(ctx, address, "/p?q=1", q, []byte("body"), func(a *http.Response, fresh bool) bool {
+	a, e := conns.Do(ctx, trail.NewDestination(address, nil), "/p?q=1", q, []byte("body"), func(a *http.Response, fresh bool) bool {
 		return a.Header.Get("Id") == id || a.Header.Get("Id") == "" && fresh
 	})
 	if e != nil {
--- a/internal/transport/pool/request_test.go
+++ b/internal/transport/pool/request_test.go
@@ -69,7 +69,7 @@
 		p := pool.New(c, prometheus.NewRegistry())
 		q := &http.Request{Method: method, Host: host, Header: http.Header{"X-Attempt-Id": {"1"}}}
 		q.Header[http.CanonicalHeaderKey(name)] = []string{value}
-		_, e := p.Do(t.Context(), "server", target, q, body, func(*http.Response, bool) bool { return true })
+		_, e := p.Do(t.Context(), trail.NewDestination("server", nil), target, q, body, func(*http.Response, bool) bool { return true })
 		if trail.VerdictOf(e) == trail.NotRun {
 			if c.written.Len() > 0 {
 				t.Fatalf("bytes of a request that has not run: %q", c.written.Bytes())
--- a/upstream.go
+++ b/upstream.go
@@ -16,7 +16,69 @@
 	// request may have run; it is NotRun if the backend server rejected the
 	// request. Cancelling ctx ends the attempt, also while the body is being
 	// read. The caller closes the body.
-	Send(ctx context.Context, server *wire.BackendServer, request *Request, lastEventID string) (*http.Response, error)
+	//
+	// A stream after lastEventID is requested only from the process that the
+	// server's entry describes, as far as servers name their processes.
+	Send(ctx context.Context, server *wire.BackendServer, request *Request, lastEventID string) (*Response, error)
+}
+
+// Response is the response of a backend server to one attempt.
+type Response struct {
+	*http.Response
+	born int64
+}
+
+// NewResponse returns a response that a process sends which was started at born, in
+// Unix milliseconds; 0 if that is not known.
+func NewResponse(response *http.Response, born int64) *Response {
+	return &Response{Response: response, born: born}
+}
+
+// Born returns the start of the process that sends the response, by its own word, in
+// Unix milliseconds, or 0 if that is not known. It may be another process than the one
+// that the server's entry describes.
+func (r *Response) Born() int64 { return r.born }
+
+// Destination is the process to which a request is sent.
+type Destination struct {
+	// IP address and port.
+	address string
+	probe   ProcessProbe
+	// Start of the process in Unix milliseconds, 0 for any.
+	born int64
+}
+
+// NewDestination returns the destination that any process at an address is. Each new
+// connection to it is asked for its process with probe, unless that is nil.
+func NewDestination(address string, probe ProcessProbe) Destination {
+	return Destination{address: address, probe: probe}
+}
+
+// WithBorn returns the destination that only the process is which was started at born,
+// in Unix milliseconds, or one that does not tell.
+func (d Destination) WithBorn(born int64) Destination {
+	d.born = born
+	return d
+}
+
+// Address returns IP address and port.
+func (d Destination) Address() string { return d.address }
+
+// Probe returns how a new connection is asked for its process, nil for not at all.
+func (d Destination) Probe() ProcessProbe { return d.probe }
+
+// Accepts reports whether a process is the destination. born is its start in Unix
+// milliseconds, 0 if unknown.
+func (d Destination) Accepts(born int64) bool { return d.born == 0 || born == 0 || born == d.born }
+
+// ProcessProbe asks a backend server which process it is.
+type ProcessProbe interface {
+	// Request returns the target of the question, and its request without a body.
+	Request() (target string, request *http.Request)
+	// Born returns the start of the process in Unix milliseconds by the status and
+	// the body of its response, or 0 if the server does not tell. It returns an
+	// error for a response that no server sends that works correctly.
+	Born(status int, body []byte) (int64, error)
 }
 
 // Request is one attempt of a caller's request, or one item of a batch job, that
