fleet: a process is not avoided for the failures of the one before it

What callers see: a server that has started again under its id and address gets no requests for as long as its process before was to be avoided.

Evidence: TestProcessIsAvoidedForFailuresOfTheOneBefore fails on the code before ("next process") and passes now. Old and new builds: nothing is sent to other fronts.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -272,12 +272,11 @@
 		s = &server{idHash: hashOf(entry.GetId()), tieBreak: xxhash.Sum64String(f.self + "/" + entry.GetId())}
 		f.servers[entry.GetId()] = s
 		f.serversByHash[s.idHash] = s
-	} else if s.entry.GetAddress() != entry.GetAddress() {
-		s.backoffUntil = time.Time{}
 	}
-	if s.entry.GetBorn() != entry.GetBorn() {
-		// Another process, which has named no limit.
+	if s.entry.GetBorn() != entry.GetBorn() || s.entry.GetAddress() != entry.GetAddress() {
+		// Another process, which has named no limit and has not failed.
 		s.limit = rateLimit{}
+		s.backoffUntil, s.failures, s.failing = time.Time{}, 0, false
 	}
 	s.entry = entry
 	s.leaving = f.isMarkedLeaving(entry)
--- a/internal/coordination/fleet/suspect_test.go
+++ b/internal/coordination/fleet/suspect_test.go
@@ -133,3 +133,24 @@
 		t.Error("no batch item sent to the server after its backoff")
 	}
 }
+
+// Guards against a server that gets no requests for the failures of its process before.
+func TestProcessIsAvoidedForFailuresOfTheOneBefore(t *testing.T) {
+	for n, k := range map[string]struct {
+		born int64
+		used bool
+	}{"same process": {1, false}, "next process": {2, true}} {
+		t.Run(n, func(t *testing.T) {
+			f := newFleet(process("s", 1), process("t", 1))
+			f.RecordFailedAnswer(start, "s")
+			f.SetServers(start, []*wire.BackendServer{process("s", k.born), process("t", 1)}, start, start)
+			l := map[string]bool{}
+			for range 4 {
+				l[acquire(f, start)[0]] = true
+			}
+			if d := cmp.Diff(k.used, l["s"]); d != "" {
+				t.Error(d, l)
+			}
+		})
+	}
+}
