fleet, server, proxy: a process that leaves is known by its own word before the registry names it

Change: a notice tells the start of the process that says so, as its connection knows it. The mark holds both starts, and ends when the registry names a third process.

Evidence: TestServerThatLeavesGetsRequests has four new cases; "process that is listed later" has no counterpart on the code before, which does not know the start.

--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -15,7 +15,7 @@
 
 // recordNotice records what a backend server says of itself with a response.
 func (s *frontRole) recordNotice(backendServer *wire.BackendServer, notice trail.ServerNotice) {
-	if notice.Leaving() && s.fleet.MarkLeaving(time.Now(), backendServer) {
+	if notice.Leaving() && s.fleet.MarkLeaving(time.Now(), backendServer, notice.Born()) {
 		s.logger.WithField("server", backendServer.GetId()).Info("bulrushd: backend server says that it is about to stop")
 	}
 	if s.fleet.RecordLimit(time.Now(), backendServer, notice.RequestsPerSecond()) {
--- a/internal/coordination/fleet/leaving_test.go
+++ b/internal/coordination/fleet/leaving_test.go
@@ -27,28 +27,38 @@
 		after func(f *fleet.Fleet)
 		want  string
 	}{
-		"listed": {func(f *fleet.Fleet) { f.MarkLeaving(start, s) }, ""},
+		"listed": {func(f *fleet.Fleet) { f.MarkLeaving(start, s, 1) }, ""},
 		"listed again": {func(f *fleet.Fleet) {
-			f.MarkLeaving(start, s)
+			f.MarkLeaving(start, s, 1)
 			f.SetServers(start, []*wire.BackendServer{s}, start, start)
 		}, ""},
 		"lapsed and back": {func(f *fleet.Fleet) {
-			f.MarkLeaving(start, s)
+			f.MarkLeaving(start, s, 1)
 			f.SetServers(start.Add(time.Second), nil, start, start)
 			f.SetServers(start.Add(3*time.Second), []*wire.BackendServer{s}, start, start)
 		}, ""},
 		"answer while not listed": {func(f *fleet.Fleet) {
 			f.SetServers(start, nil, start, start)
-			f.MarkLeaving(start, s)
+			f.MarkLeaving(start, s, 1)
 			f.SetServers(start, []*wire.BackendServer{s}, start, start)
 		}, ""},
 		"started again": {func(f *fleet.Fleet) {
-			f.MarkLeaving(start, s)
+			f.MarkLeaving(start, s, 1)
 			f.SetServers(start, []*wire.BackendServer{process("s", 2)}, start, start)
 		}, "s"},
+		"process that is not listed yet": {func(f *fleet.Fleet) { f.MarkLeaving(start, s, 2) }, ""},
+		"process that is listed later": {func(f *fleet.Fleet) {
+			f.MarkLeaving(start, s, 2)
+			f.SetServers(start, []*wire.BackendServer{process("s", 2)}, start, start)
+		}, ""},
+		"process after one that was not listed": {func(f *fleet.Fleet) {
+			f.MarkLeaving(start, s, 2)
+			f.SetServers(start, []*wire.BackendServer{process("s", 3)}, start, start)
+		}, "s"},
+		"process does not tell its start": {func(f *fleet.Fleet) { f.MarkLeaving(start, s, 0) }, ""},
 		"late answer of the process before": {func(f *fleet.Fleet) {
 			f.SetServers(start, []*wire.BackendServer{process("s", 2)}, start, start)
-			f.MarkLeaving(start, s)
+			f.MarkLeaving(start, s, 1)
 		}, "s"},
 	}
 	for n, k := range l {
--- a/internal/coordination/proxy/serve.go
+++ b/internal/coordination/proxy/serve.go
@@ -47,7 +47,7 @@
 	var n *wire.ServerNotice
 	u := s.connect(func(server *wire.BackendServer, notice trail.ServerNotice) {
 		s.onNotice(server, notice)
-		n = wire.ServerNotice_builder{Leaving: proto.Bool(notice.Leaving()), RequestsPerSecond: proto.Float64(notice.RequestsPerSecond())}.Build()
+		n = wire.ServerNotice_builder{Born: proto.Int64(notice.Born()), Leaving: proto.Bool(notice.Leaving()), RequestsPerSecond: proto.Float64(notice.RequestsPerSecond())}.Build()
 	})
 	b, q := decodeRequest(request)
 	r, e := u.Send(ctx, b, q, request.GetLastEventId())
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -169,7 +169,7 @@
 
 func (s *Upstream) notice(server *wire.BackendServer, notice *wire.ServerNotice) {
 	if notice != nil {
-		s.onNotice(server, trail.NewServerNotice(notice.GetLeaving(), notice.GetRequestsPerSecond()))
+		s.onNotice(server, trail.NewServerNotice(notice.GetBorn(), notice.GetLeaving(), notice.GetRequestsPerSecond()))
 	}
 }
 
