--- a/internal/standin/ports/free.go
+++ b/internal/standin/ports/free.go
@@ -1,37 +1,12 @@
 package ports
 
-import (
-	"fmt"
-	"math/rand/v2"
-	"net"
-
-	"github.com/cockroachdb/errors"
-)
-
-const (
-	// Range of the ports, without maxPort. The default ephemeral range of Linux
-	// starts at 32768.
-	minPort, maxPort = 10000, 32000
-	// Maximum number of attempts for each requested port.
-	attemptsPerPort = 100
-)
-
-// Free returns distinct TCP ports of the loopback address on which no process
-// listens at present.
+// Free returns distinct ports of the loopback address that no process uses and no
+// reservation holds at present. It does not reserve them.
 func Free(count int) ([]int, error) {
-	var l []int
-	for range count * attemptsPerPort {
-		if len(l) == count {
-			return l, nil
-		}
-		p := minPort + rand.IntN(maxPort-minPort)
-		x, e := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if e != nil {
-			continue
-		}
-		// Kept open until all ports are found, so that none is found twice.
-		defer func() { _ = x.Close() }()
-		l = append(l, p)
+	r, e := Reserve(count)
+	if e != nil {
+		return nil, e
 	}
-	return nil, errors.Newf("found only %d of %d free ports in the range from %d to %d", len(l), count, minPort, maxPort)
+	r.Close()
+	return r.Ports(), nil
 }
