resume, direct, batch: a stream goes on once the registry names the process that has begun it

Cause: a stream of a process that the registry did not name yet was recorded with an unknown version for good.

Change: such a stream is recorded with the server and the start of the process. Who takes it up, the front itself or another one, asks its copy of the registry for that process by then. A known version from another front replaces that record; two known ones still make the version unknown.

TestProcessOfStreamIsNamedLater, and a case of TestEventsAreAttributedToAnotherProcess ("names the process before the end", which fails before).

Old and new builds: BegunStream has two new fields, server and born.

--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -83,6 +83,10 @@
 // It returns whether the item is done, and the error of its last run.
 func (s *Jobs) checkProgress(run *itemRun, progress *itemProgress, done bool, err error) (bool, error) {
 	j := s.mayBeJoined(run, progress)
+	if run.born != 0 && progress.lastEventID != run.resumedAfter && !progress.build.Known() {
+		// The registry may name the process by now.
+		progress.build = s.fleet.BuildOf(run.server, run.born)
+	}
 	switch {
 	case done && (run.resumedAfter == "" || !j):
 		return true, nil
--- a/internal/coordination/builds/keeper.go
+++ b/internal/coordination/builds/keeper.go
@@ -108,6 +108,12 @@
 	return f, k.hasRead && !f.IsZero()
 }
 
+// OfProcess returns the build of a process of a backend server as fleet.BuildOfProcess
+// does.
+func (k *Keeper) OfProcess(server uint64, born int64) (build.Build, bool) {
+	return k.fleet.BuildOfProcess(server, born)
+}
+
 // observe locks the keeper and updates the builds by the servers in the registry.
 // It returns the function that unlocks the keeper.
 func (k *Keeper) observe(now time.Time) func() {
--- a/internal/coordination/direct/stream.go
+++ b/internal/coordination/direct/stream.go
@@ -76,7 +76,11 @@
 		x.build = x.server.fleet.BuildOf(x.backendServer, x.born)
 	}
 	x.recordedAt = o
-	x.server.streams.Add(o, x.streamID(), x.build)
+	if x.born != 0 && !x.build.Known() {
+		x.server.streams.AddProcess(o, x.streamID(), x.build.Service(), x.backendServer.GetId(), x.born)
+	} else {
+		x.server.streams.Add(o, x.streamID(), x.build)
+	}
 	x.server.onLoadChange()
 }
 
@@ -89,9 +93,14 @@
 		return x.resumable() && x.build.IsZero()
 	}
 	b := x.server.fleet.BuildOf(x.backendServer, x.born)
-	if x.hasEvent && x.born == 0 && b != x.build {
+	switch {
+	case !x.hasEvent || b == x.build:
+	case x.born == 0:
 		x.server.streams.Add(time.Now(), x.streamID(), b)
 		return false
+	case !x.build.Known():
+		// The registry names the process by now.
+		x.build = b
 	}
 	return x.server.streams.MayGoOn(x.build)
 }
--- a/internal/coordination/direct/version_test.go
+++ b/internal/coordination/direct/version_test.go
@@ -127,6 +127,7 @@
 		takenUpAt                        string
 	}{
 		{"registry names the process before", 2, []*wire.BackendServer{a}, nil, []*wire.BackendServer{a, c, d}, "200 2 events(cut)", []string{"v1 after "}, "none"},
+		{"registry names the process before the end", 2, []*wire.BackendServer{a}, nil, []*wire.BackendServer{b, c, d}, "200 4 events", []string{"v1 after ", "v2 after 2"}, "v2"},
 		{"registry names the process when it answers", 2, []*wire.BackendServer{a}, []*wire.BackendServer{b}, []*wire.BackendServer{b, c, d}, "200 4 events", []string{"v1 after ", "v2 after 2"}, "v2"},
 		{"registry names the next process before the end", 1, []*wire.BackendServer{a}, nil, []*wire.BackendServer{b, c, d}, "200 4 events", []string{"v1 after ", "v1 after 2"}, "v1"},
 	}
--- a/internal/coordination/fleet/build.go
+++ b/internal/coordination/fleet/build.go
@@ -61,6 +61,19 @@
 	return build.Of(entry)
 }
 
+// BuildOfProcess returns the build of a process of a backend server, by the hash of the
+// server's id and the start of the process in Unix milliseconds. It returns false if
+// the registry does not name that process.
+func (f *Fleet) BuildOfProcess(server uint64, born int64) (build.Build, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.serversByHash[server]
+	if s == nil || s.entry.GetBorn() != born {
+		return build.Build{}, false
+	}
+	return build.Of(s.entry), true
+}
+
 // Unversioned reports whether no known backend server of a service names a version
 // of its software.
 func (f *Fleet) Unversioned(service string) bool {
--- a/internal/coordination/resume/record.go
+++ b/internal/coordination/resume/record.go
@@ -39,9 +39,9 @@
 	fronts func() []string
 
 	mu sync.Mutex
-	// Builds by the hash of the attempt that brought the stream's first event. The
+	// Origins by the hash of the attempt that brought the stream's first event. The
 	// older streams are dropped when the newer ones have filled for lifetime.
-	newer, older map[uint64]build.Build
+	newer, older map[uint64]origin
 	turnedAt     time.Time
 	// Streams that this front has recorded within reportTime, oldest first.
 	recent []begun
@@ -58,49 +58,92 @@
 	SourceNone      = "none"
 )
 
+// origin is what has begun a stream.
+type origin struct {
+	build build.Build
+	// Hash of the backend server's id and start of its process, set while the
+	// version is unknown because the registry did not name that process.
+	server uint64
+	born   int64
+}
+
 // begun is a stream as this front reports it.
 type begun struct {
 	stream uint64
-	build  build.Build
+	origin origin
 	at     time.Time
 }
 
 // New returns an empty record that asks fronts through asker.
 func New(builds *builds.Keeper, asker trail.StreamAsker, fronts func() []string) *Record {
-	return &Record{builds: builds, asker: asker, fronts: fronts, newer: map[uint64]build.Build{}, turnedAt: time.Now()}
+	return &Record{builds: builds, asker: asker, fronts: fronts, newer: map[uint64]origin{}, turnedAt: time.Now()}
 }
 
 // Add records the build that has begun a stream. attempt is the id of the attempt
 // that brought its first event.
 func (r *Record) Add(now time.Time, attempt string, b build.Build) {
+	r.add(now, attempt, origin{build: b})
+}
+
+// AddProcess does the same for a process of a backend server, started at born in Unix
+// milliseconds, that the registry does not name yet. The version is unknown until it
+// does.
+func (r *Record) AddProcess(now time.Time, attempt, service, server string, born int64) {
+	r.add(now, attempt, origin{build.New(service, ""), xxhash.Sum64String(server), born})
+}
+
+func (r *Record) add(now time.Time, attempt string, begunBy origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := xxhash.Sum64String(attempt)
-	r.put(now, h, b)
-	r.recent = append(r.recent, begun{h, b, now})
+	r.put(now, h, begunBy)
+	r.recent = append(r.recent, begun{h, begunBy, now})
 }
 
-// put stores the build of a stream. If it is known with another build, the version
-// is unknown. The caller holds the lock.
-func (r *Record) put(now time.Time, stream uint64, b build.Build) {
+// put stores the origin of a stream. If it is known with another one, the version is
+// unknown. The caller holds the lock.
+func (r *Record) put(now time.Time, stream uint64, begunBy origin) {
 	if now.Sub(r.turnedAt) > lifetime {
-		r.older, r.newer = r.newer, map[uint64]build.Build{}
+		r.older, r.newer = r.newer, map[uint64]origin{}
 		r.turnedAt = now
 	}
 	o, k := r.get(stream)
-	if k && o != b {
-		b = build.New(b.Service(), "")
+	if k {
+		begunBy = o.merge(begunBy)
 	}
-	r.newer[stream] = b
+	r.newer[stream] = begunBy
 }
 
-// get returns the build of a stream. The caller holds the lock.
-func (r *Record) get(stream uint64) (build.Build, bool) {
-	b, k := r.newer[stream]
+// merge returns what is known of a stream that two fronts know. A version is known by
+// the registry's word on the process that the other front has named. If they name two
+// versions, it is unknown.
+func (o origin) merge(other origin) origin {
+	s := o.build.Service() == other.build.Service()
+	switch {
+	case o == other, s && o.born != 0 && other.build.Known():
+		return other
+	case s && other.born != 0 && o.build.Known():
+		return o
+	}
+	return origin{build: build.New(other.build.Service(), "")}
+}
+
+// get returns the origin of a stream. The caller holds the lock.
+func (r *Record) get(stream uint64) (origin, bool) {
+	o, k := r.newer[stream]
 	if !k {
-		b, k = r.older[stream]
+		o, k = r.older[stream]
+	}
+	return o, k
+}
+
+// resolve returns the build of a stream, whose process the registry may name by now.
+func (r *Record) resolve(begunBy origin) build.Build {
+	b, k := r.builds.OfProcess(begunBy.server, begunBy.born)
+	if begunBy.born != 0 && k && b.Service() == begunBy.build.Service() {
+		return b
 	}
-	return b, k
+	return begunBy.build
 }
 
 // Report returns the streams that this front has recorded lately.
@@ -112,13 +155,21 @@
 	}
 	var l []*wire.BegunStream
 	for _, x := range r.recent {
-		l = append(l, encode(x.stream, x.build))
+		l = append(l, encode(x.stream, x.origin))
 	}
 	return l
 }
 
-func encode(stream uint64, b build.Build) *wire.BegunStream {
-	return wire.BegunStream_builder{Stream: &stream, Service: proto.String(b.Service()), Version: proto.String(b.Version())}.Build()
+func encode(stream uint64, begunBy origin) *wire.BegunStream {
+	s := wire.BegunStream_builder{Stream: &stream, Service: proto.String(begunBy.build.Service()), Version: proto.String(begunBy.build.Version())}
+	if begunBy.born != 0 {
+		s.Server, s.Born = &begunBy.server, &begunBy.born
+	}
+	return s.Build()
+}
+
+func decode(stream *wire.BegunStream) origin {
+	return origin{build.New(stream.GetService(), stream.GetVersion()), stream.GetServer(), stream.GetBorn()}
 }
 
 // Merge takes over the streams that another front has recorded.
@@ -126,7 +177,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range streams {
-		r.put(now, s.GetStream(), build.New(s.GetService(), s.GetVersion()))
+		r.put(now, s.GetStream(), decode(s))
 	}
 }
 
@@ -135,9 +186,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := wire.StreamReply_builder{Id: proto.Uint64(query.GetId())}
-	b, k := r.get(query.GetStream())
+	o, k := r.get(query.GetStream())
 	if k {
-		a.Stream = encode(query.GetStream(), b)
+		a.Stream = encode(query.GetStream(), o)
 	}
 	return a.Build()
 }
@@ -161,14 +212,14 @@
 // lookUp returns the build of a stream and how it is known.
 func (r *Record) lookUp(ctx context.Context, stream uint64, services []string) (b build.Build, source string) {
 	r.mu.Lock()
-	b, k := r.get(stream)
+	o, k := r.get(stream)
 	r.mu.Unlock()
 	if k {
-		return b, SourceRecord
+		return r.resolve(o), SourceRecord
 	}
-	b, k, a := r.ask(ctx, stream)
+	o, k, a := r.ask(ctx, stream)
 	if k {
-		return b, SourceFront
+		return r.resolve(o), SourceFront
 	}
 	if a && len(services) == 1 {
 		b, k = r.builds.ConfirmOnly(ctx, services[0])
@@ -192,7 +243,7 @@
 // ask asks other fronts for a stream. It returns the first answer of one that knows
 // the stream, and whether any has answered, or there is none to ask: a front that no
 // other one answers may be cut off.
-func (r *Record) ask(ctx context.Context, stream uint64) (b build.Build, known, answered bool) {
+func (r *Record) ask(ctx context.Context, stream uint64) (begunBy origin, known, answered bool) {
 	c, f := context.WithTimeout(ctx, askTimeout)
 	defer f()
 	l := r.fronts()
@@ -213,8 +264,8 @@
 		if p.HasStream() {
 			s := []*wire.BegunStream{p.GetStream()}
 			r.Merge(time.Now(), s)
-			return build.New(s[0].GetService(), s[0].GetVersion()), true, true
+			return decode(s[0]), true, true
 		}
 	}
-	return build.Build{}, false, answered
+	return origin{}, false, answered
 }
--- a/internal/coordination/resume/record_test.go
+++ b/internal/coordination/resume/record_test.go
@@ -175,6 +175,47 @@
 	}
 }
 
+// Guards against a stream that is never taken up, or goes on at another version,
+// because the registry did not name the process that has begun it.
+func TestProcessOfStreamIsNamedLater(t *testing.T) {
+	l := []struct {
+		name string
+		// Start and version of the process that the registry names in the end.
+		born    int64
+		version string
+		// Recorded by another front meanwhile.
+		other build.Build
+		want  string
+	}{
+		{"named by now", 2, "v2", build.Build{}, "v2"},
+		{"process before is named", 1, "v1", build.Build{}, "none"},
+		{"next process is named", 3, "v3", build.Build{}, "none"},
+		{"named by now, taken up elsewhere", 2, "v2", build.New("v", "v2"), "v2"},
+		{"next process is named, taken up elsewhere before", 3, "v3", build.New("v", "v2"), "v2"},
+		{"unknown elsewhere", 2, "v2", build.New("v", ""), "none"},
+	}
+	for _, k := range l {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fleet.New("front", "a")
+				b := builds.New(nil, f, func() []string { return nil }, func() int { return 0 }, &log.Logger{Handler: discard.New()})
+				r, o := newRecord(), resume.New(b, nil, func() []string { return nil })
+				o.AddProcess(time.Now(), "a", "v", "s", 2)
+				r.Merge(time.Now(), o.Report(time.Now()))
+				if !k.other.IsZero() {
+					r.Add(time.Now(), "a", k.other)
+					o.Merge(time.Now(), r.Report(time.Now()))
+				}
+				s := wire.BackendServer_builder{Id: proto.String("s"), Service: proto.String("v"), Version: &k.version, Slots: proto.Int32(1), Born: &k.born}.Build()
+				f.SetServers(time.Now(), []*wire.BackendServer{s}, time.Now(), time.Now())
+				if d := cmp.Diff(k.want, find(o, "a")); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
+}
+
 // Guards against datagrams that grow with the rate of streams.
 func TestReportGrowsWithoutBound(t *testing.T) {
 	r := newRecord()
