fleet: marks, limits and failures belong to one process of a server

Change: marks are kept by server and start of the process. A limit knows the start of the process that named it, by its own word, and ends only with that one. A failure counts only if the registry still names the process to which the request was sent.

Nothing is sent to other fronts that was not before.

--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -18,7 +18,7 @@
 	if notice.Leaving() && s.fleet.MarkLeaving(time.Now(), backendServer, notice.Born()) {
 		s.logger.WithField("server", backendServer.GetId()).Info("bulrushd: backend server says that it is about to stop")
 	}
-	if s.fleet.RecordLimit(time.Now(), backendServer, notice.RequestsPerSecond()) {
+	if s.fleet.RecordLimit(time.Now(), backendServer, notice.Born(), notice.RequestsPerSecond()) {
 		s.logger.WithFields(log.Fields{
 			"server": backendServer.GetId(), "requests-per-second": notice.RequestsPerSecond(),
 		}).Info("bulrushd: backend server has changed its limit")
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -191,7 +191,7 @@
 		s.addResult(run.job, run.index, true, "")
 		return "impossible"
 	case errors.Is(err, errFailed):
-		s.fleet.RecordFailedAnswer(w, run.server.GetId())
+		s.fleet.RecordFailedAnswer(w, run.server)
 		s.onLoadChange()
 		if s.agenda.RequeueFailed(w, run.job.id, run.index, s.maxFailures(run.job)) {
 			s.addResult(run.job, run.index, true, "")
@@ -204,10 +204,10 @@
 	}
 	s.agenda.RequeueBroken(w, run.job.id, run.index, progress.lastEventID == run.resumedAfter && trail.VerdictOf(err) != trail.NotRun)
 	if errors.Is(err, errUnbounded) {
-		s.fleet.RecordFailedAnswer(w, run.server.GetId())
+		s.fleet.RecordFailedAnswer(w, run.server)
 		s.onLoadChange()
 	} else {
-		s.fleet.RecordFailure(w, run.server.GetId(), trail.CodeOf(err) == "backend-unreachable")
+		s.fleet.RecordFailure(w, run.server, trail.CodeOf(err) == "backend-unreachable")
 	}
 	return "broken"
 }
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -148,13 +148,13 @@
 
 // recordFailure reports an attempt without a complete response to the fleet.
 func (s *Server) recordFailure(backendServer *wire.BackendServer, outcome result) {
-	s.logAvoided(backendServer, s.fleet.RecordFailure(time.Now(), backendServer.GetId(), outcome.unreachable), outcome.cause.Error())
+	s.logAvoided(backendServer, s.fleet.RecordFailure(time.Now(), backendServer, outcome.unreachable), outcome.cause.Error())
 }
 
 // recordServerFailure reports a response that shows a fault of the backend
 // server itself to the fleet.
 func (s *Server) recordServerFailure(backendServer *wire.BackendServer) {
-	s.logAvoided(backendServer, s.fleet.RecordFailedAnswer(time.Now(), backendServer.GetId()), "backend server answers with failures")
+	s.logAvoided(backendServer, s.fleet.RecordFailedAnswer(time.Now(), backendServer), "backend server answers with failures")
 }
 
 // logAvoided logs for how long the fleet avoids a backend server after a
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -75,8 +75,8 @@
 	peersByHash map[uint64]*peer
 	// Aggregated loads of other data centres in a large fleet, by data centre.
 	dataCentreLoads map[string]*dataCentreLoad
-	// Backend servers that have said that they are about to stop, by id.
-	leavingMarks map[string]leavingMark
+	// When processes of backend servers have said that they are about to stop.
+	leavingMarks map[serverProcess]time.Time
 	// How often a backend server has named another limit to this front.
 	limitChanges uint64
 	// This front stops.
@@ -96,6 +96,9 @@
 type server struct {
 	entry  *wire.BackendServer
 	idHash uint64
+	// Start of its process in Unix milliseconds, by its own word since the entry names
+	// a process; 0 if it was not asked since then.
+	born int64
 	// Orders servers that are otherwise equal; differs between fronts so that
 	// they don't all choose the same server.
 	tieBreak uint64
@@ -145,7 +148,7 @@
 	return &Fleet{
 		self: self, dataCentre: dataCentre,
 		servers: map[string]*server{}, serversByHash: map[uint64]*server{},
-		services: map[string]*service{}, leavingMarks: map[string]leavingMark{},
+		services: map[string]*service{}, leavingMarks: map[serverProcess]time.Time{},
 		peers: map[string]*peer{}, peersByHash: map[uint64]*peer{}, dataCentreLoads: map[string]*dataCentreLoad{}, lostPeers: map[string]time.Time{},
 	}
 }
@@ -179,7 +182,7 @@
 		}
 		a = latest(a, f.dropUnlisted(now, v, n, k))
 	}
-	f.expireLeavingMarks(now, n)
+	f.expireLeavingMarks(now)
 	f.groupByService()
 	f.recountRemote()
 	return a
@@ -274,12 +277,15 @@
 		f.serversByHash[s.idHash] = s
 	}
 	if s.entry.GetBorn() != entry.GetBorn() || s.entry.GetAddress() != entry.GetAddress() {
-		// Another process, which has named no limit and has not failed.
-		s.limit = rateLimit{}
+		// Another process, which has not failed.
+		s.born = 0
 		s.backoffUntil, s.failures, s.failing = time.Time{}, 0, false
+		if s.limit.born != entry.GetBorn() {
+			s.limit = rateLimit{}
+		}
 	}
 	s.entry = entry
-	s.leaving = f.isMarkedLeaving(entry)
+	s.leaving = f.isMarkedLeaving(s)
 	s.dropAt = time.Time{}
 }
 
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -286,12 +286,12 @@
 func TestBackoffAfterFailures(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
 	g := []time.Duration{
-		f.RecordFailure(start, "s", false),
-		f.RecordFailure(start, "s", true),
+		f.RecordFailure(start, server("s", "a", 4), false),
+		f.RecordFailure(start, server("s", "a", 4), true),
 	}
 	f.AcquireBatch(start.Add(time.Minute), service, nil)
 	f.ReleaseBatch("s", true)
-	g = append(g, f.RecordFailure(start, "s", true))
+	g = append(g, f.RecordFailure(start, server("s", "a", 4), true))
 	if d := cmp.Diff([]time.Duration{0, 600 * time.Millisecond, 300 * time.Millisecond}, g); d != "" {
 		t.Error(d)
 	}
@@ -325,7 +325,7 @@
 // each time its backoff ends. It must get a single probe request.
 func TestOneProbeAfterBackoff(t *testing.T) {
 	f := newFleet(server("s", "a", 8))
-	f.RecordFailure(start, "s", true)
+	f.RecordFailure(start, server("s", "a", 4), true)
 	n := start.Add(time.Second)
 	g := [][2]string{acquire(f, n), acquire(f, n)}
 	f.ReleaseOnline("s", 50*time.Millisecond)
--- a/internal/coordination/fleet/leaving.go
+++ b/internal/coordination/fleet/leaving.go
@@ -10,45 +10,56 @@
 // entry may have lapsed and come back.
 const leavingMemory = time.Minute
 
-// leavingMark tells that a process of a backend server is about to stop.
-type leavingMark struct {
-	// Start of the process as its entry said when it was sent the request, and by
-	// its own word, 0 if it does not tell. The entry may describe the process before.
-	born, ownBorn int64
-	markedAt      time.Time
+// serverProcess is one process of a backend server.
+type serverProcess struct {
+	server string
+	// Its start in Unix milliseconds, 0 if unknown.
+	born int64
 }
 
 // MarkLeaving records that a backend server, as listed when a request was sent
-// to it, has said that it is about to stop. born is the start of its process by its
-// own word, 0 if it does not tell. The server gets no more requests from this front,
-// whatever the platform says of it, until another process is listed. MarkLeaving
-// reports whether this was new.
+// to it, has said that it is about to stop. born is the start of its process as
+// trail.Response tells it; the entry may describe another one. The server gets no more
+// requests from this front, whatever the platform says of it, until another process is
+// listed. MarkLeaving reports whether this was new.
 func (f *Fleet) MarkLeaving(now time.Time, entry *wire.BackendServer, born int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isMarkedLeaving(entry) {
+	s := f.servers[entry.GetId()]
+	p := serverProcess{entry.GetId(), entry.GetBorn()}
+	if born > 0 {
+		p.born = born
+		if s != nil && s.entry.GetBorn() == entry.GetBorn() {
+			s.born = born
+		}
+	}
+	_, k := f.leavingMarks[p]
+	if k {
 		return false
 	}
-	f.leavingMarks[entry.GetId()] = leavingMark{born: entry.GetBorn(), ownBorn: born, markedAt: now}
-	s := f.servers[entry.GetId()]
+	f.leavingMarks[p] = now
 	if s != nil {
-		s.leaving = f.isMarkedLeaving(s.entry)
+		s.leaving = f.isMarkedLeaving(s)
 	}
 	return true
 }
 
-// isMarkedLeaving reports whether the process that an entry describes has said
-// that it is about to stop.
-func (f *Fleet) isMarkedLeaving(entry *wire.BackendServer) bool {
-	m, k := f.leavingMarks[entry.GetId()]
-	return k && (m.born == entry.GetBorn() || m.ownBorn != 0 && m.ownBorn == entry.GetBorn())
+// isMarkedLeaving reports whether the process of a server has said that it is about to
+// stop: the one that the entry describes, or the one that has answered since.
+func (f *Fleet) isMarkedLeaving(server *server) bool {
+	_, k := f.leavingMarks[serverProcess{server.entry.GetId(), server.entry.GetBorn()}]
+	if !k && server.born != 0 {
+		_, k = f.leavingMarks[serverProcess{server.entry.GetId(), server.born}]
+	}
+	return k
 }
 
-// expireLeavingMarks forgets servers that are no longer listed.
-func (f *Fleet) expireLeavingMarks(now time.Time, listed map[string]bool) {
-	for n, m := range f.leavingMarks {
-		if !listed[n] && now.Sub(m.markedAt) > leavingMemory {
-			delete(f.leavingMarks, n)
+// expireLeavingMarks forgets processes that are no longer listed.
+func (f *Fleet) expireLeavingMarks(now time.Time) {
+	for p, m := range f.leavingMarks {
+		s := f.servers[p.server]
+		if now.Sub(m) > leavingMemory && (s == nil || s.entry.GetBorn() != p.born && s.born != p.born) {
+			delete(f.leavingMarks, p)
 		}
 	}
 }
--- a/internal/coordination/fleet/limited.go
+++ b/internal/coordination/fleet/limited.go
@@ -18,6 +18,8 @@
 type rateLimit struct {
 	// Requests a second, 0 for no limit.
 	perSecond float64
+	// Start of the process that named the limit, 0 if it was named to another front.
+	born int64
 	// When a front received the answer that named the limit or showed its end.
 	// Zero if the server has never named one.
 	heardAt time.Time
@@ -35,22 +37,35 @@
 func (s *server) paused(now time.Time) bool { return s.limited() && now.Before(s.limit.pausedUntil) }
 
 // RecordLimit records the limit that a backend server named with an answer that
-// this front has received, 0 for none. It reports whether the limit has changed.
-func (f *Fleet) RecordLimit(now time.Time, entry *wire.BackendServer, perSecond float64) bool {
+// this front has received, 0 for none. entry is the server's entry when the request was
+// sent, and born the start of the process as trail.Response tells it. RecordLimit
+// reports whether the limit has changed.
+func (f *Fleet) RecordLimit(now time.Time, entry *wire.BackendServer, born int64, perSecond float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[entry.GetId()]
-	if s == nil || s.entry.GetBorn() != entry.GetBorn() || perSecond == 0 && !s.limited() {
+	if s == nil || !s.isAnswerOfCurrent(entry, born) || perSecond == 0 && !s.limited() {
 		return false
 	}
 	d := s.limit.perSecond != perSecond
 	s.limit.perSecond, s.limit.heardAt, s.limit.ownHeardAt = perSecond, now, now
+	s.limit.born = entry.GetBorn()
+	if born > 0 {
+		s.limit.born = born
+	}
 	if d {
 		f.limitChanges++
 	}
 	return d
 }
 
+// isAnswerOfCurrent reports whether an answer is not of a process before the one that
+// the registry names. entry is the server's entry when the request was sent, and born
+// the start of the process, not positive if it is not known.
+func (s *server) isAnswerOfCurrent(entry *wire.BackendServer, born int64) bool {
+	return s.entry.GetBorn() == entry.GetBorn() || born > 0 && born == s.entry.GetBorn()
+}
+
 // PauseLimited records that a backend server with a limit takes no request from
 // this front before a time.
 func (f *Fleet) PauseLimited(id string, until time.Time) {
@@ -99,7 +114,7 @@
 		if s == nil || !h.After(s.limit.heardAt) || !(x.GetPerSecond() >= 0) || math.IsInf(x.GetPerSecond(), 0) {
 			continue
 		}
-		s.limit.perSecond, s.limit.heardAt = x.GetPerSecond(), h
+		s.limit.perSecond, s.limit.heardAt, s.limit.born = x.GetPerSecond(), h, 0
 	}
 }
 
--- a/internal/coordination/fleet/limited_test.go
+++ b/internal/coordination/fleet/limited_test.go
@@ -17,7 +17,7 @@
 func TestLimitedServersGetItemsFirst(t *testing.T) {
 	s, u := server("limited", "a", 4), server("unlimited", "a", 2)
 	f := newFleet(s, u)
-	f.RecordLimit(start, s, 2)
+	f.RecordLimit(start, s, 0, 2)
 	g := [][2]string{acquire(f, start), {f.AcquireBatch(start, service, nil).GetId()}, acquire(f, start), acquire(f, start)}
 	w := [][2]string{{"unlimited", fleet.ReasonFree}, {"limited"}, {"unlimited", fleet.ReasonFree}, {"limited", fleet.ReasonLimited}}
 	if d := cmp.Diff(w, g); d != "" {
@@ -33,7 +33,7 @@
 func TestPausedServerIsChosen(t *testing.T) {
 	s := server("s", "a", 4)
 	f := newFleet(s)
-	f.RecordLimit(start, s, 0.5)
+	f.RecordLimit(start, s, 0, 0.5)
 	f.PauseLimited("s", start.Add(2*time.Second))
 	b, r, w := f.AcquireOnline(start, service, target, remaining, nil, 0)
 	if d := cmp.Diff([]any{"", fleet.ReasonPaused, 2 * time.Second, ""}, []any{b.GetId(), r, w, f.AcquireBatch(start, service, nil).GetId()}); d != "" {
@@ -52,12 +52,12 @@
 	a, b := newFleet(s), newFleet(s)
 	f := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var g []float64
-	a.RecordLimit(f(0), s, 2)
+	a.RecordLimit(f(0), s, 0, 2)
 	b.MergeLimits(f(100), a.OwnLimits(f(100)))
 	g = append(g, b.Limit("s"))
 	// The limit ends; an older report of it comes late.
 	l := a.OwnLimits(f(200))
-	b.RecordLimit(f(300), s, 0)
+	b.RecordLimit(f(300), s, 0, 0)
 	b.MergeLimits(f(400), l)
 	g = append(g, b.Limit("s"))
 	a.MergeLimits(f(500), b.OwnLimits(f(500)))
--- a/internal/coordination/fleet/suspect.go
+++ b/internal/coordination/fleet/suspect.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
 
 // Bounds of the exponential backoff of a backend server after failures.
 const (
@@ -36,12 +40,13 @@
 // RecordFailure records that a request to a backend server broke off, or that
 // the server was unreachable. It returns the resulting backoff of the server,
 // which doubles with each failure. A single broken request causes none, since
-// healthy servers occasionally lose an answer too.
-func (f *Fleet) RecordFailure(now time.Time, id string, unreachable bool) time.Duration {
+// healthy servers occasionally lose an answer too. entry is the server's entry when
+// the request was sent; a failure of a process before says nothing.
+func (f *Fleet) RecordFailure(now time.Time, entry *wire.BackendServer, unreachable bool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.servers[id]
-	if s == nil {
+	s := f.servers[entry.GetId()]
+	if s == nil || s.entry.GetBorn() != entry.GetBorn() {
 		return 0
 	}
 	s.failures++
@@ -55,12 +60,13 @@
 // RecordFailedAnswer records that a backend server has answered a request with a
 // failure of its own, and returns the resulting backoff, which doubles with each
 // failure. During the backoff the other fronts treat the server as suspect too,
-// and it gets requests only when there is no other server.
-func (f *Fleet) RecordFailedAnswer(now time.Time, id string) time.Duration {
+// and it gets requests only when there is no other server. entry is as in
+// RecordFailure.
+func (f *Fleet) RecordFailedAnswer(now time.Time, entry *wire.BackendServer) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.servers[id]
-	if s == nil {
+	s := f.servers[entry.GetId()]
+	if s == nil || s.entry.GetBorn() != entry.GetBorn() {
 		return 0
 	}
 	if s.failing && now.Before(s.backoffUntil) {
--- a/internal/coordination/fleet/suspect_test.go
+++ b/internal/coordination/fleet/suspect_test.go
@@ -44,7 +44,7 @@
 				k = append(k, r)
 			case r.server == "s0" && r.until.Sub(r.began) < 10*time.Millisecond:
 				r.fleet.ReleaseOnline(r.server, 0)
-				r.fleet.RecordFailedAnswer(o, r.server)
+				r.fleet.RecordFailedAnswer(o, server(r.server, "a", 7))
 			default:
 				r.fleet.ReleaseOnline(r.server, r.until.Sub(r.began))
 			}
@@ -110,7 +110,7 @@
 	g := [][2]string{acquire(f, a), acquire(f, a, "y")}
 	f.ReleaseOnline("x", 0)
 	f.ReleaseOnline("y", 0)
-	f.RecordFailedAnswer(a, "y")
+	f.RecordFailedAnswer(a, server("y", "a", 4))
 	g = append(g, acquire(f, a))
 	f.ReleaseOnline(g[2][0], 0)
 	b := a.Add(3 * time.Second)
@@ -125,7 +125,7 @@
 // Guards against batch items sent to a server that answers with failures.
 func TestBatchAvoidsSuspectServers(t *testing.T) {
 	f := newFleet(server("x", "a", 4))
-	f.RecordFailedAnswer(start, "x")
+	f.RecordFailedAnswer(start, server("x", "a", 4))
 	if b := f.AcquireBatch(start, service, nil); b != nil {
 		t.Error("batch item sent to failing server", b.GetId())
 	}
@@ -142,7 +142,7 @@
 	}{"same process": {1, false}, "next process": {2, true}} {
 		t.Run(n, func(t *testing.T) {
 			f := newFleet(process("s", 1), process("t", 1))
-			f.RecordFailedAnswer(start, "s")
+			f.RecordFailedAnswer(start, process("s", 1))
 			f.SetServers(start, []*wire.BackendServer{process("s", k.born), process("t", 1)}, start, start)
 			l := map[string]bool{}
 			for range 4 {
--- a/internal/coordination/gossip/query_test.go
+++ b/internal/coordination/gossip/query_test.go
@@ -85,7 +85,7 @@
 		s := wire.BackendServer_builder{Id: proto.String("s-a")}.Build()
 		var g []int
 		for _, p := range []float64{2.5, 0} {
-			l[0].fleet.RecordLimit(time.Now(), s, p)
+			l[0].fleet.RecordLimit(time.Now(), s, 0, p)
 			l[0].gossip.TriggerSend()
 			time.Sleep(1500 * time.Millisecond)
 			n := 0
--- a/internal/coordination/permit/upstream_test.go
+++ b/internal/coordination/permit/upstream_test.go
@@ -70,7 +70,7 @@
 	x := &front{name: fmt.Sprint("front-", len(n.fronts))}
 	x.fleet = fleet.New(x.name, "a")
 	x.fleet.SetServers(time.Now(), []*wire.BackendServer{entry}, time.Now(), time.Now())
-	x.fleet.RecordLimit(time.Now(), entry, perSecond)
+	x.fleet.RecordLimit(time.Now(), entry, 0, perSecond)
 	x.upstream = permit.New(x.name, x.fleet, n, n, &log.Logger{Handler: discard.New()}, prometheus.NewRegistry())
 	n.fronts = append(n.fronts, x)
 }
