pool, builds, direct, batch: a process that is not known is known to be unknown

Cause: "not known" and "does not tell" were one value, which was believed by the entry; and what began at an unknown version was kept in the memory of fronts only.

Change: the process of a connection is told, or asked for and unknown, or not asked for; only the last is believed by the entry, and only for services whose servers do not report. A stream goes on only over a connection whose process has told that it is the one of the entry. A request from the start does not need to know: after a quarter of a second, or any fault of the report, it is sent on another connection, its process unknown. A server that closes its connections is asked twice, then unknown. What a server has told is kept: streams go on only at servers that are listed as they are, and begin there first; an attempt that can't go on for that reason is no failure. Before a stream at an unknown version could be forgotten, the service's object at the platform names an unknown version, for two minutes after the last.

Cases of TestRequestReachesAnotherProcess that asked for the old beliefs (a process that does not tell is taken for 7; a failed probe refuses; the next connection has the process of the one before) ask for the new ones: any process is answered as unknown, a needed one is refused, each with its own case.

An attempt through an earlier front has no start of the process; the new front takes it for unknown, and breaks off a stream that goes on there.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -143,7 +143,7 @@
 	s.hosts = s.newSharedInformer(ctx, "hosts")
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
-	s.proxy = proxy.New(s.connect, s.paths, s.mesh, s.connectedPeers, s.recordNotice, process.logger, process.registry)
+	s.proxy = proxy.New(s.connect, s.paths, s.mesh, s.connectedPeers, s.reportsProcess, s.recordNotice, process.logger, process.registry)
 	u := permit.New(process.settings.GetName(), s.fleet, s.proxy, s, process.logger, process.registry)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -28,7 +28,12 @@
 
 // connect returns an upstream that sends to backend servers directly.
 func (s *frontRole) connect(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream {
-	return server.New(s.pool, s.reportsProcess, onNotice)
+	return server.New(s.pool, s.reportsProcess, s.recordProcess, onNotice)
+}
+
+// recordProcess records which process of a backend server has answered.
+func (s *frontRole) recordProcess(backendServer *wire.BackendServer, born int64) {
+	s.fleet.RecordProcess(backendServer.GetId(), born)
 }
 
 // reportsProcess reports whether the servers of a service tell which process they are,
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -116,8 +116,8 @@
 	n := 0
 	for i, p := range job.progress {
 		// The progress of an item that still runs may change, and a stream
-		// without event ids can't be resumed.
-		if r[i] || !p.resumable() {
+		// without event ids, or of an unknown version, can't be resumed.
+		if r[i] || !p.resumable() || p.build.IsUnknown() {
 			continue
 		}
 		n += len(p.output)
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -46,7 +46,7 @@
 		p.reset()
 	}
 	if p != nil && p.resumable() {
-		b := s.fleet.AcquireBatch(now, p.build.Service(), p.build.RunsOn)
+		b := s.fleet.AcquireBatch(now, p.build.Service(), func(b *wire.BackendServer, listed bool) bool { return listed && p.build.RunsOn(b) })
 		if b != nil {
 			return b
 		}
@@ -75,7 +75,7 @@
 	if !rules.HasService(route, b.Service()) || !s.fleet.Serves(b) {
 		return false
 	}
-	return b.Known() || s.fleet.Unversioned(b.Service())
+	return b.IsNamed() || !b.IsUnknown() && s.fleet.Unversioned(b.Service())
 }
 
 // checkProgress discards the output of an item whose last run may have been at
@@ -83,7 +83,7 @@
 // It returns whether the item is done, and the error of its last run.
 func (s *Jobs) checkProgress(run *itemRun, progress *itemProgress, done bool, err error) (bool, error) {
 	j := s.mayBeJoined(run, progress)
-	if run.born != 0 && progress.lastEventID != run.resumedAfter && !progress.build.Known() {
+	if run.born > 0 && progress.lastEventID != run.resumedAfter && progress.build.IsUnknown() {
 		// The registry may name the process by now.
 		progress.build = s.fleet.BuildOf(run.server, run.born)
 	}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -47,7 +47,7 @@
 	progress *itemProgress
 	// Id of the last event of the earlier runs, empty for a run from the start.
 	resumedAfter string
-	// Start of the process that answers, 0 if unknown.
+	// Start of the process that answers, as trail.Response tells it.
 	born int64
 	// The run no longer counts towards the load of the backend server.
 	slotReleased bool
@@ -164,6 +164,9 @@
 		return "dropped"
 	}
 	done, err = s.checkProgress(run, progress, done, err)
+	if n := s.requeueUnsent(w, run, err); n != "" {
+		return n
+	}
 	if done || yielded {
 		s.agenda.RecordRun(run.job.id, run.index, duration, done)
 	}
@@ -175,15 +178,6 @@
 	case yielded:
 		s.agenda.RequeuePreempted(run.job.id, run.index)
 		return "yielded"
-	case trail.CodeOf(err) == "backend-limited":
-		// It was not sent, which says nothing against the item or the server.
-		s.agenda.RequeuePreempted(run.job.id, run.index)
-		return "limited"
-	case trail.CodeOf(err) == "path-lost":
-		// This front has no path to the backend servers, which says nothing against
-		// the item or the server either.
-		s.agenda.RequeueBroken(w, run.job.id, run.index, false)
-		return "path-lost"
 	case errors.Is(err, errImpossible), trail.CodeOf(err) == valid.CodeInvalid:
 		// Items that can't be sent are not accepted, but an earlier version of the
 		// program may have accepted this one.
@@ -212,6 +206,27 @@
 	return "broken"
 }
 
+// requeueUnsent requeues the item of a run that ended with an error which says nothing
+// against the item or the server. It returns the outcome's name, empty for all other
+// errors. The caller holds the lock.
+func (s *Jobs) requeueUnsent(now time.Time, run *itemRun, err error) string {
+	switch trail.CodeOf(err) {
+	case "backend-limited":
+		// It was not sent.
+		s.agenda.RequeuePreempted(run.job.id, run.index)
+		return "limited"
+	case "backend-restarted", "backend-unidentified":
+		// The item can't go on at the process that has the server's address.
+		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
+		return "other-process"
+	case "path-lost":
+		// This front has no path to the backend servers.
+		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
+		return "path-lost"
+	}
+	return ""
+}
+
 // addResult adds the result of an item to the pending ones and makes sure that
 // a commit loop writes them. The last result of a job is written at once. The
 // caller holds the lock.
--- a/internal/coordination/batch/version_test.go
+++ b/internal/coordination/batch/version_test.go
@@ -121,3 +121,23 @@
 		})
 	}
 }
+
+// Guards against an item that goes on after the output of a process that the registry
+// does not name: its version is unknown, which is not the same as a service whose
+// servers name no version.
+func TestItemOfUnlistedProcessGoesOnAtUnversionedServers(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		f := fleet.New("front", "a")
+		j := newJobsWithFleet(ctx, f, "front", store, engine, valueBytes)
+		setServers(f, versionServer("a", "", 1))
+		engine.setBodies("i0", brokenBody())
+		// The process that answers is one that the registry does not name yet.
+		engine.setBorn(2)
+		accept(t, ctx, j, "j1", 1)
+		time.Sleep(15 * time.Second)
+		synctest.Wait()
+		if d := cmp.Diff([]string{" ", " "}, engine.runsOf("i0")); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/coordination/builds/keeper.go
+++ b/internal/coordination/builds/keeper.go
@@ -142,7 +142,7 @@
 func (k *Keeper) listed(now time.Time, service string) []string {
 	var l []string
 	for b, r := range k.builds {
-		if b.Service() == service && b.Known() && r.servedAt.Equal(now) {
+		if b.Service() == service && b.IsNamed() && r.servedAt.Equal(now) {
 			l = append(l, b.Version())
 		}
 	}
@@ -195,7 +195,7 @@
 // holds the lock.
 func (k *Keeper) markRecorded(service string, versions []string) {
 	for _, v := range versions {
-		r := k.builds[build.New(service, v)]
+		r := k.builds[storedBuild(service, v)]
 		if r != nil {
 			r.recorded = true
 		}
@@ -203,6 +203,22 @@
 	k.digest = digest{}
 }
 
+// RecordUnknown records that a stream of a service has begun at a version that nobody
+// knows: after a loss of all fronts its streams must not be taken for those of the only
+// version that is named.
+func (k *Keeper) RecordUnknown(now time.Time, service string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := build.Unknown(service)
+	r := k.builds[b]
+	if r == nil {
+		r = &record{listedAt: now}
+		k.builds[b] = r
+		k.TriggerCheck()
+	}
+	r.servedAt = now
+}
+
 // TriggerCheck makes the keeper compare the registry with the objects now.
 func (k *Keeper) TriggerCheck() {
 	select {
--- a/internal/coordination/builds/keeper_test.go
+++ b/internal/coordination/builds/keeper_test.go
@@ -137,6 +137,15 @@
 	return b.Version()
 }
 
+// versions returns the versions in the object of the service.
+func (s *store) versions() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v wire.ServiceVersions
+	_ = s.objects["v"].Decode(&v)
+	return fmt.Sprintf("%q", v.GetVersions())
+}
+
 func run(t *testing.T, test func(s *store)) {
 	synctest.Test(t, func(*testing.T) { test(&store{objects: map[string]object.Object{}}) })
 }
@@ -164,6 +173,39 @@
 	})
 }
 
+// Guards against streams of an unknown version that are taken for those of the only
+// named one after a loss of all fronts, also if the first write fails; and against
+// such a mark that another front's write takes out too early, or that is never taken
+// out.
+func TestStreamOfUnknownVersionIsForgotten(t *testing.T) {
+	run(t, func(s *store) {
+		f, o := start(s, 1, "v1"), start(s, 0, "v1")
+		time.Sleep(5 * time.Minute)
+		s.set(true, false)
+		f.keeper.RecordUnknown(time.Now(), "v")
+		time.Sleep(3 * time.Second)
+		s.set(false, false)
+		time.Sleep(3 * time.Second)
+		// The other front has not heard of it and writes a new version.
+		o.serve("v1", "v2")
+		time.Sleep(time.Second)
+		o.serve("v1")
+		time.Sleep(40 * time.Second)
+		f.stop()
+		o.stop()
+		g := []string{s.versions()}
+		n := start(s, 0, "v1")
+		time.Sleep(time.Second)
+		g = append(g, n.only())
+		time.Sleep(10 * time.Minute)
+		g = append(g, s.versions(), n.only())
+		n.stop()
+		if d := cmp.Diff([]string{`["" "v1" "v2"]`, "several", `["v1"]`, "v1"}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a front that resumes streams at the only version that it sees
 // before it has read which others have served, or although it has seen one leave.
 func TestOnlyVersionIsGuessed(t *testing.T) {
--- a/internal/coordination/builds/write.go
+++ b/internal/coordination/builds/write.go
@@ -98,7 +98,7 @@
 	case errors.Is(e, trail.ErrNotFound):
 		// No version is recorded: the servers name none, or nobody has recorded
 		// theirs yet.
-		return b, !b.Known()
+		return b, !b.IsNamed() && !b.IsUnknown()
 	case e != nil:
 		k.logger.WithError(e).WithField("service", service).Warn("builds: versions of a service not read, streams that no front knows are not resumed")
 		return b, false
@@ -124,14 +124,29 @@
 		k.logger.WithError(e).WithField("service", obj.Name()).Warn("builds: versions of a service could not be decoded")
 		v.SetVersions([]string{""})
 	}
-	k.stored[obj.Name()] = v.GetVersions()
-	for _, n := range v.GetVersions() {
-		b := build.New(obj.Name(), n)
-		if k.builds[b] == nil {
+	k.noteStored(now, obj.Name(), v.GetVersions())
+	k.markRecorded(obj.Name(), v.GetVersions())
+}
+
+// noteStored takes over the versions of a service that its object names. Streams of one
+// that it did not name before may have begun just now. The caller holds the lock.
+func (k *Keeper) noteStored(now time.Time, service string, versions []string) {
+	for _, v := range versions {
+		b := storedBuild(service, v)
+		if k.builds[b] == nil && !slices.Contains(k.stored[service], v) {
 			k.builds[b] = &record{servedAt: now}
 		}
 	}
-	k.markRecorded(obj.Name(), v.GetVersions())
+	k.stored[service] = versions
+}
+
+// storedBuild returns the build that an object of a service names with a version, which
+// is empty if nobody knows it.
+func storedBuild(service, version string) build.Build {
+	if version == "" {
+		return build.Unknown(service)
+	}
+	return build.New(service, version)
 }
 
 // due reports whether this front writes the object of a service now: it lacks a
@@ -152,13 +167,18 @@
 			return true
 		}
 	}
+	u := k.builds[build.Unknown(service)]
+	if u != nil && !u.recorded {
+		// No other front knows of it.
+		return true
+	}
 	return r == 0 && now.Sub(k.startedAt) > pruneTime && slices.ContainsFunc(k.stored[service], func(v string) bool { return k.lapsed(service, v) })
 }
 
 // lapsed reports whether a version in an object has had no servers for so long
 // that no stream of it can go on. The caller holds the lock.
 func (k *Keeper) lapsed(service, version string) bool {
-	return k.builds[build.New(service, version)] == nil && time.Since(k.startedAt) > pruneTime
+	return k.builds[storedBuild(service, version)] == nil && time.Since(k.startedAt) > pruneTime
 }
 
 // write reads the object of a service, and adds the versions that have servers and
@@ -201,8 +221,14 @@
 	if !missing && read.Decode(&v) != nil {
 		v.SetVersions([]string{""})
 	}
+	if !missing {
+		k.noteStored(n, service, v.GetVersions())
+	}
 	l := slices.DeleteFunc(slices.Clone(v.GetVersions()), func(x string) bool { return k.lapsed(service, x) })
 	l = append(l, k.listed(n, service)...)
+	if k.builds[build.Unknown(service)] != nil {
+		l = append(l, "")
+	}
 	slices.Sort(l)
 	l = slices.Compact(l)
 	s := slices.Sorted(slices.Values(v.GetVersions()))
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -25,6 +25,10 @@
 	codeUnbounded = "answer-unbounded"
 	// Error code for a backend server whose limit allows no request yet.
 	codeLimited = "backend-limited"
+	// Error codes of a stream that can't go on at a server: another process has its
+	// address, or it does not tell which one it is.
+	codeRestarted    = "backend-restarted"
+	codeUnidentified = "backend-unidentified"
 	// Error code of an attempt that failed because this front has no path to the
 	// backend servers.
 	codePathLost = "path-lost"
@@ -90,6 +94,7 @@
 		r.limited = trail.CodeOf(err) == codeLimited
 		r.pathLost = trail.CodeOf(err) == codePathLost
 		r.invalid = trail.CodeOf(err) == valid.CodeInvalid
+		r.otherProcess = trail.CodeOf(err) == codeRestarted || trail.CodeOf(err) == codeUnidentified
 		r.connectionLost = trail.CodeOf(err) == "backend-lost" && r.verdict != trail.NotRun && x.ctx.Err() == nil
 	}
 	return r
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -41,7 +41,7 @@
 	attempts int
 	// Backend server of the last attempt.
 	backendServer *wire.BackendServer
-	// Start of its process by the response of the last attempt, 0 if unknown.
+	// Start of its process as the response of the last attempt tells it.
 	born int64
 	// The last attempt has brought an event.
 	hasEvent bool
@@ -87,6 +87,9 @@
 	// This front has no path to the backend servers, which says nothing about the
 	// one of this attempt.
 	pathLost bool
+	// The stream can't go on at the process that has the server's address, which is
+	// no failure of it.
+	otherProcess bool
 	// The request can't be written as it is, to no server.
 	invalid bool
 	// The caller disconnected, or the deadline passed while the response was
@@ -132,22 +135,25 @@
 
 // acquire chooses the backend server of the next attempt, as fleet.AcquireOnline
 // does. A stream goes on at servers of the build that began it. One that may be
-// resumed begins at a server of a recorded build, if one can take it.
+// resumed begins at a server of a recorded build whose process the registry names, if
+// one can take it.
 func (x *call) acquire() (*wire.BackendServer, string, time.Duration) {
 	switch {
 	case !x.build.IsZero():
-		return x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && x.build.RunsOn(b) })
+		return x.acquireFrom(func(b *wire.BackendServer, listed bool) bool { return listed && x.untried(b) && x.build.RunsOn(b) })
 	case x.resumable():
 		k := x.server.builds.Recorded(x.service)
-		b, n, w := x.acquireFrom(func(b *wire.BackendServer) bool { return x.untried(b) && (b.GetVersion() == "" || k[b.GetVersion()]) })
+		b, n, w := x.acquireFrom(func(b *wire.BackendServer, listed bool) bool {
+			return listed && x.untried(b) && (b.GetVersion() == "" || k[b.GetVersion()])
+		})
 		if b != nil {
 			return b, n, w
 		}
 	}
-	return x.acquireFrom(x.untried)
+	return x.acquireFrom(func(b *wire.BackendServer, _ bool) bool { return x.untried(b) })
 }
 
-func (x *call) acquireFrom(accepts func(entry *wire.BackendServer) bool) (*wire.BackendServer, string, time.Duration) {
+func (x *call) acquireFrom(accepts func(entry *wire.BackendServer, listed bool) bool) (*wire.BackendServer, string, time.Duration) {
 	t := time.Duration(x.route.GetTargetMs()) * time.Millisecond
 	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), accepts, rand.Float64())
 }
@@ -181,7 +187,7 @@
 		x.server.recordServerFailure(backendServer)
 		return
 	}
-	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid {
+	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid || outcome.otherProcess {
 		return
 	}
 	x.server.recordFailure(backendServer, outcome)
--- a/internal/coordination/direct/stream.go
+++ b/internal/coordination/direct/stream.go
@@ -76,7 +76,7 @@
 		x.build = x.server.fleet.BuildOf(x.backendServer, x.born)
 	}
 	x.recordedAt = o
-	if x.born != 0 && !x.build.Known() {
+	if x.born > 0 && x.build.IsUnknown() {
 		x.server.streams.AddProcess(o, x.streamID(), x.build.Service(), x.backendServer.GetId(), x.born)
 	} else {
 		x.server.streams.Add(o, x.streamID(), x.build)
@@ -98,7 +98,7 @@
 	case x.born == 0:
 		x.server.streams.Add(time.Now(), x.streamID(), b)
 		return false
-	case !x.build.Known():
+	case x.build.IsUnknown():
 		// The registry names the process by now.
 		x.build = b
 	}
--- a/internal/coordination/direct/version_test.go
+++ b/internal/coordination/direct/version_test.go
@@ -194,7 +194,7 @@
 		for n := range 2 {
 			_ = s.Serve(t.Context(), r, 1, trail.NewRequest(fmt.Sprint("id-", n), "POST", "/p", "h", nil, nil), httptest.NewRecorder())
 			for range 16 {
-				f.AcquireOnline(time.Now(), "v", 300*time.Millisecond, 5*time.Second, func(b *wire.BackendServer) bool { return b.GetId() == "a" }, 0)
+				f.AcquireOnline(time.Now(), "v", 300*time.Millisecond, 5*time.Second, func(b *wire.BackendServer, _ bool) bool { return b.GetId() == "a" }, 0)
 			}
 		}
 		if d := cmp.Diff([]string{"v1 after ", "v2 after "}, u.attempts); d != "" {
@@ -202,3 +202,88 @@
 		}
 	})
 }
+
+// Guards against a stream that is refused, or cut, although the registry names the
+// version of the process that began it by the time that it goes on. The service has
+// one version only: its server has started again under its id.
+func TestStreamOfProcessThatIsListedLaterIsRefused(t *testing.T) {
+	a, b, c := versionServer("a", "v1", 1), versionServer("a", "v1", 2), versionServer("c", "v1", 1)
+	for _, k := range []struct {
+		name     string
+		attempts int32
+		want     string
+		takenUp  string
+	}{
+		{"further attempt", 2, "200 4 events", "v1"},
+		{"taken up", 1, "200 2 events(cut)", "v1"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fleet.New("front", "a")
+				setServers(f, a)
+				u := &versionUpstream{born: 2, beforeEnd: func() { setServers(f, b, c) }}
+				s := newDirect(f, u)
+				w := httptest.NewRecorder()
+				r := route(wire.Repeat_REPEAT_SAFE, true, true, k.attempts)
+				g := observed(s.Serve(t.Context(), r, 1, trail.NewRequest("id", "POST", "/p", "h", nil, nil), w), w)
+				if d := cmp.Diff(k.want, countEvents(g)); d != "" {
+					t.Error(d)
+				}
+				n := len(u.attempts)
+				e := s.Serve(t.Context(), r, 1, trail.NewRequest("again", "POST", "/p", "h", nil, nil).WithResumption("id", "2"), httptest.NewRecorder())
+				v := "none"
+				if len(u.attempts) > n {
+					v, _, _ = strings.Cut(u.attempts[n], " ")
+				}
+				if d := cmp.Diff(k.takenUp, v); d != "" {
+					t.Error("taken up:", d, e)
+				}
+			})
+		})
+	}
+}
+
+// replacedUpstream answers streams that begin, as a process does that the registry
+// does not name yet, and refuses those that go on.
+type replacedUpstream struct{ versionUpstream }
+
+func (u *replacedUpstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, resume string) (*trail.Response, error) {
+	if resume != "" {
+		u.attempts = append(u.attempts, "replaced")
+		return nil, trail.NewError("backend-restarted", trail.NotRun, "another process of the backend server has the address")
+	}
+	u.attempts = append(u.attempts, "begins")
+	return trail.NewResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body("id: 1\ndata: x\n\n")}, server.GetBorn()), nil
+}
+
+// Guards against a sound server that gets no new requests because streams of the
+// process before, which can't go on there, count as its failures.
+func TestTakeUpsCountAgainstReplacedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New("front", "a")
+		setServers(f, versionServer("a", "v1", 1))
+		u := &replacedUpstream{}
+		s := newDirect(f, u)
+		r := route(wire.Repeat_REPEAT_SAFE, true, true, 1)
+		x := func(id string) string {
+			w := httptest.NewRecorder()
+			return countEvents(observed(s.Serve(t.Context(), r, 1, trail.NewRequest(id, "POST", "/p", "h", nil, nil), w), w))
+		}
+		for n := range 6 {
+			_ = x(fmt.Sprint("id-", n))
+		}
+		// Six streams are taken up within a second.
+		for n := range 6 {
+			_ = s.Serve(t.Context(), r, 1, trail.NewRequest(fmt.Sprint("again-", n), "POST", "/p", "h", nil, nil).WithResumption(fmt.Sprint("id-", n), "1"), httptest.NewRecorder())
+			time.Sleep(150 * time.Millisecond)
+		}
+		var g []string
+		for n := range 3 {
+			g = append(g, x(fmt.Sprint("new-", n)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		if d := cmp.Diff([]string{"200 1 events", "200 1 events", "200 1 events"}, g); d != "" {
+			t.Error(d, u.attempts)
+		}
+	})
+}
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -43,16 +43,17 @@
 
 // AcquireOnline chooses a backend server for an online request and counts the
 // request there. It returns the server and the reason for its choice. Only servers
-// that accepts returns true for are considered, all if it is nil; it must not
-// block or call the fleet. If no server can take the request, AcquireOnline
-// returns nil, the reason, and the time after which the caller may retry.
+// that accepts returns true for are considered, all if it is nil; listed says whether
+// the entry describes the server's process. accepts must not block or call the fleet.
+// If no server can take the request, AcquireOnline returns nil, the reason, and the
+// time after which the caller may retry.
 //
 // An answer is on time if its first byte arrives within target; remaining is how
 // long the caller waits in total. The random number draw, in [0, 1), balances
 // requests over the servers that other fronts may choose at the same time,
 // decides which of the fronts that see the same free queue place take it, and
 // spreads retries.
-func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, accepts func(entry *wire.BackendServer) bool, draw float64) (*wire.BackendServer, string, time.Duration) {
+func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, accepts func(entry *wire.BackendServer, listed bool) bool, draw float64) (*wire.BackendServer, string, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.service(serviceName)
@@ -65,7 +66,7 @@
 	var a time.Time
 	for _, s := range v.servers {
 		u := s.suspect(now)
-		if !u && !s.usable(now) || s.departing() || accepts != nil && !accepts(s.entry) {
+		if !u && !s.usable(now) || s.departing() || accepts != nil && !accepts(s.entry, s.isListed()) {
 			continue
 		}
 		if s.paused(now) {
@@ -211,12 +212,12 @@
 // counts the item there. It returns nil when no more slots of the service are
 // free than onlineHeadroom: a batch item started there would soon be preempted,
 // and the work on its prompt lost. Only servers that accepts returns true for are
-// chosen, all if it is nil; it must not block or call the fleet.
+// chosen, as in AcquireOnline.
 //
 // A server with a limit comes first. Its slots are mostly free, since the limit
 // counts requests and not their length, and items are longer than online
 // requests. Its slots are no headroom for these, unless all servers have a limit.
-func (f *Fleet) AcquireBatch(now time.Time, serviceName string, accepts func(entry *wire.BackendServer) bool) *wire.BackendServer {
+func (f *Fleet) AcquireBatch(now time.Time, serviceName string, accepts func(entry *wire.BackendServer, listed bool) bool) *wire.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var b *server
@@ -232,7 +233,7 @@
 			l += s.slots()
 			r += max(s.slots()-s.total(), 0)
 		}
-		if s.total() >= s.slots() || s.paused(now) || accepts != nil && !accepts(s.entry) {
+		if s.total() >= s.slots() || s.paused(now) || accepts != nil && !accepts(s.entry, s.isListed()) {
 			continue
 		}
 		p := f.itemRank(s)
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 // acquire returns the id of the server chosen for an online request, and the
 // reason.
 func acquire(fleet *fleet.Fleet, now time.Time, tried ...string) [2]string {
-	b, r, _ := fleet.AcquireOnline(now, service, target, remaining, func(b *wire.BackendServer) bool { return !slices.Contains(tried, b.GetId()) }, 0)
+	b, r, _ := fleet.AcquireOnline(now, service, target, remaining, func(b *wire.BackendServer, _ bool) bool { return !slices.Contains(tried, b.GetId()) }, 0)
 	return [2]string{b.GetId(), r}
 }
 
--- a/internal/coordination/fleet/process_test.go
+++ b/internal/coordination/fleet/process_test.go
@@ -75,3 +75,21 @@
 		})
 	}
 }
+
+// Guards against streams that begin or go on at a server whose process is not the one
+// that the registry names, while others can take them.
+func TestServerWithOtherProcessIsTakenForListed(t *testing.T) {
+	f := newFleet(process("s", 1))
+	l := func() string {
+		b, _, _ := f.AcquireOnline(start, service, target, remaining, func(_ *wire.BackendServer, listed bool) bool { return listed }, 0)
+		return b.GetId()
+	}
+	g := []string{l()}
+	f.RecordProcess("s", 2)
+	g = append(g, l(), acquire(f, start)[0])
+	f.SetServers(start, []*wire.BackendServer{process("s", 2)}, start, start)
+	g = append(g, l())
+	if d := cmp.Diff([]string{"s", "", "s", "s"}, g); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -30,17 +30,21 @@
 	// Code of the upstream for an attempt without a connection.
 	codeUnreachable = "backend-unreachable"
 	codeLost        = "backend-lost"
+	// Code of a stream that goes on at a process of which nobody knows which it is.
+	codeUnidentified = "backend-unidentified"
 )
 
 // Upstream is a trail.Upstream that sends through another front while this one has
 // no path to the backend servers.
 type Upstream struct {
 	// Returns an upstream that sends directly and calls onNotice for each response.
-	connect  func(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream
-	direct   trail.Upstream
-	monitor  *paths.Monitor
-	streams  trail.StreamOpener
-	fronts   func() []string
+	connect func(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream
+	direct  trail.Upstream
+	monitor *paths.Monitor
+	streams trail.StreamOpener
+	fronts  func() []string
+	// Reports whether the servers of a service tell which process they are.
+	reports  func(service string) bool
 	onNotice func(server *wire.BackendServer, notice trail.ServerNotice)
 	logger   log.Interface
 	// Attempts sent through other fronts, by outcome.
@@ -52,11 +56,12 @@
 var _ trail.Upstream = (*Upstream)(nil)
 
 // New returns an upstream that sends through one that connect returns, or through
-// one of the fronts at the peer addresses that fronts returns. It calls onNotice
-// for what a backend server says of itself, also to another front.
-func New(connect func(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream, monitor *paths.Monitor, streams trail.StreamOpener, fronts func() []string, onNotice func(server *wire.BackendServer, notice trail.ServerNotice), logger log.Interface, registry prometheus.Registerer) *Upstream {
+// one of the fronts at the peer addresses that fronts returns. reports says whether the
+// servers of a service tell which process they are. It calls onNotice for what a
+// backend server says of itself, also to another front.
+func New(connect func(onNotice func(server *wire.BackendServer, notice trail.ServerNotice)) trail.Upstream, monitor *paths.Monitor, streams trail.StreamOpener, fronts func() []string, reports func(service string) bool, onNotice func(server *wire.BackendServer, notice trail.ServerNotice), logger log.Interface, registry prometheus.Registerer) *Upstream {
 	return &Upstream{
-		connect: connect, direct: connect(onNotice), monitor: monitor, streams: streams, fronts: fronts, onNotice: onNotice, logger: logger,
+		connect: connect, direct: connect(onNotice), monitor: monitor, streams: streams, fronts: fronts, reports: reports, onNotice: onNotice, logger: logger,
 		sentTotal: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_proxied_attempts_total",
 			Help: "Attempts sent through other fronts, by outcome: answered, or the code of the error.",
@@ -149,7 +154,17 @@
 	}
 	h := y.GetHead()
 	s.notice(server, h.GetNotice())
-	return trail.NewResponse(decodeHead(h, &replyBody{stream: n, detach: f, address: address}), h.GetBorn()), false, nil
+	b := h.GetBorn()
+	if b == 0 && server.GetBorn() != 0 && s.reports(server.GetService()) {
+		// A front of an earlier version has not asked.
+		b = trail.UnknownProcess
+	}
+	if b == trail.UnknownProcess && lastEventID != "" {
+		f()
+		closeNow(n)
+		return nil, false, trail.NewError(codeUnidentified, trail.MayHaveRun, "front %s does not know which process answers", address)
+	}
+	return trail.NewResponse(decodeHead(h, &replyBody{stream: n, detach: f, address: address}), b), false, nil
 }
 
 // brokenError returns the error of a stream that has failed before its last
--- a/internal/coordination/resume/record.go
+++ b/internal/coordination/resume/record.go
@@ -89,10 +89,13 @@
 // milliseconds, that the registry does not name yet. The version is unknown until it
 // does.
 func (r *Record) AddProcess(now time.Time, attempt, service, server string, born int64) {
-	r.add(now, attempt, origin{build.New(service, ""), xxhash.Sum64String(server), born})
+	r.add(now, attempt, origin{build.Unknown(service), xxhash.Sum64String(server), born})
 }
 
 func (r *Record) add(now time.Time, attempt string, begunBy origin) {
+	if begunBy.build.IsUnknown() {
+		r.builds.RecordUnknown(now, begunBy.build.Service())
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := xxhash.Sum64String(attempt)
@@ -120,12 +123,12 @@
 func (o origin) merge(other origin) origin {
 	s := o.build.Service() == other.build.Service()
 	switch {
-	case o == other, s && o.born != 0 && other.build.Known():
+	case o == other, s && o.born != 0 && other.build.IsNamed():
 		return other
-	case s && other.born != 0 && o.build.Known():
+	case s && other.born != 0 && o.build.IsNamed():
 		return o
 	}
-	return origin{build: build.New(other.build.Service(), "")}
+	return origin{build: build.Unknown(other.build.Service())}
 }
 
 // get returns the origin of a stream. The caller holds the lock.
@@ -162,6 +165,9 @@
 
 func encode(stream uint64, begunBy origin) *wire.BegunStream {
 	s := wire.BegunStream_builder{Stream: &stream, Service: proto.String(begunBy.build.Service()), Version: proto.String(begunBy.build.Version())}
+	if begunBy.build.IsUnknown() {
+		s.Unknown = proto.Bool(true)
+	}
 	if begunBy.born != 0 {
 		s.Server, s.Born = &begunBy.server, &begunBy.born
 	}
@@ -169,7 +175,11 @@
 }
 
 func decode(stream *wire.BegunStream) origin {
-	return origin{build.New(stream.GetService(), stream.GetVersion()), stream.GetServer(), stream.GetBorn()}
+	b := build.New(stream.GetService(), stream.GetVersion())
+	if stream.GetUnknown() {
+		b = build.Unknown(stream.GetService())
+	}
+	return origin{b, stream.GetServer(), stream.GetBorn()}
 }
 
 // Merge takes over the streams that another front has recorded.
@@ -233,8 +243,8 @@
 // MayGoOn reports whether a stream that a build has begun may go on at servers of
 // the same build: the version is known, or the servers of the service name none.
 func (r *Record) MayGoOn(b build.Build) bool {
-	if b.Known() {
-		return true
+	if b.IsNamed() || b.IsUnknown() {
+		return b.IsNamed()
 	}
 	o, k := r.builds.Only(time.Now(), b.Service())
 	return k && o == b
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -18,8 +18,8 @@
 	address string
 	// The connection has carried a request.
 	hasSent bool
-	// Start of the process at its other end in Unix milliseconds, 0 if unknown. A
-	// connection ends with its process.
+	// Start of the process at its other end in Unix milliseconds, trail.UnknownProcess
+	// if it has not told, 0 if it was not asked. A connection ends with its process.
 	born int64
 	// When the idle connection must no longer be used, by the last response.
 	expires time.Time
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,11 @@
 )
 
 const (
-	dialTimeout       = time.Second
-	probeTimeout      = time.Second
+	dialTimeout = time.Second
+	// Limit on the time to learn which process is at the other end of a connection.
+	probeTimeout = 250 * time.Millisecond
+	// A server may close the connection after the response to the first probe.
+	probeTries        = 2
 	maxIdlePerAddress = 12
 	// Keep-alive time if the response states none.
 	defaultKeepAlive = 4 * time.Second
@@ -54,7 +58,7 @@
 // in the request line. The caller must close the body of the response.
 //
 // An error has a verdict and one of the codes request-invalid, backend-unreachable,
-// backend-replaced, backend-lost and answer-unbounded. Reading a body over the size
+// backend-restarted, backend-unidentified, backend-lost and answer-unbounded. Reading a body over the size
 // limit also fails with answer-unbounded. The argument fresh of matches is true if the
 // connection has carried no request but that of a probe before; otherwise a response
 // that does not identify its request may be a late duplicate of an earlier one. When
@@ -82,63 +86,70 @@
 		}
 		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").WithPlace(destination.Address())
 	}
-	b := n.born
 	if destination.Probe() == nil {
-		b = 0
+		return trail.NewResponse(a, 0), nil
 	}
-	return trail.NewResponse(a, b), nil
+	return trail.NewResponse(a, n.born), nil
 }
 
 // acquire returns an idle connection to a destination that is still usable, or a new
-// one. It closes idle connections that are not.
+// one. It closes idle connections that are not usable.
 func (s *Pool) acquire(ctx context.Context, destination trail.Destination) (*connection, error) {
 	for {
-		n := s.popIdle(destination.Address())
+		n := s.popIdle(destination)
 		if n == nil {
 			break
 		}
-		if n.usable() && destination.Accepts(n.born) {
+		if n.usable() {
 			return n, nil
 		}
 		n.close()
 	}
 	n, e := s.connect(ctx, destination)
-	if e != nil {
-		return nil, e
+	if e != nil || destination.Accepts(n.born) {
+		return n, e
 	}
-	if !destination.Accepts(n.born) {
-		// The process is sound, and later requests may be for it.
-		n.expires = time.Now().Add(defaultKeepAlive)
-		s.putIdle(n)
-		return nil, trail.NewError("backend-replaced", trail.NotRun, "another process of the backend server has the address").WithPlace(destination.Address())
+	if n.born == trail.UnknownProcess {
+		n.close()
+		return nil, unidentifiedError(destination)
 	}
-	return n, nil
+	// The process is sound, and later requests may be for it.
+	n.expires = time.Now().Add(defaultKeepAlive)
+	s.putIdle(n)
+	return nil, trail.NewError("backend-restarted", trail.NotRun, "another process of the backend server has the address").WithPlace(destination.Address())
+}
+
+func unidentifiedError(destination trail.Destination) error {
+	return trail.NewError("backend-unidentified", trail.NotRun, "backend server does not tell which process it is").WithPlace(destination.Address())
 }
 
 // connect opens a connection to a destination, and asks which process is at its other
-// end if there is a probe.
+// end if there is a probe. A request for any process is not held up by a server that
+// does not tell.
 func (s *Pool) connect(ctx context.Context, destination trail.Destination) (*connection, error) {
-	n, e := s.dial(ctx, destination.Address())
-	if e != nil || destination.Probe() == nil {
-		return n, e
+	if destination.Probe() == nil {
+		return s.dial(ctx, destination.Address())
 	}
-	c, f := context.WithTimeout(ctx, probeTimeout)
-	defer f()
-	d, e := s.identify(c, n, destination.Probe())
-	if e != nil {
+	for range probeTries {
+		n, e := s.dial(ctx, destination.Address())
+		if e != nil {
+			return nil, e
+		}
+		k, a := s.identify(ctx, n, destination.Probe())
+		if k {
+			return n, nil
+		}
 		n.close()
-		return nil, trail.WrapError(e, "backend-unreachable", trail.NotRun, "process of backend server not known").WithPlace(destination.Address())
+		if !a {
+			break
+		}
 	}
-	if !d {
-		return n, nil
+	if !destination.IsAny() {
+		return nil, unidentifiedError(destination)
 	}
-	// The server closes its connections after each response. The next connection
-	// is opened at once, so it is to the same process.
-	n.close()
-	b := n.born
-	n, e = s.dial(ctx, destination.Address())
+	n, e := s.dial(ctx, destination.Address())
 	if e == nil {
-		n.born = b
+		n.born = trail.UnknownProcess
 	}
 	return n, e
 }
@@ -154,18 +165,20 @@
 	return newConnection(n, address), nil
 }
 
-// popIdle removes and returns the most recently used idle connection to an
-// address, nil if there is none.
-func (s *Pool) popIdle(address string) *connection {
+// popIdle removes and returns the most recently used idle connection to a destination,
+// nil if there is none.
+func (s *Pool) popIdle(destination trail.Destination) *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.idleConns[address]
-	if len(l) == 0 {
-		return nil
+	l := s.idleConns[destination.Address()]
+	for i := len(l) - 1; i >= 0; i-- {
+		if destination.Accepts(l[i].born) && (l[i].born != 0 || destination.Probe() == nil) {
+			n := l[i]
+			s.idleConns[destination.Address()] = slices.Delete(l, i, i+1)
+			return n
+		}
 	}
-	n := l[len(l)-1]
-	s.idleConns[address] = l[:len(l)-1]
-	return n
+	return nil
 }
 
 // putIdle adds an idle connection, and closes the least recently used one if
--- a/internal/transport/pool/process.go
+++ b/internal/transport/pool/process.go
@@ -5,31 +5,32 @@
 	"io"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	trail "bulrushtrail.example/trail"
 )
 
 // Maximum body of the response to a probe in bytes.
 const maxProbeBody = 64 << 10
 
-// identify asks which process is at the other end of a new connection. It reports
-// whether the server closes the connection then.
-func (s *Pool) identify(ctx context.Context, conn *connection, probe trail.ProcessProbe) (closes bool, err error) {
-	x := &exchange{pool: s, conn: conn, detachContext: context.AfterFunc(ctx, conn.abort)}
+// identify asks which process is at the other end of a new connection. It returns
+// whether the connection can be used, and whether another one may be asked: the server
+// may close each after a response.
+func (s *Pool) identify(ctx context.Context, conn *connection, probe trail.ProcessProbe) (usable, again bool) {
+	c, f := context.WithTimeout(ctx, probeTimeout)
+	defer f()
+	x := &exchange{pool: s, conn: conn, detachContext: context.AfterFunc(c, conn.abort)}
 	t, q := probe.Request()
 	a, b, e := x.ask(t, q)
-	if !x.detachContext() {
-		return false, errors.CombineErrors(ctx.Err(), e)
-	}
-	if e != nil {
-		return false, e
+	if !x.detachContext() || e != nil || conn.reader.Buffered() > 0 {
+		return false, false
 	}
-	if conn.reader.Buffered() > 0 {
-		return false, errors.New("more bytes than the response to the probe")
+	// A second copy of a refusal must not be taken for the answer to a request.
+	conn.hasSent = a.StatusCode != http.StatusOK
+	conn.born = trail.UnknownProcess
+	n, e := probe.Born(a.StatusCode, b)
+	if e == nil && n > 0 {
+		conn.born = n
 	}
-	conn.born, e = probe.Born(a.StatusCode, b)
-	return a.Close, e
+	return !a.Close, a.Close
 }
 
 // ask sends a request without a body as the first one on a connection, and returns the
--- a/internal/transport/pool/process_test.go
+++ b/internal/transport/pool/process_test.go
@@ -45,6 +45,7 @@
 // connections whose process is known.
 func TestRequestReachesAnotherProcess(t *testing.T) {
 	c := "HTTP/1.1 200 OK\nConnection: close\nContent-Length: 1\n\n7"
+	f := "HTTP/1.1 500 Failed\nContent-Length: 0\n\n"
 	l := []struct {
 		name    string
 		replies []string
@@ -56,18 +57,23 @@
 		probes      int
 	}{
 		{"process", []string{who("7"), reply("1", "a"), reply("2", "b")}, []int64{7, 7}, []string{"a 7", "b 7"}, 1, 1},
-		{"another process", []string{who("8")}, []int64{7}, []string{"backend-replaced not-run"}, 1, 1},
-		{"another process is asked by a later request", []string{who("8"), reply("2", "b")}, []int64{7, 8}, []string{"backend-replaced not-run", "b 8"}, 1, 1},
+		{"another process", []string{who("8")}, []int64{7}, []string{"backend-restarted not-run"}, 1, 1},
+		{"another process is asked by a later request", []string{who("8"), reply("2", "b")}, []int64{7, 8}, []string{"backend-restarted not-run", "b 8"}, 1, 1},
 		{"any process", []string{who("8"), reply("1", "a")}, []int64{0}, []string{"a 8"}, 1, 1},
-		{"kept connection to another process", []string{who("8"), reply("1", "a"), who("8")}, []int64{0, 7}, []string{"a 8", "backend-replaced not-run"}, 2, 2},
+		{"kept connection to another process", []string{who("8"), reply("1", "a"), who("8"), reply("3", "c")}, []int64{0, 7, 8}, []string{"a 8", "backend-restarted not-run", "c 8"}, 2, 2},
 		{"process started in between", []string{who("7"), reply("1", "a"), who("8"), reply("2", "b")}, []int64{7, 8}, []string{"a 7", "b 8"}, 2, 2},
-		{"process does not tell", []string{"HTTP/1.1 404 Not Found\nContent-Length: 0\n\n", reply("1", "a")}, []int64{7}, []string{"a 0"}, 1, 1},
-		{"connection ends with the probe", []string{c, reply("1", "a")}, []int64{7}, []string{"a 7"}, 2, 1},
-		{"probe fails", []string{"HTTP/1.1 500 Failed\nContent-Length: 0\n\n"}, []int64{0}, []string{"backend-unreachable not-run"}, 1, 1},
-		{"probe is garbled", []string{who("x")}, []int64{0}, []string{"backend-unreachable not-run"}, 1, 1},
-		{"more than the response", []string{who("7") + "x"}, []int64{0}, []string{"backend-unreachable not-run"}, 1, 1},
-		{"connection is lost", []string{"(cut)"}, []int64{0}, []string{"backend-unreachable not-run"}, 1, 1},
-		{"server is silent", []string{""}, []int64{0}, []string{"backend-unreachable not-run"}, 1, 1},
+		{"process does not tell", []string{"HTTP/1.1 404 Not Found\nContent-Length: 0\n\n", reply("1", "a")}, []int64{0}, []string{"a -1"}, 1, 1},
+		{"process does not tell, one is needed", []string{"HTTP/1.1 404 Not Found\nContent-Length: 0\n\n"}, []int64{7}, []string{"backend-unidentified not-run"}, 1, 1},
+		{"first connection ends with the probe", []string{c, who("7"), reply("1", "a")}, []int64{7}, []string{"a 7"}, 2, 2},
+		{"each connection ends with the probe", []string{c, c, reply("1", "a")}, []int64{0}, []string{"a -1"}, 3, 2},
+		{"each connection ends with the probe, one is needed", []string{c, c}, []int64{7}, []string{"backend-unidentified not-run"}, 2, 2},
+		{"probe fails", []string{f, reply("1", "a")}, []int64{0}, []string{"a -1"}, 1, 1},
+		{"probe fails, a process is needed", []string{f}, []int64{7}, []string{"backend-unidentified not-run"}, 1, 1},
+		{"probe is garbled", []string{who("x"), reply("1", "a")}, []int64{0}, []string{"a -1"}, 1, 1},
+		{"more than the response", []string{who("7") + "x", reply("1", "a")}, []int64{0}, []string{"a -1"}, 2, 1},
+		{"connection is lost", []string{"(cut)", reply("1", "a")}, []int64{0}, []string{"a -1"}, 2, 1},
+		{"server is silent to the probe", []string{"", reply("1", "a")}, []int64{0}, []string{"a -1"}, 2, 1},
+		{"server is silent, a process is needed", []string{""}, []int64{7}, []string{"backend-unidentified not-run"}, 1, 1},
 	}
 	for _, k := range l {
 		t.Run(k.name, func(t *testing.T) {
@@ -91,8 +97,8 @@
 				if d := cmp.Diff([]int{k.connections, k.probes}, []int{len(s.requests), countProbes(s.requests)}); d != "" {
 					t.Error(d, s.requests)
 				}
-				if w := time.Since(b); w > time.Second {
-					t.Error("request has waited for", w)
+				if w := time.Since(b); w > 300*time.Millisecond {
+					t.Error("requests have waited for", w)
 				}
 			})
 		})
--- a/upstream.go
+++ b/upstream.go
@@ -22,21 +22,26 @@
 	Send(ctx context.Context, server *wire.BackendServer, request *Request, lastEventID string) (*Response, error)
 }
 
+// UnknownProcess stands for the start of a process that was asked for it and has not
+// told it.
+const UnknownProcess = -1
+
 // Response is the response of a backend server to one attempt.
 type Response struct {
 	*http.Response
 	born int64
 }
 
-// NewResponse returns a response that a process sends which was started at born, in
-// Unix milliseconds; 0 if that is not known.
+// NewResponse returns a response of the process that was started at born, in Unix
+// milliseconds; UnknownProcess, or 0 if the process was not asked.
 func NewResponse(response *http.Response, born int64) *Response {
 	return &Response{Response: response, born: born}
 }
 
 // Born returns the start of the process that sends the response, by its own word, in
-// Unix milliseconds, or 0 if that is not known. It may be another process than the one
-// that the server's entry describes.
+// Unix milliseconds. It may be another process than the one that the server's entry
+// describes. Born returns UnknownProcess if that is not known, and 0 if the server was
+// not asked, since servers of its kind do not tell.
 func (r *Response) Born() int64 { return r.born }
 
 // Destination is the process to which a request is sent.
@@ -55,7 +60,7 @@
 }
 
 // WithBorn returns the destination that only the process is which was started at born,
-// in Unix milliseconds, or one that does not tell.
+// in Unix milliseconds.
 func (d Destination) WithBorn(born int64) Destination {
 	d.born = born
 	return d
@@ -67,17 +72,19 @@
 // Probe returns how a new connection is asked for its process, nil for not at all.
 func (d Destination) Probe() ProcessProbe { return d.probe }
 
+// IsAny reports whether any process is the destination.
+func (d Destination) IsAny() bool { return d.born == 0 }
+
 // Accepts reports whether a process is the destination. born is its start in Unix
-// milliseconds, 0 if unknown.
-func (d Destination) Accepts(born int64) bool { return d.born == 0 || born == 0 || born == d.born }
+// milliseconds, not positive if it is not known.
+func (d Destination) Accepts(born int64) bool { return d.born == 0 || born == d.born }
 
 // ProcessProbe asks a backend server which process it is.
 type ProcessProbe interface {
 	// Request returns the target of the question, and its request without a body.
 	Request() (target string, request *http.Request)
 	// Born returns the start of the process in Unix milliseconds by the status and
-	// the body of its response, or 0 if the server does not tell. It returns an
-	// error for a response that no server sends that works correctly.
+	// the body of its response, or an error if the response does not tell.
 	Born(status int, body []byte) (int64, error)
 }
 
