place, sched, invoke: a preempted stream goes on at the process that began it, not at the one that the host list names

Cause: the version of an attempt was taken from the runner's entry at its start, and compared with the entry at its preemption. So the data of a process of the next version were taken for those of the old one and went on there, and a stream of the old version went on at a runner that had started again.

Change: a connection can't outlive its process. Each new connection for a preemptable stream is asked once, by a request for the runner's metrics, for the start of the process at its other end (process_start_time_seconds); the scheduler's fetches of metrics tell it too. A process that has started since its entry last changed its version is of unknown version: its streams go on at that process only, and no others do there, until the entry changes its version. If an entry changes its version though no later process was seen, what the process has sent is of unknown version too. An attempt that reaches another process than the scheduler knew is cancelled before it has sent data (backend-replaced). A runner that publishes no start is believed by its entry, now also only while that stays after a preemption. Services without versions are as before.

Only preemptable streams of batch calls are asked, on connections of their own, so no online call waits. The question takes a round trip, 1 s at most; if it fails the stream runs on another connection and its process counts as unknown.

The stand-in of the engine publishes the start, a new one after a crash and restart.

Old and new builds: the question is between a scheduler and its own runners. Head has two new fields, which older entries ignore. Schedulers of older builds go on joining.

--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -23,8 +23,11 @@
 	id     string
 	call   *call
 	server *server
-	// Software version of the server when the attempt started.
-	version string
+	// Address of the server when the attempt started.
+	address string
+	// The process that runs it, by its response, or before that the latest process of
+	// the server at the start of the attempt.
+	process *process
 	// Increases with each dispatch.
 	sequence  uint64
 	startedAt time.Time
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -26,6 +26,7 @@
 	codeLost                = "backend-lost"
 	codeFailed              = "backend-failed"
 	codeSilent              = "backend-silent"
+	codeReplaced            = "backend-replaced"
 )
 
 const (
@@ -50,8 +51,8 @@
 	failedHosts []string
 	// Whether reply data was sent to the requester.
 	dataSent bool
-	// Software version of the backend server that sent it, empty if unknown.
-	version string
+	// The processes that have sent it.
+	processes []*process
 	// NotRun until an attempt may have run.
 	verdict trail.Verdict
 	// Whether a backend server was lost while it ran this request, so that it
--- a/internal/coordination/place/dispatch.go
+++ b/internal/coordination/place/dispatch.go
@@ -87,7 +87,7 @@
 // call has not failed.
 func (v *service) hasUntriedServer(now time.Time, call *call) bool {
 	return slices.ContainsFunc(v.servers, func(s *server) bool {
-		return s.present(now) && !s.lost && !slices.Contains(call.failedHosts, s.name) && v.mayContinue(call, s)
+		return s.present(now) && !s.lost && !slices.Contains(call.failedHosts, s.name) && v.mayContinue(call, s.process)
 	})
 }
 
@@ -100,7 +100,7 @@
 	}
 	var l, b []*server
 	for i, s := range v.servers {
-		if !s.usable(now) || s.reservedFor != nil || slices.Contains(call.failedHosts, s.name) || !v.mayContinue(call, s) {
+		if !s.usable(now) || s.reservedFor != nil || slices.Contains(call.failedHosts, s.name) || !v.mayContinue(call, s.process) {
 			continue
 		}
 		if !call.online() {
@@ -216,7 +216,6 @@
 	p.decisions = append(p.decisions, decide.Cancel(k.key, k.request, attempt.id, attempt.server.name, reason))
 	p.releaseSlot(attempt)
 	k.verdict = trail.MayHaveRun
-	k.checkVersion(attempt)
 	if k.failedAttempts > 0 {
 		// At the head of the queue it would block the calls behind it until a
 		// backend server on which it has not failed has a free slot.
@@ -227,7 +226,7 @@
 }
 
 func (p *Placer) startAttempt(now time.Time, call *call, server *server, reason string, alternatives []string) *attempt {
-	a := &attempt{id: p.newAttemptID(), call: call, server: server, version: server.version, sequence: p.attemptCount, startedAt: now}
+	a := &attempt{id: p.newAttemptID(), call: call, server: server, address: server.address, process: server.process, sequence: p.attemptCount, startedAt: now}
 	call.attempt = a
 	p.inFlight[a.id] = a
 	server.inFlight[a.id] = a
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -37,10 +37,15 @@
 	name    string
 	address string
 	service *service
-	// Version of its software, empty if unknown.
+	// Software version in its entry, empty if that names none.
 	version string
-	ready   bool
-	leaving bool
+	// Its latest process that is known; never nil.
+	process *process
+	// Whether the version in the entry has changed since that process started, so that
+	// the entry describes the next one.
+	entryIsNewer bool
+	ready        bool
+	leaving      bool
 	// Whether another scheduler owns it now. It is removed once it is idle.
 	released bool
 	// No new work until this time, because the backend server sent its drain
@@ -182,12 +187,13 @@
 		// A new address means a new process, to which the state of the old one
 		// does not apply.
 		s.address = host.GetAddress()
+		s.process = nil
 		s.drainUntil = time.Time{}
 		s.pacer, s.pacedUntil = nil, time.Time{}
 		s.prefixes = prefixHistory{}
 		s.resetHealth()
 	}
-	s.version = host.GetVersion()
+	s.applyVersion(host.GetVersion())
 	s.ready = host.GetReady()
 	s.leaving = host.GetLeaving()
 	s.released = false
--- a/internal/coordination/place/session_test.go
+++ b/internal/coordination/place/session_test.go
@@ -89,7 +89,9 @@
 	case "host":
 		h := parseMessage(t, w[3], &wire.Host{})
 		h.SetName(w[2])
-		h.SetAddress(w[2] + ":1")
+		if h.GetAddress() == "" {
+			h.SetAddress(w[2] + ":1")
+		}
 		return placer.HostUpdated(n, h)
 	case "released":
 		return placer.HostReleased(n, w[2])
@@ -106,8 +108,15 @@
 		return placer.CallArrived(n, uint64(parseNumber(t, w[2])), r)
 	case "given-up":
 		return placer.CallAbandoned(n, uint64(parseNumber(t, w[2])))
+	case "seen":
+		f := append(strings.Fields(w[3]), w[2]+":1")
+		return placer.ProcessSeen(n, w[2], f[1], parseNumber(t, f[0]))
 	case "started":
 		return placer.AttemptStarted(n, w[2])
+	case "identified":
+		return placer.AttemptIdentified(n, w[2], parseNumber(t, w[3]), false)
+	case "unidentified":
+		return placer.AttemptIdentified(n, w[2], 0, true)
 	case "first":
 		return placer.AnswerStarted(n, w[2])
 	case "completed":
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -42,6 +42,10 @@
 	draining bool
 	// Rate of calls a second that the backend server takes, 0 for no limit.
 	callsPerSecond float64
+	// Start of the process that answers in Unix milliseconds, 0 if it publishes none,
+	// and whether it could not be asked.
+	processStart   int64
+	processUnknown bool
 }
 
 func (e attemptStarted) apply(t *task, now time.Time) []decide.Decision {
@@ -49,7 +53,8 @@
 		t.placer.DrainMarked(now, e.attemptID)
 	}
 	t.placer.LimitNamed(now, e.attemptID, e.callsPerSecond)
-	return t.placer.AttemptStarted(now, e.attemptID)
+	d := t.placer.AttemptStarted(now, e.attemptID)
+	return append(d, t.placer.AttemptIdentified(now, e.attemptID, e.processStart, e.processUnknown)...)
 }
 
 // dataPermissionRequest asks whether the attempt may send data. It is denied if
@@ -124,17 +129,22 @@
 	// Whether the answer contained the load.
 	valid                   bool
 	running, waiting, slots int
+	// Start of the process in Unix milliseconds, 0 if the answer did not contain it.
+	processStart int64
+	// To which the request was sent.
+	address string
 }
 
 func (e loadFetched) apply(t *task, now time.Time) []decide.Decision {
 	delete(t.fetching, e.host)
-	switch {
-	case !e.answered:
+	if !e.answered {
 		return nil
-	case !e.valid:
-		return t.placer.ServerAlive(now, e.host)
 	}
-	return t.placer.LoadReported(now, e.host, e.running, e.waiting, e.slots)
+	d := t.placer.ProcessSeen(now, e.host, e.address, e.processStart)
+	if !e.valid {
+		return append(d, t.placer.ServerAlive(now, e.host)...)
+	}
+	return append(d, t.placer.LoadReported(now, e.host, e.running, e.waiting, e.slots)...)
 }
 
 // subscriptionChange adds or removes a subscriber to reports.
--- a/internal/coordination/sched/load.go
+++ b/internal/coordination/sched/load.go
@@ -19,6 +19,8 @@
 	fetchTimeout = time.Second
 	// Limit on the size of one engine's metrics, which are held in memory.
 	maxMetricsBytes = 1 << 20
+
+	millisecondsPerSecond = 1000
 )
 
 // codeMetricsRefused is the error code of a fetch that was answered with a
@@ -30,6 +32,8 @@
 	metricRunning = "engine_requests_running"
 	metricWaiting = "engine_requests_waiting"
 	metricSlots   = "engine_slots"
+	// In Unix seconds.
+	metricProcessStart = "process_start_time_seconds"
 )
 
 // fetchLoads starts a fetch of the load of each model engine that has no fetch
@@ -54,6 +58,7 @@
 		e = parseLoad(host.GetName(), io.LimitReader(r, maxMetricsBytes))
 		_ = r.Close()
 	}
+	e.address = host.GetAddress()
 	e.answered = x == nil || trail.CodeOf(x) == codeMetricsRefused
 	t.scheduler.sendEvent(t.ctx, e)
 }
@@ -67,18 +72,28 @@
 		return loadFetched{host: host}
 	}
 	l := loadFetched{host: host}
-	l.running, l.valid = firstValue(m[metricRunning])
-	l.waiting, _ = firstValue(m[metricWaiting])
-	l.slots, _ = firstValue(m[metricSlots])
+	l.running, l.valid = firstCount(m[metricRunning])
+	l.waiting, _ = firstCount(m[metricWaiting])
+	l.slots, _ = firstCount(m[metricSlots])
+	if len(m[metricProcessStart].GetMetric()) == 1 {
+		n, _ := firstValue(m[metricProcessStart])
+		l.processStart = int64(n * millisecondsPerSecond)
+	}
 	return l
 }
 
+// firstCount returns the value of a family's first metric, which is a count.
+func firstCount(family *dto.MetricFamily) (int, bool) {
+	n, f := firstValue(family)
+	return int(n), f
+}
+
 // firstValue returns the value of a family's first metric. Engines export
 // gauges; without a TYPE line the value is untyped.
-func firstValue(family *dto.MetricFamily) (int, bool) {
+func firstValue(family *dto.MetricFamily) (float64, bool) {
 	l := family.GetMetric()
 	if len(l) == 0 {
 		return 0, false
 	}
-	return int(l[0].GetGauge().GetValue() + l[0].GetUntyped().GetValue()), true
+	return l[0].GetGauge().GetValue() + l[0].GetUntyped().GetValue(), true
 }
--- a/internal/coordination/sched/reply.go
+++ b/internal/coordination/sched/reply.go
@@ -44,7 +44,7 @@
 		return awaitingOrder
 	}
 	output.head = head
-	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID, isDraining(head), callsPerSecond(head)})
+	x.scheduler.sendEvent(ctx, attemptStarted{order.attemptID, isDraining(head), callsPerSecond(head), head.GetProcessStartUnixMs(), head.GetProcessUnknown()})
 	return attemptContinues
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -196,6 +196,31 @@
 	})
 }
 
+// Guards against a restart after a crash that the metrics do not show: schedulers would
+// take the engine for the process before.
+func TestRestartIsNewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestEngine(t)
+		defer s.shutdown()
+		f := func() string {
+			_, b := s.fetch("GET", "/metrics", nil)
+			_, v, _ := strings.Cut(b, "\nprocess_start_time_seconds ")
+			v, _, _ = strings.Cut(v, "\n")
+			return v
+		}
+		// The clock of the test starts on 1 January 2000.
+		g := []string{f()}
+		time.Sleep(time.Second)
+		g = append(g, f())
+		s.fetch("POST", "/control/faults", []byte(`{"crash":true}`))
+		s.fetch("POST", "/control/faults", []byte(`{"restart":true}`))
+		g = append(g, f())
+		if d := cmp.Diff([]string{"9.466848e+08", "9.466848e+08", "9.46684801e+08"}, g); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a crash that leaves some connections open, and against a
 // silence that also affects new connections. Tests that inject these faults
 // would then exercise other faults than intended.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -101,7 +101,7 @@
 		sched.crash(now)
 	}
 	if change.Restart {
-		sched.restart()
+		sched.restart(now)
 	}
 }
 
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -51,9 +51,10 @@
 	descWaiting = prometheus.NewDesc("engine_requests_waiting", "Requests that wait for a slot, as of the report lag.", nil, nil)
 	descCache   = prometheus.NewDesc("engine_cache_use_ratio", "Use of the prefix cache from 0 to 1, as of the report lag.", nil, nil)
 	descSlots   = prometheus.NewDesc("engine_slots", "Requests that run at the same time at most.", nil, nil)
+	descStart   = prometheus.NewDesc("process_start_time_seconds", "Start of the process in Unix seconds.", nil, nil)
 )
 
-// collector reports the load to Prometheus.
+// collector reports the load and the start of the process to Prometheus.
 type collector struct{ engine *Engine }
 
 // Describe sends the descriptions of the metrics.
@@ -62,12 +63,17 @@
 	descriptions <- descWaiting
 	descriptions <- descCache
 	descriptions <- descSlots
+	descriptions <- descStart
 }
 
 // Collect sends the load as it was one load lag ago.
 func (s collector) Collect(metrics chan<- prometheus.Metric) {
 	var l load
-	s.engine.runTask(func(t *scheduler, now time.Time) { l = t.loads.at(now.Add(-t.config.loadLag)) })
+	var b time.Time
+	s.engine.runTask(func(t *scheduler, now time.Time) {
+		l = t.loads.at(now.Add(-t.config.loadLag))
+		b = t.processStart
+	})
 	g := func(d *prometheus.Desc, v float64) {
 		metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v)
 	}
@@ -75,4 +81,5 @@
 	g(descWaiting, float64(l.waiting))
 	g(descCache, l.cacheUse)
 	g(descSlots, float64(s.engine.config.slots))
+	g(descStart, float64(b.UnixMilli())/1000)
 }
--- a/internal/standin/engine/scheduler.go
+++ b/internal/standin/engine/scheduler.go
@@ -33,6 +33,8 @@
 // scheduler is the state of the engine. Only the goroutine of Engine.run uses it.
 type scheduler struct {
 	config *engineConfig
+	// Start of the process, which a restart after a crash stands for.
+	processStart time.Time
 	// In order of arrival, first in first out.
 	waiting []*sequence
 	running []*sequence
@@ -54,7 +56,7 @@
 
 func newScheduler(config *engineConfig) *scheduler {
 	return &scheduler{
-		config: config, cache: newCache(config.cacheBlocks), runs: newRuns(),
+		config: config, processStart: time.Now(), cache: newCache(config.cacheBlocks), runs: newRuns(),
 		orders:   orderState{model: config.model, checksFencing: config.checksFencing},
 		faults:   faults{slowdown: 1, crashMode: crashRefuse},
 		silenced: make(chan struct{}), crashSignal: make(chan struct{}),
@@ -182,9 +184,10 @@
 }
 
 // restart ends a crash; the engine accepts requests again.
-func (t *scheduler) restart() {
+func (t *scheduler) restart(now time.Time) {
 	t.restartAt = time.Time{}
 	if t.crashed() {
+		t.processStart = now
 		t.crashSignal = make(chan struct{})
 	}
 }
@@ -209,7 +212,7 @@
 // processDue restarts the engine and completes the step if they are due.
 func (t *scheduler) processDue(now time.Time) {
 	if !t.restartAt.IsZero() && !now.Before(t.restartAt) {
-		t.restart()
+		t.restart(now)
 	}
 	if !t.stepEnd.IsZero() && !now.Before(t.stepEnd) {
 		t.completeStep(now)
--- a/internal/transport/invoke/client.go
+++ b/internal/transport/invoke/client.go
@@ -46,7 +46,9 @@
 	// has closed a reused connection, so only idempotent calls use this.
 	keepAlive *http.Transport
 	// Opens a connection for each call and therefore never repeats a request.
-	singleUse   *http.Transport
+	singleUse *http.Transport
+	// Reuses connections whose process is known, for preemptable streams.
+	identified  *http.Transport
 	calls       *prometheus.CounterVec
 	headSeconds prometheus.Histogram
 }
@@ -58,7 +60,7 @@
 	f := newTransport(dialer)
 	f.DisableKeepAlives = true
 	s := &Client{
-		logger: logger, keepAlive: k, singleUse: f,
+		logger: logger, keepAlive: k, singleUse: f, identified: newIdentifyingTransport(dialer),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_backend_calls_total",
 			Help: "Calls to backend servers by verdict and code.",
@@ -105,8 +107,11 @@
 		return nil, s.recordNotRun(f)
 	}
 	t := s.keepAlive
-	if call.GetNonIdempotent() {
+	switch {
+	case call.GetNonIdempotent():
 		t = s.singleUse
+	case isPreemptableStream(call):
+		t = s.identified
 	}
 	a, e := t.RoundTrip(q)
 	if e != nil {
@@ -157,6 +162,7 @@
 	}
 	if end.GetCode() == codeSilent {
 		s.keepAlive.CloseIdleConnections()
+		s.identified.CloseIdleConnections()
 	}
 	s.logger.WithFields(log.Fields{
 		"attempt-id": call.GetAttemptId(), "target": target, "code": end.GetCode(),
--- a/internal/transport/invoke/monitor.go
+++ b/internal/transport/invoke/monitor.go
@@ -31,6 +31,8 @@
 type countingConn struct {
 	net.Conn
 	writeCount atomic.Int64
+	// Nil if it was not asked which process is at the other end.
+	process *process
 }
 
 // Write increments the count before it writes, so that no byte is sent without
@@ -106,6 +108,16 @@
 	s.resetTimer(s.readTimeout)
 }
 
+// process returns the process at the other end of the connection in use, nil if it was
+// not asked.
+func (s *callMonitor) process() *process {
+	n := s.conn.Load()
+	if n == nil {
+		return nil
+	}
+	return n.process
+}
+
 // mayBeWritten reports whether any part of the request may have been written.
 // Once the transport has abandoned the connection, the result no longer changes,
 // because the connection is closed.
--- a/internal/transport/invoke/replies.go
+++ b/internal/transport/invoke/replies.go
@@ -71,7 +71,7 @@
 	switch s.state {
 	case stateHead:
 		s.state = stateData
-		o.SetHead(newHead(s.response))
+		o.SetHead(newHead(s.response, s.monitor.process()))
 		return o, nil
 	case stateData:
 		d := s.readData()
--- a/internal/transport/invoke/request.go
+++ b/internal/transport/invoke/request.go
@@ -88,12 +88,17 @@
 	}
 }
 
-// newHead returns the status and the end-to-end headers of a response.
-func newHead(response *http.Response) *wire.Head {
+// newHead returns the status and the end-to-end headers of a response, and the process
+// that sent it unless that is nil.
+func newHead(response *http.Response, process *process) *wire.Head {
 	h := response.Header.Clone()
 	removeHopByHop(h)
 	o := &wire.Head{}
 	o.SetStatus(int32(response.StatusCode))
+	if process != nil {
+		o.SetProcessStartUnixMs(process.start)
+		o.SetProcessUnknown(process.unknown)
+	}
 	l := make([]*wire.Header, 0, len(h))
 	for n, v := range h {
 		x := &wire.Header{}
