place: a process is not refused calls for the drain mark of the one before it

What callers saw: a runner that had started again at its address got no calls for up to 30 s, and callers were refused (no-backend-server) when it was the only one, since the process before it had sent its drain mark. It was also held to that one's limit of calls a second until its first answer, and preferred for prompts that it had not in its cache.

Change: they end when a later start of the process is seen, as they did at a new address. The failures stay, so that a runner that crashes again and again is ejected for longer each time. An answer names its process before its drain mark and limit are applied; with the reverse order TestDrainMarkOfNewProcessHolds fails.

Old and new builds: nothing is sent to other processes.

--- a/internal/coordination/place/process.go
+++ b/internal/coordination/place/process.go
@@ -53,6 +53,7 @@
 	case startUnixMs > s.process.startUnixMs:
 		s.process = &process{startUnixMs: startUnixMs, version: s.version, uncertain: !s.entryIsNewer}
 		s.entryIsNewer = false
+		s.forgetProcess()
 	default:
 		// It ended before the latest one started, or the clock of its host was
 		// set back.
@@ -61,6 +62,15 @@
 	return s.process
 }
 
+// forgetProcess discards what the process before has told of itself, and what was in
+// its cache. The failures stay unless the address is new, so that a process that
+// crashes again and again is ejected for longer each time.
+func (s *server) forgetProcess() {
+	s.drainUntil = time.Time{}
+	s.pacer, s.pacedUntil = nil, time.Time{}
+	s.prefixes = prefixHistory{}
+}
+
 // ProcessSeen reports the start of the process that has answered for a backend server
 // at an address, in Unix milliseconds.
 func (p *Placer) ProcessSeen(now time.Time, name, address string, startUnixMs int64) []decide.Decision {
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -188,9 +188,7 @@
 		// does not apply.
 		s.address = host.GetAddress()
 		s.process = nil
-		s.drainUntil = time.Time{}
-		s.pacer, s.pacedUntil = nil, time.Time{}
-		s.prefixes = prefixHistory{}
+		s.forgetProcess()
 		s.resetHealth()
 	}
 	s.applyVersion(host.GetVersion())
--- a/internal/coordination/sched/event.go
+++ b/internal/coordination/sched/event.go
@@ -49,12 +49,13 @@
 }
 
 func (e attemptStarted) apply(t *task, now time.Time) []decide.Decision {
+	// First, because it discards what the process before has told of itself.
+	d := t.placer.AttemptIdentified(now, e.attemptID, e.processStart, e.processUnknown)
 	if e.draining {
 		t.placer.DrainMarked(now, e.attemptID)
 	}
 	t.placer.LimitNamed(now, e.attemptID, e.callsPerSecond)
-	d := t.placer.AttemptStarted(now, e.attemptID)
-	return append(d, t.placer.AttemptIdentified(now, e.attemptID, e.processStart, e.processUnknown)...)
+	return append(d, t.placer.AttemptStarted(now, e.attemptID)...)
 }
 
 // dataPermissionRequest asks whether the attempt may send data. It is denied if
--- a/internal/coordination/sched/process_test.go
+++ b/internal/coordination/sched/process_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/coordination/policy"
 	"bulrushtrail.example/trail/internal/coordination/sched"
@@ -190,3 +191,21 @@
 		})
 	}
 }
+
+// Guards against a drain mark that is lost because its answer is the first one of its
+// process, which ends what the process before has told.
+func TestDrainMarkOfNewProcessHolds(t *testing.T) {
+	runScheduler(t, viewWithHosts(hostA), func(r *harness) {
+		r.metrics.Store("process_start_time_seconds 1\n")
+		time.Sleep(1100 * time.Millisecond)
+		r.call(`{"caller":"batch","class":"CLASS_BATCH","stream":true}`)
+		a := r.attempts[0]
+		h := wire.Header_builder{Name: proto.String("Draining"), Values: []string{"true"}}.Build()
+		a.replies <- wire.Reply_builder{
+			AttemptId: proto.String(a.request.GetAttemptId()),
+			Head:      wire.Head_builder{Status: proto.Int32(200), Headers: []*wire.Header{h}, ProcessStartUnixMs: proto.Int64(2000)}.Build(),
+		}.Build()
+		synctest.Wait()
+		checkEqual(t, "body= end=not_run code=no-backend-server", r.call(`{"caller":"shop"}`).String())
+	})
+}
