pool, direct, batch: logs tell which answer of which connection decided an attempt

A request that was refused by one server and answered by another left a single line, which names the last server only.

Change: each attempt that failed has a line of its own. Two counters: responses passed over, and requests whose connection had carried their id. Nothing is decided by it.

pool.Do takes the request with its id in place of a method, a target and a body.

Old and new builds: nothing is sent that was not before; an attempt through another front has no place on a connection here, but in the log of that front.

--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -49,6 +49,8 @@
 	resumedAfter string
 	// Start of the process that answers, as trail.Response tells it.
 	born int64
+	// Where the answer stands on its connection.
+	exchange trail.Exchange
 	// The run no longer counts towards the load of the backend server.
 	slotReleased bool
 }
@@ -145,6 +147,7 @@
 	l := s.logger.WithFields(log.Fields{
 		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "born": run.server.GetBorn(), "process": run.born, "outcome": n,
 		"after-event": run.resumedAfter, "last-event": x, "ms": time.Since(b).Milliseconds(),
+		"connection-requests": run.exchange.Requests(), "passed-over": run.exchange.PassedOver(), "id-repeated": run.exchange.Repeated(),
 	})
 	if e != nil {
 		l = l.WithField("cause", e.Error())
@@ -270,7 +273,7 @@
 		return false, markUnbounded(e)
 	}
 	defer func() { _ = a.Body.Close() }()
-	run.born = a.Born()
+	run.born, run.exchange = a.Born(), a.Exchange()
 	switch {
 	case a.StatusCode == http.StatusUnprocessableEntity:
 		return false, errImpossible
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -45,14 +45,14 @@
 	defer f(nil)
 	t := x.startAttemptTimer(f)
 	defer t.Stop()
-	x.sentAt, x.born, x.hasEvent = time.Now(), 0, false
+	x.sentAt, x.born, x.exchange, x.hasEvent = time.Now(), 0, trail.Exchange{}, false
 	a, e := x.server.upstream.Send(c, backendServer, x.request, x.lastEventID)
 	if e != nil {
 		x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
 		return x.failureResult(c, e)
 	}
 	defer func() { _ = a.Body.Close() }()
-	x.born = a.Born()
+	x.born, x.exchange = a.Born(), a.Exchange()
 	var r result
 	if x.route.GetStream() && a.StatusCode == http.StatusOK {
 		r = x.relayStream(c, a.Response, t)
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -43,6 +43,8 @@
 	backendServer *wire.BackendServer
 	// Start of its process as the response of the last attempt tells it.
 	born int64
+	// Where the response of the last attempt stands on its connection.
+	exchange trail.Exchange
 	// The last attempt has brought an event.
 	hasEvent bool
 	// Why the fleet chose the last backend server, or none.
@@ -127,6 +129,7 @@
 		if r.complete {
 			return nil
 		}
+		x.logFailedAttempt(r)
 		if !x.shouldRetry(r) {
 			return x.finalError(r)
 		}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -193,6 +193,16 @@
 	return b
 }
 
+// logFailedAttempt logs the last attempt, whose response is not complete.
+func (x *call) logFailedAttempt(outcome result) {
+	x.server.logger.WithFields(log.Fields{
+		"request-id": x.request.ID(), "server": x.backendServer.GetId(), "address": x.backendServer.GetAddress(), "process": x.born, "try": x.attempts,
+		"code": trail.CodeOf(outcome.cause), "verdict": outcome.verdict.String(), "cause": outcome.cause.Error(),
+		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(), "id-repeated": x.exchange.Repeated(),
+		"ms": time.Since(x.sentAt).Milliseconds(),
+	}).Info("direct: attempt failed")
+}
+
 // reportOutcome logs the outcome of a call and records its metrics.
 func (x *call) reportOutcome(version int64, err error) {
 	n := "ok"
@@ -200,7 +210,8 @@
 		"request-id": x.request.ID(), "route": x.route.GetName(), "service": x.service, "config-version": version,
 		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "process": x.born, "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
-		"left-ms": time.Until(x.request.Deadline()).Milliseconds(),
+		"left-ms":             time.Until(x.request.Deadline()).Milliseconds(),
+		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(), "id-repeated": x.exchange.Repeated(),
 	})
 	if i := x.request.LastEventID(); i != "" {
 		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i, "stream-version": x.build.Version(), "known-by": x.streamSource})
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // connection is a persistent connection to a backend server.
@@ -18,6 +21,8 @@
 	address string
 	// The connection has carried a request.
 	hasSent bool
+	// Hashes of the ids that it has carried; those of probes are not counted.
+	carriedIDs []uint64
 	// Start of the process at its other end in Unix milliseconds, trail.UnknownProcess
 	// if it has not told, 0 if it was not asked. A connection ends with its process.
 	born int64
@@ -47,6 +52,12 @@
 	return n, e
 }
 
+// hasCarried reports whether the connection has carried a request with an id. Another id
+// may have the same hash.
+func (n *connection) hasCarried(id string) bool {
+	return slices.Contains(n.carriedIDs, xxhash.Sum64String(id))
+}
+
 func (n *connection) close() { _ = n.netConn.Close() }
 
 // abort makes all pending and later reads and writes fail.
--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -50,9 +50,9 @@
 	// Receives the result of writing a long body; nil if the body has been
 	// written together with the header.
 	bodyWritten chan error
-	// A response to another request came on the connection.
-	sawUnmatched bool
-	finishOnce   sync.Once
+	// Responses to other requests that came on the connection.
+	passedOver int
+	finishOnce sync.Once
 }
 
 // writeRequest writes the request, whose parts are valid. If no byte was written, the
@@ -115,7 +115,8 @@
 			a.Body = &responseBody{exchange: x, reader: a.Body, closesConn: a.Close}
 			return a, nil
 		}
-		x.sawUnmatched = true
+		x.passedOver++
+		x.pool.passedOverTotal.Inc()
 		e = discardResponse(a, x.conn.limited)
 		if e != nil {
 			return nil, e
@@ -162,7 +163,7 @@
 	x.finishOnce.Do(func() {
 		// If the context has ended, the connection has been aborted.
 		d := x.detachContext()
-		if d && reusable && !x.sawUnmatched && x.requestWritten() && x.conn.reader.Buffered() == 0 {
+		if d && reusable && x.passedOver == 0 && x.requestWritten() && x.conn.reader.Buffered() == 0 {
 			x.pool.putIdle(x.conn)
 			return
 		}
--- a/internal/transport/pool/faulty_test.go
+++ b/internal/transport/pool/faulty_test.go
@@ -71,8 +71,8 @@
 			c, f := context.WithTimeout(t.Context(), 20*time.Second)
 			defer f()
 			p := pool.New(&net.Dialer{}, prometheus.NewRegistry())
-			q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {"1"}}}
-			_, e := p.Do(c, trail.NewDestination(a, nil), "/", q, nil, func(*http.Response, bool) bool { return true })
+			q := trail.NewRequest("1", http.MethodPost, "/", "h", nil, nil)
+			_, e := p.Do(c, trail.NewDestination(a, nil), q, http.Header{"Id": {"1"}}, func(*http.Response, bool) bool { return true })
 			if d := cmp.Diff("answer-unbounded may-have-run", trail.CodeOf(e)+" "+trail.VerdictOf(e).String()); d != "" {
 				t.Error(d)
 			}
@@ -92,8 +92,8 @@
 	c, f := context.WithTimeout(t.Context(), 60*time.Second)
 	defer f()
 	p := pool.New(&net.Dialer{}, prometheus.NewRegistry())
-	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {"1"}}}
-	r, e := p.Do(c, trail.NewDestination(a, nil), "/", q, nil, func(*http.Response, bool) bool { return true })
+	q := trail.NewRequest("1", http.MethodPost, "/", "h", nil, nil)
+	r, e := p.Do(c, trail.NewDestination(a, nil), q, http.Header{"Id": {"1"}}, func(*http.Response, bool) bool { return true })
 	if e != nil {
 		t.Fatal(e)
 	}
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
@@ -35,6 +36,8 @@
 type Pool struct {
 	dialer     trail.Dialer
 	dialsTotal prometheus.Counter
+	// Responses to other requests, and requests whose connection had carried their id.
+	passedOverTotal, repeatedTotal prometheus.Counter
 
 	mu sync.Mutex
 	// By address, the most recently used last.
@@ -50,12 +53,19 @@
 			Name: "bulrushtrail_backend_connections_total",
 			Help: "Connections opened to backend servers.",
 		}),
+		passedOverTotal: promauto.With(registry).NewCounter(prometheus.CounterOpts{
+			Name: "bulrushtrail_backend_responses_passed_over_total",
+			Help: "Responses of backend servers that came in place of that to the request under way.",
+		}),
+		repeatedTotal: promauto.With(registry).NewCounter(prometheus.CounterOpts{
+			Name: "bulrushtrail_backend_ids_repeated_total",
+			Help: "Requests sent on a connection that had carried their id before.",
+		}),
 	}
 }
 
-// Do writes the request to the destination and returns the first response for which
-// matches returns true. The target is path and query as they stand
-// in the request line. The caller must close the body of the response.
+// Do writes the request with a header to the destination and returns the first response
+// for which matches returns true. The caller must close the body of the response.
 //
 // An error has a verdict and one of the codes request-invalid, backend-unreachable,
 // backend-restarted, backend-unidentified, backend-lost and answer-unbounded. Reading a body over the size
@@ -63,8 +73,8 @@
 // connection has carried no request but that of a probe before; otherwise a response
 // that does not identify its request may be a late duplicate of an earlier one. When
 // ctx ends, the connection is aborted, also while the body is read.
-func (s *Pool) Do(ctx context.Context, destination trail.Destination, target string, request *http.Request, body []byte, matches func(a *http.Response, fresh bool) bool) (*trail.Response, error) {
-	e := valid.Request(request.Method, target, request.Host, request.Header)
+func (s *Pool) Do(ctx context.Context, destination trail.Destination, request *trail.Request, header http.Header, matches func(a *http.Response, fresh bool) bool) (*trail.Response, error) {
+	e := valid.Request(request.Method(), request.Target(), request.Host(), header)
 	if e != nil {
 		return nil, e
 	}
@@ -73,12 +83,14 @@
 		return nil, e
 	}
 	x := &exchange{pool: s, conn: n, detachContext: context.AfterFunc(ctx, n.abort)}
-	e = x.writeRequest(target, request, body)
+	r := s.recordID(n, request.ID())
+	q := &http.Request{Method: request.Method(), Host: request.Host(), Header: header}
+	e = x.writeRequest(request.Target(), q, request.Body())
 	if e != nil {
 		x.finish(false)
 		return nil, e
 	}
-	a, e := x.readResponse(request, matches)
+	a, e := x.readResponse(q, matches)
 	if e != nil {
 		x.finish(false)
 		if errors.Is(e, errUnbounded) || n.limited.remaining <= 0 {
@@ -86,10 +98,22 @@
 		}
 		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").WithPlace(destination.Address())
 	}
+	b := n.born
 	if destination.Probe() == nil {
-		return trail.NewResponse(a, 0), nil
+		b = 0
+	}
+	return trail.NewResponse(a, b).WithExchange(trail.NewExchange(len(n.carriedIDs), x.passedOver, r)), nil
+}
+
+// recordID records that a connection carries a request with an id, and returns whether
+// it had carried one before.
+func (s *Pool) recordID(conn *connection, id string) bool {
+	r := conn.hasCarried(id)
+	if r {
+		s.repeatedTotal.Inc()
 	}
-	return trail.NewResponse(a, n.born), nil
+	conn.carriedIDs = append(conn.carriedIDs, xxhash.Sum64String(id))
+	return r
 }
 
 // acquire returns an idle connection to a destination that is still usable, or a new
--- a/internal/transport/pool/pool_test.go
+++ b/internal/transport/pool/pool_test.go
@@ -93,8 +93,8 @@
 // error's code and verdict. It takes a response without an id on a fresh
 // connection only.
 func send(ctx context.Context, conns *pool.Pool, id string) string {
-	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
-	a, e := conns.Do(ctx, trail.NewDestination(address, nil), "/p?q=1", q, []byte("body"), func(a *http.Response, fresh bool) bool {
+	q := trail.NewRequest(id, http.MethodPost, "/p?q=1", "h", nil, []byte("body"))
+	a, e := conns.Do(ctx, trail.NewDestination(address, nil), q, http.Header{"Id": {id}}, func(a *http.Response, fresh bool) bool {
 		return a.Header.Get("Id") == id || a.Header.Get("Id") == "" && fresh
 	})
 	if e != nil {
--- a/internal/transport/pool/process_test.go
+++ b/internal/transport/pool/process_test.go
@@ -120,8 +120,8 @@
 // sendTo sends a request to a destination, and returns the body of the response and the start
 // of the process, or the error's code and verdict.
 func sendTo(t *testing.T, conns *pool.Pool, destination trail.Destination, id string) string {
-	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
-	a, e := conns.Do(t.Context(), destination, "/p", q, nil, func(a *http.Response, _ bool) bool { return a.Header.Get("Id") == id })
+	q := trail.NewRequest(id, http.MethodPost, "/p", "h", nil, nil)
+	a, e := conns.Do(t.Context(), destination, q, http.Header{"Id": {id}}, func(a *http.Response, _ bool) bool { return a.Header.Get("Id") == id })
 	if e != nil {
 		return trail.CodeOf(e) + " " + trail.VerdictOf(e).String()
 	}
--- a/internal/transport/pool/request_test.go
+++ b/internal/transport/pool/request_test.go
@@ -67,9 +67,9 @@
 	f.Fuzz(func(t *testing.T, method, target, host, name, value string, body []byte) {
 		c := &recordingConn{}
 		p := pool.New(c, prometheus.NewRegistry())
-		q := &http.Request{Method: method, Host: host, Header: http.Header{"X-Attempt-Id": {"1"}}}
-		q.Header[http.CanonicalHeaderKey(name)] = []string{value}
-		_, e := p.Do(t.Context(), trail.NewDestination("server", nil), target, q, body, func(*http.Response, bool) bool { return true })
+		h := http.Header{"X-Attempt-Id": {"1"}}
+		h[http.CanonicalHeaderKey(name)] = []string{value}
+		_, e := p.Do(t.Context(), trail.NewDestination("server", nil), trail.NewRequest("1", method, target, host, nil, body), h, func(*http.Response, bool) bool { return true })
 		if trail.VerdictOf(e) == trail.NotRun {
 			if c.written.Len() > 0 {
 				t.Fatalf("bytes of a request that has not run: %q", c.written.Bytes())
--- a/internal/transport/pool/restart_test.go
+++ b/internal/transport/pool/restart_test.go
@@ -163,8 +163,8 @@
 // sendFresh sends a request and returns the status. Like the upstream it takes a
 // failure without an id on a fresh connection.
 func sendFresh(ctx context.Context, conns *pool.Pool, destination trail.Destination, id string) string {
-	q := &http.Request{Method: http.MethodPost, Host: "h", Header: http.Header{"Id": {id}}}
-	a, e := conns.Do(ctx, destination, "/p", q, nil, func(a *http.Response, fresh bool) bool {
+	q := trail.NewRequest(id, http.MethodPost, "/p", "h", nil, nil)
+	a, e := conns.Do(ctx, destination, q, http.Header{"Id": {id}}, func(a *http.Response, fresh bool) bool {
 		v := a.Header.Get("Id")
 		return v == id || v == "" && fresh && a.StatusCode >= http.StatusMultipleChoices
 	})
--- a/upstream.go
+++ b/upstream.go
@@ -29,7 +29,8 @@
 // Response is the response of a backend server to one attempt.
 type Response struct {
 	*http.Response
-	born int64
+	born     int64
+	exchange Exchange
 }
 
 // NewResponse returns a response of the process that was started at born, in Unix
@@ -38,6 +39,17 @@
 	return &Response{Response: response, born: born}
 }
 
+// WithExchange returns a copy of the response that stands at a place on its connection.
+func (r *Response) WithExchange(exchange Exchange) *Response {
+	c := *r
+	c.exchange = exchange
+	return &c
+}
+
+// Exchange returns where the response stands on its connection, zero if it came through
+// another front.
+func (r *Response) Exchange() Exchange { return r.exchange }
+
 // Born returns the start of the process that sends the response, by its own word, in
 // Unix milliseconds. It may be another process than the one that the server's entry
 // describes. Born returns UnknownProcess if that is not known, and 0 if the server was
