pool: a connection carries no id of a request twice

What callers saw: requests that must run once ran at two servers (rule TWICE) and were answered with 200, and requests that ran were answered with 503 (REFUSED).

Cause: the answer to a request was known by its id alone. A connection could carry an id twice: to two ids of servers at one address, to a server that is asked again after a refusal (items), and for a caller that repeats its id. A copy of the first refusal, which bears that id too, was then the answer to the request that the server had begun to run.

Change: an idle connection that has carried the id is passed over for another one or a new one. A connection remembers the hashes of up to 1,000 ids, and is closed with that many. So each answer that bears the id of the request under way is an answer to that one. This holds for all senders, since all use the pool: online requests, items, and attempts of other fronts. Logs need not tell any more whether an id was repeated.

Weighed: closing each connection after a refusal (a new connection for up to a tenth of all requests), and taking a refusal for may-have-run (callers lose a promise).

Old and new builds: nothing is sent that was not before. A front of an earlier build that sends an attempt for another front still believes copies.

--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -147,7 +147,7 @@
 	l := s.logger.WithFields(log.Fields{
 		"job-id": run.job.id, "item-id": run.item.GetId(), "server": run.server.GetId(), "version": run.server.GetVersion(), "born": run.server.GetBorn(), "process": run.born, "outcome": n,
 		"after-event": run.resumedAfter, "last-event": x, "ms": time.Since(b).Milliseconds(),
-		"connection-requests": run.exchange.Requests(), "passed-over": run.exchange.PassedOver(), "id-repeated": run.exchange.Repeated(),
+		"connection-requests": run.exchange.Requests(), "passed-over": run.exchange.PassedOver(),
 	})
 	if e != nil {
 		l = l.WithField("cause", e.Error())
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -198,7 +198,7 @@
 	x.server.logger.WithFields(log.Fields{
 		"request-id": x.request.ID(), "server": x.backendServer.GetId(), "address": x.backendServer.GetAddress(), "process": x.born, "try": x.attempts,
 		"code": trail.CodeOf(outcome.cause), "verdict": outcome.verdict.String(), "cause": outcome.cause.Error(),
-		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(), "id-repeated": x.exchange.Repeated(),
+		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(),
 		"ms": time.Since(x.sentAt).Milliseconds(),
 	}).Info("direct: attempt failed")
 }
@@ -211,7 +211,7 @@
 		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "process": x.born, "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 		"left-ms":             time.Until(x.request.Deadline()).Milliseconds(),
-		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(), "id-repeated": x.exchange.Repeated(),
+		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(),
 	})
 	if i := x.request.LastEventID(); i != "" {
 		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i, "stream-version": x.build.Version(), "known-by": x.streamSource})
--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -21,7 +21,8 @@
 	address string
 	// The connection has carried a request.
 	hasSent bool
-	// Hashes of the ids that it has carried; those of probes are not counted.
+	// Hashes of the ids of its requests, at most maxCarriedIDs; probes have none. No id
+	// is carried twice: an answer that comes once more would be taken for the next one.
 	carriedIDs []uint64
 	// Start of the process at its other end in Unix milliseconds, trail.UnknownProcess
 	// if it has not told, 0 if it was not asked. A connection ends with its process.
@@ -58,6 +59,8 @@
 	return slices.Contains(n.carriedIDs, xxhash.Sum64String(id))
 }
 
+func (n *connection) recordID(id string) { n.carriedIDs = append(n.carriedIDs, xxhash.Sum64String(id)) }
+
 func (n *connection) close() { _ = n.netConn.Close() }
 
 // abort makes all pending and later reads and writes fail.
--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -163,7 +163,7 @@
 	x.finishOnce.Do(func() {
 		// If the context has ended, the connection has been aborted.
 		d := x.detachContext()
-		if d && reusable && x.passedOver == 0 && x.requestWritten() && x.conn.reader.Buffered() == 0 {
+		if d && reusable && x.passedOver == 0 && x.requestWritten() && x.conn.reader.Buffered() == 0 && len(x.conn.carriedIDs) < maxCarriedIDs {
 			x.pool.putIdle(x.conn)
 			return
 		}
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
@@ -24,6 +23,9 @@
 	// A server may close the connection after the response to the first probe.
 	probeTries        = 2
 	maxIdlePerAddress = 12
+	// A connection that has carried as many requests is closed, since it remembers their
+	// ids.
+	maxCarriedIDs = 1000
 	// Keep-alive time if the response states none.
 	defaultKeepAlive = 4 * time.Second
 	// An idle connection is not used in this last part of the keep-alive time
@@ -36,8 +38,8 @@
 type Pool struct {
 	dialer     trail.Dialer
 	dialsTotal prometheus.Counter
-	// Responses to other requests, and requests whose connection had carried their id.
-	passedOverTotal, repeatedTotal prometheus.Counter
+	// Responses to other requests.
+	passedOverTotal prometheus.Counter
 
 	mu sync.Mutex
 	// By address, the most recently used last.
@@ -57,10 +59,6 @@
 			Name: "bulrushtrail_backend_responses_passed_over_total",
 			Help: "Responses of backend servers that came in place of that to the request under way.",
 		}),
-		repeatedTotal: promauto.With(registry).NewCounter(prometheus.CounterOpts{
-			Name: "bulrushtrail_backend_ids_repeated_total",
-			Help: "Requests sent on a connection that had carried their id before.",
-		}),
 	}
 }
 
@@ -78,12 +76,12 @@
 	if e != nil {
 		return nil, e
 	}
-	n, e := s.acquire(ctx, destination)
+	n, e := s.acquire(ctx, destination, request.ID())
 	if e != nil {
 		return nil, e
 	}
 	x := &exchange{pool: s, conn: n, detachContext: context.AfterFunc(ctx, n.abort)}
-	r := s.recordID(n, request.ID())
+	n.recordID(request.ID())
 	q := &http.Request{Method: request.Method(), Host: request.Host(), Header: header}
 	e = x.writeRequest(request.Target(), q, request.Body())
 	if e != nil {
@@ -102,25 +100,15 @@
 	if destination.Probe() == nil {
 		b = 0
 	}
-	return trail.NewResponse(a, b).WithExchange(trail.NewExchange(len(n.carriedIDs), x.passedOver, r)), nil
-}
-
-// recordID records that a connection carries a request with an id, and returns whether
-// it had carried one before.
-func (s *Pool) recordID(conn *connection, id string) bool {
-	r := conn.hasCarried(id)
-	if r {
-		s.repeatedTotal.Inc()
-	}
-	conn.carriedIDs = append(conn.carriedIDs, xxhash.Sum64String(id))
-	return r
+	return trail.NewResponse(a, b).WithExchange(trail.NewExchange(len(n.carriedIDs), x.passedOver)), nil
 }
 
-// acquire returns an idle connection to a destination that is still usable, or a new
-// one. It closes idle connections that are not usable.
-func (s *Pool) acquire(ctx context.Context, destination trail.Destination) (*connection, error) {
+// acquire returns an idle connection to a destination that is still usable and has not
+// carried a request with the id, or a new one. It closes idle connections that are not
+// usable.
+func (s *Pool) acquire(ctx context.Context, destination trail.Destination, id string) (*connection, error) {
 	for {
-		n := s.popIdle(destination)
+		n := s.popIdle(destination, id)
 		if n == nil {
 			break
 		}
@@ -189,14 +177,14 @@
 	return newConnection(n, address), nil
 }
 
-// popIdle removes and returns the most recently used idle connection to a destination,
-// nil if there is none.
-func (s *Pool) popIdle(destination trail.Destination) *connection {
+// popIdle removes and returns the most recently used idle connection to a destination
+// that has not carried a request with the id, nil if there is none.
+func (s *Pool) popIdle(destination trail.Destination, id string) *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.idleConns[destination.Address()]
 	for i := len(l) - 1; i >= 0; i-- {
-		if destination.Accepts(l[i].born) && (l[i].born != 0 || destination.Probe() == nil) {
+		if destination.Accepts(l[i].born) && (l[i].born != 0 || destination.Probe() == nil) && !l[i].hasCarried(id) {
 			n := l[i]
 			s.idleConns[destination.Address()] = slices.Delete(l, i, i+1)
 			return n
