pool: an answer without an id is not believed after a probe

Cause: an answer without an id counts as that of the request under way if the connection has carried nothing else. The probe that asks a new connection for its process was not counted if it was answered with 200, so after it a refusal that belongs to no request was the answer to the first one.

TestSecondAnswerToProbeReachesRequest has the cases 'refusal after a report' and 'failure after a report', which failed before.

Change: a probe counts. An answer without an id is passed over on a connection that has carried anything, as it was on kept connections already.

--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -68,7 +68,7 @@
 // An error has a verdict and one of the codes request-invalid, backend-unreachable,
 // backend-restarted, backend-unidentified, backend-lost and answer-unbounded. Reading a body over the size
 // limit also fails with answer-unbounded. The argument fresh of matches is true if the
-// connection has carried no request but that of a probe before; otherwise a response
+// connection has carried no request and no probe before; otherwise a response
 // that does not identify its request may be a late duplicate of an earlier one. When
 // ctx ends, the connection is aborted, also while the body is read.
 func (s *Pool) Do(ctx context.Context, destination trail.Destination, request *trail.Request, header http.Header, matches func(a *http.Response, fresh bool) bool) (*trail.Response, error) {
--- a/internal/transport/pool/process.go
+++ b/internal/transport/pool/process.go
@@ -23,8 +23,9 @@
 	if !x.detachContext() || e != nil || conn.reader.Buffered() > 0 {
 		return false, false
 	}
-	// A second copy of a refusal must not be taken for the answer to a request.
-	conn.hasSent = a.StatusCode != http.StatusOK
+	// An answer too many, which need not be that of the probe, must not be taken for the
+	// answer to a request.
+	conn.hasSent = true
 	conn.born = trail.UnknownProcess
 	n, e := probe.Born(a.StatusCode, b)
 	if e == nil && n > 0 {
--- a/internal/transport/pool/restart_test.go
+++ b/internal/transport/pool/restart_test.go
@@ -130,34 +130,46 @@
 	}
 }
 
-// Guards against an answer to the probe that comes twice and is taken for that of the
-// first request: the server refuses the question without an id.
+// answerTwice accepts a connection, answers a probe, and writes a copy where the answer to
+// the request is due, before that one.
+func answerTwice(listener net.Listener, answer, late string) {
+	c, e := listener.Accept()
+	if e != nil {
+		return
+	}
+	b := make([]byte, 4096)
+	_, _ = c.Read(b)
+	_, _ = io.WriteString(c, strings.ReplaceAll(answer, "\n", "\r\n"))
+	_, _ = c.Read(b)
+	_, _ = io.WriteString(c, strings.ReplaceAll(late+reply("1", "a"), "\n", "\r\n"))
+}
+
+// Guards against an answer too many on a connection that has carried a probe only, and
+// that is taken for the answer to the first request: one to the probe that comes twice, and
+// one without an id after any answer to the probe.
 func TestSecondAnswerToProbeReachesRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := memnet.New()
-		l := n.Listen(address)
-		go func() {
-			c, e := l.Accept()
-			if e != nil {
-				return
-			}
-			r := "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-			b := make([]byte, 4096)
-			_, _ = c.Read(b)
-			_, _ = io.WriteString(c, r)
-			_, _ = c.Read(b)
-			// The late copy comes where the answer to the request is due.
-			_, _ = io.WriteString(c, r)
-			_, _ = io.WriteString(c, strings.ReplaceAll(reply("1", "a"), "\n", "\r\n"))
-		}()
-		p := pool.New(n, prometheus.NewRegistry())
-		g := sendFresh(t.Context(), p, trail.NewDestination(address, probe{}), "1")
-		p.CloseIdle(address)
-		_ = l.Close()
-		if d := cmp.Diff("200", g); d != "" {
-			t.Error(d)
-		}
-	})
+	const r = "HTTP/1.1 404 Not Found\nContent-Length: 0\n\n"
+	for n, k := range map[string][2]string{
+		"refused probe":             {r, r},
+		"refusal after a report":    {who("7"), responseWithoutID},
+		"failure after a report":    {who("7"), "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"},
+		"another refusal after one": {r, responseWithoutID},
+	} {
+		t.Run(n, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New()
+				l := n.Listen(address)
+				go answerTwice(l, k[0], k[1])
+				p := pool.New(n, prometheus.NewRegistry())
+				g := sendFresh(t.Context(), p, trail.NewDestination(address, probe{}), "1")
+				p.CloseIdle(address)
+				_ = l.Close()
+				if d := cmp.Diff("200", g); d != "" {
+					t.Error(d)
+				}
+			})
+		})
+	}
 }
 
 // sendFresh sends a request and returns the status. Like the upstream it takes a
