proxy: an attempt ends with the stream of the front that asked for it

A run went on after its answer had been discarded (seen in a test only): a front that sends through another one closes the stream when its caller leaves, when an answer is not well formed or when the time of an attempt is over. If the other front was blocked in the middle of a body just then, because the window of the stream was full, it did not notice.

Cause: yamux half-closes. The end of the stream cancels the context of the attempt, but a write to a stream that the other side has closed waits for room in the window until the session ends, and the body is closed only after it.

The end of the stream now also ends pending writes. The other tests of package proxy use pipes, which close both ways.

Messages are unchanged.

--- a/internal/coordination/proxy/serve.go
+++ b/internal/coordination/proxy/serve.go
@@ -31,6 +31,9 @@
 		// The other front sends nothing more.
 		_ = stream.Recv(&wire.ProxyRequest{})
 		f()
+		// A write waits for room in the window of the stream, also after the other
+		// side has closed it, and keeps the connection to the server open.
+		_ = stream.SetDeadline(time.Unix(1, 0))
 	}()
 	b := time.Now()
 	e := s.send(c, stream, request)
