direct: a server's 503, 429 or 408 without X-Not-Executed is no promise

A caller whose request must run once got the backend server's own 503, 429 or 408 as it was, also if the server had not said that the request did not run: the status is relayed, and the caller takes it for the promise that the request has not run (REFUSED), and sends it again (TWICE). Only a response with X-Not-Executed, or 421, says so; such a response is handled before, as a refusal.

The caller now gets 502 instead, with the verdict may-have-run and the code backend-failed, as after any other failure that promises nothing. Routes whose requests may be repeated are not affected: their callers repeat them after any failure. The response is dropped with its signature, so no failure carries a signature with another status.

Three rows of TestRequestRunsMoreOftenThanRouteAllows failed before: the caller got "503 a", "429 a" and "408 a".

--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -127,9 +127,10 @@
 	}
 	timer.Stop()
 	f := isServerFailure(response)
-	if f && x.canRetryServerFailure() || x.status != 0 {
+	if f && x.canRetryServerFailure() || x.status != 0 || x.route.GetRepeat() != wire.Repeat_REPEAT_SAFE && promisesNotRun(response) {
 		// Another attempt may succeed. A stream of which a part has been relayed
-		// cannot continue with a response of another kind.
+		// cannot continue with a response of another kind. The backend server has
+		// not said that the request did not run, so the caller must not be told.
 		return result{verdict: trail.MayHaveRun, serverFailed: f, cause: trail.NewError("backend-failed", trail.MayHaveRun, "backend server answered with status %d", response.StatusCode)}
 	}
 	x.recordBegun(response.StatusCode)
@@ -167,6 +168,16 @@
 	return response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
 }
 
+// promisesNotRun returns whether a caller takes the status for the promise that the
+// request has not run and never will.
+func promisesNotRun(response *http.Response) bool {
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // relayFailureResult returns the result of a response that was interrupted after
 // its header had been relayed.
 func (x *call) relayFailureResult(ctx context.Context, err error) result {
