mesh: a message that waits for room is given up with its context

A front that sends through another one, or asks it to call the platform, waited for up to 10 s when the other one stood still: the first message was larger than the window of a stream (256 KiB), and the write ended with the session only, by its keepalive. The caller's deadline, its disconnection and the time limit of an attempt did nothing until then. By reading, not shown by a test: the other front could get the rest of the message after that, and send the request.

Open now gives up when its context ends. The verdict is may-have-run as before. The other front reads a message that is not whole, and does nothing with it.

TestOpenOutlastsItsContext failed before: 10 s in place of 1 s. The messages are unchanged, also for fronts of earlier versions.

--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -67,7 +67,8 @@
 
 // Open opens a stream to the process at address and sends open as its first
 // message. The verdict of an error is NotRun when the peer cannot have received
-// the message, and MayHaveRun otherwise.
+// the message, and MayHaveRun otherwise. It fails when ctx ends before the message
+// is sent.
 func (m *Mesh) Open(ctx context.Context, address string, open *wire.Open) (*frame.Stream, error) {
 	var b *yamux.Session
 	// A session may have failed since its last keepalive. It is replaced once
@@ -83,7 +84,7 @@
 			continue
 		}
 		f := frame.New(n)
-		e = f.Send(open)
+		e = sendWithin(ctx, f, open)
 		if e != nil {
 			_ = n.Close()
 			return nil, trail.WrapError(e, "peer-lost", trail.MayHaveRun, "connection to peer %s was lost", address)
@@ -93,6 +94,17 @@
 	return nil, trail.NewError("peer-unreachable", trail.NotRun, "peer %s closes its sessions", address)
 }
 
+// sendWithin sends a message, which may have to wait for room in the window of the
+// stream, and gives up when ctx ends. The stream must be closed after an error.
+func sendWithin(ctx context.Context, stream *frame.Stream, message *wire.Open) error {
+	f := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	e := stream.Send(message)
+	if !f() {
+		return context.Cause(ctx)
+	}
+	return e
+}
+
 // Ping measures the round-trip time to the process at address. It tries a new
 // session once if the first one turns out to be broken.
 func (m *Mesh) Ping(ctx context.Context, address string) (time.Duration, error) {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/standin/golden"
 	"bulrushtrail.example/trail/internal/transport/frame"
@@ -91,6 +92,32 @@
 	})
 }
 
+// Guards against a call that waits longer than its context allows, until the keepalive
+// ends the session, because the peer stands still and the first message is larger than
+// the window of a stream; and against an error that says that the peer can't have it.
+func TestOpenOutlastsItsContext(t *testing.T) {
+	golden.Bubble(t, func(t *testing.T, c context.Context) {
+		l := &log.Logger{Handler: discard.New()}
+		p := &pipeNetwork{accept: make(chan net.Conn)}
+		s := mesh.New(c, wire.Hello_builder{MemberId: stringPtr("front-1")}.Build(), p, l)
+		go func() {
+			_ = s.Serve(c, p, func(_ context.Context, s *frame.Stream, _ *wire.Open, from *wire.Hello) {
+				_ = s.Send(wire.Report_builder{MemberId: stringPtr(from.GetMemberId())}.Build())
+			})
+		}()
+		m := mesh.New(c, wire.Hello_builder{MemberId: stringPtr("entry-1")}.Build(), p, l)
+		exchange(t, c, m)
+		close(p.dialled[0].mute)
+		d, f := context.WithTimeout(c, time.Second)
+		defer f()
+		b := time.Now()
+		_, e := m.Open(d, "10.0.0.1:1", wire.Open_builder{Proxy: wire.ProxyRequest_builder{Body: make([]byte, 1<<20)}.Build()}.Build())
+		if d := cmp.Diff([]any{time.Second, trail.MayHaveRun}, []any{time.Since(b), trail.VerdictOf(e)}); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // exchange opens a stream and checks that the peer received the member ID of
 // the caller's Hello and closed the stream after its response.
 func exchange(t *testing.T, ctx context.Context, client *mesh.Mesh) {
