--- a/internal/coordination/direct/crash_test.go
+++ b/internal/coordination/direct/crash_test.go
@@ -16,6 +16,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/google/go-cmp/cmp"
+
 	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/direct"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
@@ -214,3 +216,26 @@
 		}
 	})
 }
+
+// Guards against a request that is reported as not run because such requests crash
+// engines, as its own attempts have shown, with any number of crashes before.
+func TestRequestStoppedAfterAttemptsIsNotRun(t *testing.T) {
+	for n := range 8 {
+		runCrashBed(t, newEngines("bad"), func(b *crashBed) {
+			for range n {
+				b.askAgain("body", "bad")
+			}
+			k := b.engines.sent["bad"]
+			q := trail.NewRequest("id", "POST", "/p", "h", nil, []byte("body")).WithSharedParts([]string{"bad"})
+			w := httptest.NewRecorder()
+			g := observed(b.server.Serve(b.t.Context(), route(wire.Repeat_REPEAT_SAFE, true, true, 20), 1, q, w), w)
+			x := "backend-lost may-have-run"
+			if b.engines.sent["bad"] == k {
+				x = stopped
+			}
+			if d := cmp.Diff(x, g); d != "" {
+				t.Error("after", n, d)
+			}
+		})
+	}
+}
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -35,9 +35,28 @@
 	replies []string
 	// For each attempt, the server's id and the event id to resume after.
 	attempts []string
+	// Bodies that are not closed, and whether one was open when an attempt began.
+	open    int
+	overlap bool
+}
+
+// trackedBody is a body that the upstream counts as open until it is closed.
+type trackedBody struct {
+	io.Reader
+	upstream *upstream
+	closed   bool
+}
+
+func (b *trackedBody) Close() error {
+	if !b.closed {
+		b.closed = true
+		b.upstream.open--
+	}
+	return nil
 }
 
 func (u *upstream) Send(ctx context.Context, backendServer *wire.BackendServer, _ *trail.Request, resume string) (*trail.Response, error) {
+	u.overlap = u.overlap || u.open > 0
 	u.attempts = append(u.attempts, strings.TrimSpace(backendServer.GetId()+" "+resume))
 	r := "busy"
 	if len(u.replies) > 0 {
@@ -74,7 +93,12 @@
 		return nil, e
 	}
 	_, t, _ := strings.Cut(r, " ")
-	return trail.NewResponse(&http.Response{StatusCode: s, Header: http.Header{"Signature": {backendServer.GetId()}}, Body: body(t)}, 0), nil
+	return trail.NewResponse(&http.Response{StatusCode: s, Header: http.Header{"Signature": {backendServer.GetId()}}, Body: u.body(t)}, 0), nil
+}
+
+func (u *upstream) body(text string) io.ReadCloser {
+	u.open++
+	return &trackedBody{Reader: body(text), upstream: u}
 }
 
 func body(text string) io.ReadCloser {
@@ -163,7 +187,8 @@
 	}.Build()
 }
 
-// Guards against requests that run more often than their route allows, against
+// Guards against requests that run more often than their route allows, against an
+// attempt that begins before the connection of the one before is closed, against
 // errors that say "not run" for a request that may have run, and against partial
 // responses that the caller takes for complete ones.
 func TestRequestRunsMoreOftenThanRouteAllows(t *testing.T) {
@@ -224,6 +249,9 @@
 			if d := cmp.Diff(k.attempts, len(p.attempts)); d != "" {
 				t.Error("attempts:", d)
 			}
+			if p.overlap || p.open > 0 {
+				t.Error("an answer was open when the next attempt began, or at the end")
+			}
 		})
 	}
 }
--- a/internal/transport/pool/request_test.go
+++ b/internal/transport/pool/request_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 
 	trail "bulrushtrail.example/trail"
@@ -82,3 +84,36 @@
 		}
 	})
 }
+
+// shortConn takes a number of bytes, and fails then.
+type shortConn struct {
+	recordingConn
+	room int
+}
+
+func (c *shortConn) Write(p []byte) (int, error) {
+	n, _ := c.written.Write(p[:min(len(p), c.room)])
+	c.room -= n
+	if n < len(p) {
+		return n, io.ErrClosedPipe
+	}
+	return n, nil
+}
+
+func (c *shortConn) SetDeadline(time.Time) error { return nil }
+
+func (c *shortConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+// Guards against a request that counts as not run although a part of it, which may be
+// all that the server reads, was sent, with a body of either way of writing.
+func TestPartlyWrittenRequestIsNotRun(t *testing.T) {
+	for _, b := range []int{0, 4, 1 << 20} {
+		for r, w := range map[int]string{0: "backend-lost not-run", 1: "backend-lost may-have-run", 60: "backend-lost may-have-run"} {
+			c := &shortConn{room: r}
+			_, e := pool.New(c, prometheus.NewRegistry()).Do(t.Context(), trail.NewDestination("server", nil), trail.NewRequest("1", "POST", "/p", "h", nil, make([]byte, b)), http.Header{}, func(*http.Response, bool) bool { return true })
+			if d := cmp.Diff(w, trail.CodeOf(e)+" "+trail.VerdictOf(e).String()); d != "" {
+				t.Error("bytes of the body", b, "sent", r, d)
+			}
+		}
+	}
+}
