--- a/internal/transport/pool/conn.go
+++ b/internal/transport/pool/conn.go
@@ -19,7 +19,7 @@
 	limited *limitedReader
 	reader  *bufio.Reader
 	address string
-	// The connection has carried a request.
+	// The connection has carried a request or a probe.
 	hasSent bool
 	// Hashes of the ids of its requests, at most maxCarriedIDs; probes have none. No id
 	// is carried twice: an answer that comes once more would be taken for the next one.
