invoke: a refusal of another call is not taken for that of the call under way

Cause: Client.Call looked for a rejection (429, 503) before it compared X-Request-Id with the attempt. So the copy had the verdict not-run, and the scheduler dispatched the call anew while the runner ran it.

Change: the id is compared first. A foreign answer ends the call as answer-mismatch, may have run, and closes the connection, also if net/http holds it for idle already.

runCall in the tests compares the attempt id of replies with that of the call made, which was always attempt-1.

Old and new builds: nothing is sent that was not before. A scheduler of an older build still believes copies.

--- a/internal/transport/invoke/client_test.go
+++ b/internal/transport/invoke/client_test.go
@@ -141,7 +141,7 @@
 		if e != nil || o.Verdict != "" {
 			t.Fatalf("reply %v, error %v after the end", m, e)
 		}
-		if d := cmp.Diff("attempt-1", m.GetAttemptId()); d != "" {
+		if d := cmp.Diff(call.GetAttemptId(), m.GetAttemptId()); d != "" {
 			t.Fatal(d)
 		}
 		switch {
--- a/internal/transport/invoke/doc.go
+++ b/internal/transport/invoke/doc.go
@@ -4,7 +4,8 @@
 // If a call certainly did not run, Client.Call returns an error, so that the
 // scheduler can retry the call elsewhere before any reply exists. This is the
 // case if the dial failed, nothing was written, or the backend server rejected
-// the request with a complete 429 or 503 response. Every later failure is
+// the request with a complete 429 or 503 response that is not the answer to
+// another call. Every later failure is
 // reported in the replies: a call that fails after its request was written ends
 // with an End that has a code and the verdict may-have-run, and that is marked
 // as crashed if the connection was reset or closed early. There is no Head
--- a/internal/transport/invoke/monitor.go
+++ b/internal/transport/invoke/monitor.go
@@ -118,6 +118,14 @@
 	return n.process
 }
 
+// closeConn closes the connection in use. net/http may hold it for idle already, as it
+// does after a response without a body.
+func (s *callMonitor) closeConn() {
+	if n := s.conn.Load(); n != nil {
+		_ = n.Close()
+	}
+}
+
 // mayBeWritten reports whether any part of the request may have been written.
 // Once the transport has abandoned the connection, the result no longer changes,
 // because the connection is closed.
--- a/internal/transport/invoke/replies.go
+++ b/internal/transport/invoke/replies.go
@@ -50,13 +50,6 @@
 	u, _, _ := strings.Cut(call.GetPath(), "?")
 	o := &replies{client: client, monitor: monitor, target: target, call: call, response: response, isEventStream: t == "text/event-stream"}
 	o.isChat = u == chatPath && response.StatusCode == http.StatusOK
-	i := response.Header.Get(requestIDHeader)
-	if call.GetModel() != "" && i != "" && i != call.GetAttemptId() {
-		_ = response.Body.Close()
-		o.state = stateEnd
-		o.end = failure{code: codeMismatch, message: "answer belongs to another attempt"}.end(0)
-		return o
-	}
 	o.buffer = make([]byte, readBufferBytes)
 	if o.isChat {
 		o.parser = newResponseParser(o.isEventStream)
@@ -64,6 +57,12 @@
 	return o
 }
 
+// newMismatchReplies returns the replies to a call that got the answer to another one.
+func newMismatchReplies(client *Client, monitor *callMonitor, target string, call *wire.Call) trail.Replies {
+	f := failure{code: codeMismatch, message: "answer belongs to another attempt"}
+	return &replies{client: client, monitor: monitor, target: target, call: call, state: stateEnd, end: f.end(0)}
+}
+
 // Recv implements trail.Replies.
 func (s *replies) Recv() (*wire.Reply, error) {
 	o := &wire.Reply{}
