fleet, batch, direct: a request too large for a server is no failure of it

Cause: a server rejects a request that is larger than its memory as if it were full. Each rejection counted as a failure of the server, which was left alone for up to 5 s.

Change: a front reads the memory (KvTotal) from the report that it asks on each new connection to a model engine anyway, and sends no request to a server that is known to be too small. Where the memory is unknown, a rejection is weighed by the sizes that this and the other servers of the service have answered; a rejected item waits longer each time, and rejected items start at most ten times a second.

No call and no connection is added.

Old and new builds: no object and no message is changed. A front of an earlier build keeps the fault, also for a job that is handed to it, until it is replaced.

--- a/internal/command/daemon/servers.go
+++ b/internal/command/daemon/servers.go
@@ -31,9 +31,10 @@
 	return server.New(s.pool, s.reportsProcess, s.recordProcess, onNotice)
 }
 
-// recordProcess records which process of a backend server has answered.
-func (s *frontRole) recordProcess(backendServer *wire.BackendServer, born int64) {
+// recordProcess records which process of a backend server has answered, and its memory.
+func (s *frontRole) recordProcess(backendServer *wire.BackendServer, born, memoryTokens int64) {
 	s.fleet.RecordProcess(backendServer.GetId(), born)
+	s.fleet.RecordMemory(backendServer.GetId(), born, memoryTokens)
 }
 
 // reportsProcess reports whether the servers of a service tell which process they are,
--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -20,6 +20,9 @@
 	// to maxLostBackoff, since an item must not stay idle for longer than that.
 	lostBackoffFactor = 4
 	maxLostBackoff    = 4 * time.Second
+	// Least time between the starts of two items that were rejected. All items of a job
+	// may be too large, and each start delays those that can run.
+	rejectedInterval = 100 * time.Millisecond
 	// Backoff after a run that the backend server answered with a failure.
 	failedBackoff = 300 * time.Millisecond
 )
@@ -30,6 +33,11 @@
 	jobs []*job
 	// Moving average of the run time of completed items, 0 before the first.
 	meanRunTime time.Duration
+	// No item that was rejected is started before.
+	rejectedNotBefore time.Time
+	// Returns which items of a job some backend servers can't take, nil for none;
+	// never nil itself.
+	particular func(job string) func(index int) bool
 }
 
 type job struct {
@@ -63,12 +71,23 @@
 	runTime time.Duration
 	// Number of consecutive runs that were lost without an event.
 	consecutiveLosses int
+	// Number of consecutive runs that were rejected, maybe for the item's size.
+	rejections int
 	// The last run was refused, broke off or failed.
 	broken bool
 }
 
 // New returns an empty agenda.
-func New() *Agenda { return &Agenda{} }
+func New() *Agenda {
+	return &Agenda{particular: func(string) func(int) bool { return nil }}
+}
+
+// SetParticular sets how to tell the items of a job that not all backend servers can
+// take, by a function that may be nil if there are none. Next tries each of these items,
+// so that one without a slot does not hold the others of its job up.
+func (a *Agenda) SetParticular(particular func(job string) func(index int) bool) {
+	a.particular = particular
+}
 
 // Add adds a job that is due at the given time; completionWindow is the time from
 // its acceptance until then. Items whose id is in withResult already have a
@@ -118,8 +137,8 @@
 // Next returns the job and the index of the item that runs next, and marks the
 // item as running. It calls acquireSlot for the items of each job in turn, and
 // chooses the first one for which that returns true. Items that were started
-// before may need a slot of their own kind; of the others, one of each job is
-// tried. Next returns false if there is none.
+// before may need a slot of their own kind, as may the particular ones; of the others,
+// one of each job is tried. Next returns false if there is none.
 //
 // Items that can no longer complete on time run after all that can: when there
 // is more work than slots, running them first would make all items late.
@@ -129,8 +148,11 @@
 			if j.unfinished == 0 {
 				continue
 			}
-			for _, n := range j.candidates(now, t, a.meanRunTime) {
+			for _, n := range a.candidates(now, j, t) {
 				if acquireSlot(j.id, n) {
+					if j.items[n].rejections > 0 {
+						a.rejectedNotBefore = now.Add(rejectedInterval)
+					}
 					j.items[n].state = running
 					j.items[n].started = true
 					return j.id, n, true
@@ -143,15 +165,22 @@
 
 // candidates returns the indexes of the items that may run next, best first, among
 // those that can complete on time, or among those that cannot if onTime is false:
-// all that were started before, then the first other one.
-func (j *job) candidates(now time.Time, onTime bool, meanRunTime time.Duration) []int {
-	var l []int
+// all that were started before and the particular ones, then the first other one, then
+// those that were rejected.
+func (a *Agenda) candidates(now time.Time, job *job, onTime bool) []int {
+	// r holds those that were rejected.
+	var l, r []int
 	f := -1
-	for n := range j.items {
-		i := &j.items[n]
+	m := a.particular(job.id)
+	for n := range job.items {
+		i := &job.items[n]
 		switch {
-		case i.state != waiting || now.Before(i.notBefore) || onTime != j.onTime(now, i, meanRunTime):
-		case i.started:
+		case i.state != waiting || now.Before(i.notBefore) || onTime != job.onTime(now, i, a.meanRunTime):
+		case i.rejections > 0:
+			if !now.Before(a.rejectedNotBefore) {
+				r = append(r, n)
+			}
+		case i.started, m != nil && m(n):
 			l = append(l, n)
 		case f < 0:
 			f = n
@@ -160,7 +189,7 @@
 	if f >= 0 {
 		l = append(l, f)
 	}
-	return l
+	return append(l, r...)
 }
 
 // onTime reports whether an item started now is expected to complete before its
@@ -209,6 +238,7 @@
 		return
 	}
 	j.items[index].broken = false
+	j.items[index].rejections = 0
 	a.requeue(id, index, time.Time{})
 }
 
@@ -222,17 +252,40 @@
 	d := brokenBackoff
 	i := &j.items[index]
 	i.broken = true
+	i.rejections = 0
 	if !lost {
 		i.consecutiveLosses = 0
 	} else {
-		for range i.consecutiveLosses {
-			d = min(d*lostBackoffFactor, maxLostBackoff)
-		}
+		d = growingBackoff(i.consecutiveLosses)
 		i.consecutiveLosses++
 	}
 	a.requeue(id, index, now.Add(d))
 }
 
+// RequeueRejected requeues an item that a backend server rejected, maybe because it is
+// too large. It may be so for all servers, so its backoff grows with each rejection, and
+// items that were not rejected go first.
+func (a *Agenda) RequeueRejected(now time.Time, id string, index int) {
+	j := a.find(id)
+	if j == nil {
+		return
+	}
+	i := &j.items[index]
+	i.broken = true
+	d := growingBackoff(i.rejections)
+	i.rejections++
+	a.requeue(id, index, now.Add(d))
+}
+
+// growingBackoff returns the backoff after a number of runs without an event.
+func growingBackoff(before int) time.Duration {
+	d := brokenBackoff
+	for range before {
+		d = min(d*lostBackoffFactor, maxLostBackoff)
+	}
+	return d
+}
+
 // RequeueFailed requeues an item whose run the backend server answered with a
 // failure. After maxAttempts failures it closes the item instead and returns
 // true.
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -35,6 +35,8 @@
 	lost string
 	// Item that can't be sent.
 	invalid string
+	// Ids of the items that are rejected begin with it, empty for none.
+	rejected string
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
@@ -139,6 +141,9 @@
 	if request.ID() == g.invalid {
 		return nil, trail.NewError("request-invalid", trail.NotRun, "invalid")
 	}
+	if g.rejected != "" && strings.HasPrefix(request.ID(), g.rejected) {
+		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
+	}
 	if g.takeLoss(request.ID()) {
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
 	}
--- a/internal/coordination/batch/giveup.go
+++ b/internal/coordination/batch/giveup.go
@@ -54,8 +54,9 @@
 
 // lostItems returns the waiting items of a job that cannot run any more, and why: all
 // if its route was removed, or if the wait that the route allows is over and no server
-// serves it; else those whose last run was refused, broke off or failed, once that
-// wait is over. The caller holds the lock.
+// serves it; else those whose last run was refused, broke off or failed, and those for
+// which no server has the memory, once that wait is over. A server with more memory may
+// come before. The caller holds the lock.
 func (s *Jobs) lostItems(now time.Time, job *ownedJob, route *wire.RouteRule) ([]int, string) {
 	if route == nil {
 		if now.Before(job.unroutedSince.Add(unroutedTimeout)) {
@@ -68,11 +69,25 @@
 	case w <= 0 || now.Before(job.acceptedAt.Add(w)):
 		return nil, ""
 	case s.hasServers(route):
-		return s.agenda.Waiting(job.id, true), "wait is over, last run did not succeed"
+		l := s.agenda.Waiting(job.id, true)
+		for _, n := range s.agenda.Waiting(job.id, false) {
+			if !slices.Contains(l, n) && s.fitsNone(route, job.cached.items[n].GetTokens()) {
+				l = append(l, n)
+			}
+		}
+		return l, "wait is over, last run did not succeed or no backend server has the memory"
 	}
 	return s.agenda.Waiting(job.id, false), "wait is over, no backend server"
 }
 
+// fitsNone reports whether all backend servers of a route lack the memory for an item.
+func (s *Jobs) fitsNone(route *wire.RouteRule, tokens int64) bool {
+	return !slices.ContainsFunc(route.GetShares(), func(x *wire.RouteShare) bool {
+		v := x.GetService()
+		return rules.HasService(route, v) && s.fleet.HasServers(v) && !s.fleet.NoneHolds(v, tokens)
+	})
+}
+
 // giveUp lists items of a job as failed. The caller holds the lock.
 func (s *Jobs) giveUp(job *ownedJob, items []int, reason string, configVersion int64) {
 	for _, n := range items {
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -116,6 +116,7 @@
 			Help: "Runs of batch items by outcome.",
 		}, []string{"outcome"}),
 	}
+	s.agenda.SetParticular(s.particularItems)
 	s.ledger = ledger.New(store, s, logger, registry)
 	go s.dispatch(ctx)
 	go s.reconcileLoop(ctx)
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -45,8 +45,15 @@
 	if p != nil && p.resumable() && !s.mayGoOn(u, p) {
 		p.reset()
 	}
+	w := job.cached.items[index].GetTokens()
+	if s.fitsNone(u, w) {
+		return nil
+	}
 	if p != nil && p.resumable() {
-		b := s.fleet.AcquireBatch(now, p.build.Service(), func(b *wire.BackendServer, listed bool) bool { return listed && p.build.RunsOn(b) })
+		m := s.fleet.TooSmall(p.build.Service(), w)
+		b := s.fleet.AcquireBatch(now, p.build.Service(), func(b *wire.BackendServer, listed bool) bool {
+			return listed && p.build.RunsOn(b) && !m[b.GetId()]
+		})
 		if b != nil {
 			return b
 		}
@@ -61,13 +68,33 @@
 	if v == "" {
 		return nil
 	}
-	b := s.fleet.AcquireBatch(now, v, nil)
+	m := s.fleet.TooSmall(v, w)
+	b := s.fleet.AcquireBatch(now, v, func(b *wire.BackendServer, _ bool) bool { return !m[b.GetId()] })
 	if b != nil && p != nil && !p.build.RunsOn(b) {
 		p.reset()
 	}
 	return b
 }
 
+// particularItems returns which items of a job need more memory than some backend
+// servers of its route have, nil if none does. The caller holds the lock.
+func (s *Jobs) particularItems(id string) func(index int) bool {
+	o := s.owned[id]
+	if o == nil {
+		return nil
+	}
+	var m int64
+	for _, x := range s.route(o.cached).GetShares() {
+		if n := s.fleet.LeastMemory(x.GetService()); n > 0 && (m == 0 || n < m) {
+			m = n
+		}
+	}
+	if m == 0 {
+		return nil
+	}
+	return func(i int) bool { return o.cached.items[i].GetTokens() > m }
+}
+
 // mayGoOn reports whether an item may go on after its output: servers of the same
 // build serve its route.
 func (s *Jobs) mayGoOn(route *wire.RouteRule, progress *itemProgress) bool {
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -177,6 +177,7 @@
 	case done:
 		s.agenda.Close(run.job.id, run.index)
 		s.addResult(run.job, run.index, false, string(progress.output))
+		s.fleet.RecordAnswer(run.server, run.item.GetTokens())
 		return "done"
 	case yielded:
 		s.agenda.RequeuePreempted(run.job.id, run.index)
@@ -209,9 +210,9 @@
 	return "broken"
 }
 
-// requeueUnsent requeues the item of a run that ended with an error which says nothing
-// against the item or the server. It returns the outcome's name, empty for all other
-// errors. The caller holds the lock.
+// requeueUnsent requeues the item of a run that did not take place, by an error which
+// says nothing against the item or the server, or by a rejection. It returns the
+// outcome's name, empty for all other errors. The caller holds the lock.
 func (s *Jobs) requeueUnsent(now time.Time, run *itemRun, err error) string {
 	switch trail.CodeOf(err) {
 	case "backend-limited":
@@ -226,6 +227,14 @@
 		// This front has no path to the backend servers.
 		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
 		return "path-lost"
+	case "backend-busy":
+		_, m := s.fleet.RecordRejection(now, run.server, run.item.GetTokens())
+		if m {
+			s.agenda.RequeueRejected(now, run.job.id, run.index)
+			return "rejected"
+		}
+		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
+		return "broken"
 	}
 	return ""
 }
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -29,6 +29,8 @@
 	// address, or it does not tell which one it is.
 	codeRestarted    = "backend-restarted"
 	codeUnidentified = "backend-unidentified"
+	// Error code for a backend server that rejected the request as if it were full.
+	codeBusy = "backend-busy"
 	// Error code of an attempt that failed because this front has no path to the
 	// backend servers.
 	codePathLost = "path-lost"
@@ -91,6 +93,7 @@
 	default:
 		r.unreachable = trail.CodeOf(err) == "backend-unreachable"
 		r.serverFailed = trail.CodeOf(err) == codeUnbounded
+		r.rejected = trail.CodeOf(err) == codeBusy
 		r.limited = trail.CodeOf(err) == codeLimited
 		r.pathLost = trail.CodeOf(err) == codePathLost
 		r.invalid = trail.CodeOf(err) == valid.CodeInvalid
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -84,6 +84,8 @@
 	// The connection was lost while the request may have been running, and not
 	// because of the deadline or the caller's disconnection.
 	connectionLost bool
+	// The backend server rejected the request as if it were full.
+	rejected bool
 	// The backend server's limit allowed no request yet. That is no failure.
 	limited bool
 	// This front has no path to the backend servers, which says nothing about the
@@ -158,7 +160,10 @@
 
 func (x *call) acquireFrom(accepts func(entry *wire.BackendServer, listed bool) bool) (*wire.BackendServer, string, time.Duration) {
 	t := time.Duration(x.route.GetTargetMs()) * time.Millisecond
-	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), accepts, rand.Float64())
+	m := x.server.fleet.TooSmall(x.service, x.request.Tokens())
+	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), func(b *wire.BackendServer, listed bool) bool {
+		return !m[b.GetId()] && accepts(b, listed)
+	}, rand.Float64())
 }
 
 func (x *call) untried(entry *wire.BackendServer) bool {
@@ -172,6 +177,10 @@
 	if x.possibleRuns > 0 {
 		return x.finalError(x.lastResult)
 	}
+	if x.server.fleet.NoneHolds(x.service, x.request.Tokens()) {
+		// To repeat it is of no use.
+		return trail.NewError("request-too-large", trail.NotRun, "no backend server of service %s has memory for the request of %d tokens", x.service, x.request.Tokens())
+	}
 	c := "overloaded"
 	if reason == fleet.ReasonNoServer {
 		c = "no-backend-server"
@@ -190,9 +199,16 @@
 		x.server.recordServerFailure(backendServer)
 		return
 	}
+	if outcome.complete && x.status == http.StatusOK {
+		x.server.fleet.RecordAnswer(backendServer, x.request.Tokens())
+	}
 	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid || outcome.otherProcess {
 		return
 	}
+	if outcome.rejected {
+		x.server.recordRejection(backendServer, x.request.Tokens(), outcome)
+		return
+	}
 	x.server.recordFailure(backendServer, outcome)
 	if outcome.connectionLost {
 		x.recordLoss(backendServer)
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -151,6 +151,12 @@
 	s.logAvoided(backendServer, s.fleet.RecordFailure(time.Now(), backendServer, outcome.unreachable), outcome.cause.Error())
 }
 
+// recordRejection reports a request that the backend server rejected to the fleet.
+func (s *Server) recordRejection(backendServer *wire.BackendServer, tokens int64, outcome result) {
+	d, _ := s.fleet.RecordRejection(time.Now(), backendServer, tokens)
+	s.logAvoided(backendServer, d, outcome.cause.Error())
+}
+
 // recordServerFailure reports a response that shows a fault of the backend
 // server itself to the fleet.
 func (s *Server) recordServerFailure(backendServer *wire.BackendServer) {
--- a/internal/coordination/fleet/build.go
+++ b/internal/coordination/fleet/build.go
@@ -71,6 +71,7 @@
 	if s != nil {
 		s.born = born
 		s.leaving = f.isMarkedLeaving(s)
+		f.service(s.entry.GetService()).updateMemory()
 	}
 }
 
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -105,6 +105,9 @@
 	// Its process has said that it is about to stop.
 	leaving bool
 	limit   rateLimit
+	memory  memory
+	// Tokens of the largest request that its process has answered to this front.
+	largestAnswered int64
 	// Requests in flight from this front.
 	online, batch int
 	// Requests in flight from other fronts.
@@ -141,6 +144,7 @@
 	// Servers that disappeared without draining since expiryWindowStart.
 	expired           int
 	expiryWindowStart time.Time
+	memory            memoryRange
 }
 
 // New returns an empty fleet for the front named self.
@@ -280,9 +284,13 @@
 		// Another process, which has not failed.
 		s.born = 0
 		s.backoffUntil, s.failures, s.failing = time.Time{}, 0, false
+		s.largestAnswered = 0
 		if s.limit.born != entry.GetBorn() {
 			s.limit = rateLimit{}
 		}
+		if s.memory.born != entry.GetBorn() {
+			s.memory = memory{}
+		}
 	}
 	s.entry = entry
 	s.leaving = f.isMarkedLeaving(s)
@@ -300,6 +308,7 @@
 	}
 	for _, v := range f.services {
 		slices.SortFunc(v.servers, func(a, b *server) int { return cmp.Compare(a.entry.GetId(), b.entry.GetId()) })
+		v.updateMemory()
 	}
 }
 
--- a/internal/coordination/fleet/leaving.go
+++ b/internal/coordination/fleet/leaving.go
@@ -40,6 +40,7 @@
 	f.leavingMarks[p] = now
 	if s != nil {
 		s.leaving = f.isMarkedLeaving(s)
+		f.service(s.entry.GetService()).updateMemory()
 	}
 	return true
 }
--- a/upstream.go
+++ b/upstream.go
@@ -115,6 +115,8 @@
 	body []byte
 	// Zero for an item of a batch job.
 	deadline time.Time
+	// Prompt tokens plus the maximum number of output tokens, 0 if unknown.
+	tokens int64
 	// Ids of the parts of the prompt that other requests may share, in order.
 	sharedParts []string
 	// Set if the caller takes up a stream that has broken off: the id of the
@@ -158,6 +160,18 @@
 // is none.
 func (r *Request) Deadline() time.Time { return r.deadline }
 
+// WithTokens returns a copy with the size of the request: its prompt tokens plus the
+// maximum number of output tokens.
+func (r *Request) WithTokens(tokens int64) *Request {
+	q := *r
+	q.tokens = tokens
+	return &q
+}
+
+// Tokens returns the prompt tokens plus the maximum number of output tokens, 0 if
+// unknown.
+func (r *Request) Tokens() int64 { return r.tokens }
+
 // WithSharedParts returns a copy with the ids of the parts of the prompt that
 // other requests may share, in the order of the prompt.
 func (r *Request) WithSharedParts(ids []string) *Request {
