server, direct, batch: a server that declines a request has not failed

What callers could see: a request that each server rejects for what it is, such as an online one without X-Attempt-Id (400 with X-Not-Executed) or an item answered with 400 or 404, made the front avoid its sound servers, so that others were refused.

Cause: any rejection, and any answer to an item but 200, 422 and 500, counted as a failure of the server.

An item answered with such a status rests like one that is rejected for its size, and is given up when MaxWaitS is over. What callers are answered is unchanged.

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -37,6 +37,8 @@
 	invalid string
 	// Ids of the items that are rejected begin with it, empty for none.
 	rejected string
+	// Code of the rejections, or 400 for an answer with that status.
+	rejection string
 	// Event id after which each run of an item resumed, empty for a run from
 	// the start.
 	resumedAfter map[string][]string
@@ -142,7 +144,10 @@
 		return nil, trail.NewError("request-invalid", trail.NotRun, "invalid")
 	}
 	if g.rejected != "" && strings.HasPrefix(request.ID(), g.rejected) {
-		return nil, trail.NewError("backend-busy", trail.NotRun, "busy")
+		if g.rejection == "400" {
+			return trail.NewResponse(&http.Response{StatusCode: http.StatusBadRequest, Body: http.NoBody}, 0), nil
+		}
+		return nil, trail.NewError(g.rejection, trail.NotRun, "rejected")
 	}
 	if g.takeLoss(request.ID()) {
 		return nil, trail.NewError("backend-lost", trail.MayHaveRun, "lost")
--- a/internal/coordination/batch/oversized_test.go
+++ b/internal/coordination/batch/oversized_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,12 +12,12 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// Guards against items too large for all servers that are given up late, too soon or never, and that hold up sound items and online requests.
+// Guards against items too large for all servers, or declined by all, that are given up late, too soon or never, and that hold up sound items and online requests.
 func TestOversizedItemsHoldOthersUp(t *testing.T) {
-	for _, m := range []int64{0, 1000} {
+	for c, m := range map[string]int64{"backend-busy": 0, "backend-busy known": 1000, "backend-declined": 0, "400": 0} {
 		withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
 			store.setRoutes(changedRoute(func(r *wire.RouteRule) { r.SetMaxWaitMs(20_000) }))
-			engine.rejected = "big-"
+			engine.rejected, engine.rejection = "big-", strings.TrimSuffix(c, " known")
 			f := fleet.New("a", "a")
 			j := newJobsWithFleet(ctx, f, "a", store, engine, valueBytes)
 			f.RecordMemory("s", 0, m)
@@ -33,7 +34,7 @@
 				time.Sleep(100 * time.Millisecond)
 				b, _, _ := f.AcquireOnline(time.Now(), "v", time.Second, time.Second, nil, 0)
 				if b == nil {
-					t.Fatal("memory", m, "online request refused after", d)
+					t.Fatal(c, "online request refused after", d)
 				}
 				f.ReleaseOnline("s", 50*time.Millisecond)
 				if d == 80 || d == 190 || d == 270 {
@@ -43,7 +44,7 @@
 				}
 			}
 			if d := cmp.Diff([][4]int{{10, 0, 10, 0}, {10, 0, 10, 0}, {10, 150, 10, 0}}, g); d != "" || m > 0 && engine.runCount("big-i0") > 0 {
-				t.Error("memory", m, "runs:", engine.runCount("big-i0"), d)
+				t.Error(c, "runs:", engine.runCount("big-i0"), d)
 			}
 		})
 	}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -227,6 +227,9 @@
 		// This front has no path to the backend servers.
 		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
 		return "path-lost"
+	case "backend-declined":
+		s.agenda.RequeueRejected(now, run.job.id, run.index)
+		return "declined"
 	case "backend-busy":
 		_, m := s.fleet.RecordRejection(now, run.server, run.item.GetTokens())
 		if m {
@@ -288,6 +291,8 @@
 		return false, errImpossible
 	case a.StatusCode == http.StatusInternalServerError:
 		return false, errFailed
+	case a.StatusCode >= http.StatusBadRequest && a.StatusCode < http.StatusInternalServerError && a.StatusCode != http.StatusRequestTimeout && a.StatusCode != http.StatusTooManyRequests:
+		return false, trail.NewError("backend-declined", trail.MayHaveRun, "backend server does not take the item, status %d", a.StatusCode)
 	case a.StatusCode != http.StatusOK:
 		return false, errors.Newf("backend server answered with status %d", a.StatusCode)
 	}
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -31,6 +31,8 @@
 	codeUnidentified = "backend-unidentified"
 	// Error code for a backend server that rejected the request as if it were full.
 	codeBusy = "backend-busy"
+	// Error code for a backend server that does not run such a request.
+	codeDeclined = "backend-declined"
 	// Error code of an attempt that failed because this front has no path to the
 	// backend servers.
 	codePathLost = "path-lost"
@@ -93,6 +95,7 @@
 	default:
 		r.unreachable = trail.CodeOf(err) == "backend-unreachable"
 		r.serverFailed = trail.CodeOf(err) == codeUnbounded
+		r.declined = trail.CodeOf(err) == codeDeclined
 		r.rejected = trail.CodeOf(err) == codeBusy
 		r.limited = trail.CodeOf(err) == codeLimited
 		r.pathLost = trail.CodeOf(err) == codePathLost
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -84,6 +84,8 @@
 	// The connection was lost while the request may have been running, and not
 	// because of the deadline or the caller's disconnection.
 	connectionLost bool
+	// The backend server does not run such a request, which is no failure of it.
+	declined bool
 	// The backend server rejected the request as if it were full.
 	rejected bool
 	// The backend server's limit allowed no request yet. That is no failure.
@@ -202,7 +204,7 @@
 	if outcome.complete && x.status == http.StatusOK {
 		x.server.fleet.RecordAnswer(backendServer, x.request.Tokens())
 	}
-	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid || outcome.otherProcess {
+	if outcome.complete || outcome.callerGone || outcome.limited || outcome.pathLost || outcome.invalid || outcome.otherProcess || outcome.declined {
 		return
 	}
 	if outcome.rejected {
--- a/internal/coordination/direct/oversized_test.go
+++ b/internal/coordination/direct/oversized_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,9 +15,9 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// Guards against online requests too large for all servers that are sent to them or told to come again, that make sound servers avoided, and that miss a larger server.
+// Guards against online requests too large for all servers, or declined by all, that are sent to them or told to come again, that make sound servers avoided, and that miss a larger server.
 func TestOversizedRequestsMakeServersAvoided(t *testing.T) {
-	for _, m := range []int64{0, 1000} {
+	for c, m := range map[string]int64{"busy": 0, "busy known": 1000, "backend-declined": 0} {
 		synctest.Test(t, func(t *testing.T) {
 			u := &upstream{replies: []string{"200 a"}}
 			s, f := newServer(u)
@@ -26,6 +28,7 @@
 			for n := range 3 {
 				f.RecordMemory(fmt.Sprint("s", n), 0, m)
 			}
+			u.replies = slices.Repeat([]string{strings.TrimSuffix(c, " known")}, 100)
 			for n := range 20 {
 				time.Sleep(50 * time.Millisecond)
 				x := v(fmt.Sprint("big-", n), 2000)
@@ -38,7 +41,7 @@
 			f.RecordMemory("s1", 0, 5000)
 			y := v("large", 2000)
 			if d := cmp.Diff([]error{nil, nil, nil}, []error{e, x, y}); d != "" || m > 0 && u.attempts[2] != "s1" {
-				t.Error("memory", m, u.attempts, d)
+				t.Error(c, u.attempts, d)
 			}
 		})
 	}
--- a/internal/coordination/direct/server_test.go
+++ b/internal/coordination/direct/server_test.go
@@ -73,8 +73,8 @@
 		case <-ctx.Done():
 			return nil, trail.NewError("backend-lost", trail.MayHaveRun, "silent")
 		}
-	case "path-lost":
-		return nil, trail.NewError("path-lost", trail.NotRun, "no path")
+	case "path-lost", "backend-declined":
+		return nil, trail.NewError(r, trail.NotRun, "no path, or declined")
 	case "answer-lost":
 		return nil, trail.NewError("path-lost", trail.MayHaveRun, "no path")
 	case "unreachable":
