place, jobs: a call too large for an engine does not eject it or delay its job

What callers could see: on the own interface two calls that a model engine rejected in a row made the scheduler eject it for 1 to 30 s, so calls that are larger than the memory of all engines kept sound engines from the others. A job with such an item started no other for up to 10 s after each rejection, and its sound items waited up to its deadline once such items filled what it reads ahead.

Change: a rejection of a call whose estimated cost is larger than all that the engine, or others of its service, have completed is no failure of the engine. The job's other items go on, and up to 1,000 such items don't count as read ahead.

Old and new builds: an entry or a job owner of an earlier build handles the new code as any call that did not run (503, or a refusal that delays the job), as it did backend-busy.

--- a/internal/coordination/jobs/failure_test.go
+++ b/internal/coordination/jobs/failure_test.go
@@ -168,6 +168,21 @@
 	})
 }
 
+// Guards against sound items that wait for those of their job that are too large.
+func TestOversizedItemsDelayTheirJob(t *testing.T) {
+	run(t, 300, func(w *fixture) {
+		w.caller.answer = func(id string, _ int) (*wire.Head, *wire.End) {
+			if len(id) < len("i200") || id < "i200" {
+				return nil, end("request-too-large", wire.Verdict_VERDICT_NOT_RUN)
+			}
+			return head(200), end("", wire.Verdict_VERDICT_RAN)
+		}
+		w.start("a", newViews("a"), nil)
+		time.Sleep(2 * time.Minute)
+		w.expectCounts(map[string]int{"in_progress": 1, "success 200": 100})
+	})
+}
+
 // Guards against uncommitted results that grow without limit, or get lost, while
 // the platform is down. The job must continue until they reach 8 MB, then pause,
 // and commit everything once the platform is back.
--- a/internal/coordination/jobs/item.go
+++ b/internal/coordination/jobs/item.go
@@ -38,6 +38,8 @@
 	losses int
 	// Refusals since the last attempt that may have run but gave no answer.
 	refusals int
+	// The last attempt was rejected, maybe for the item's size.
+	tooLarge bool
 	// Start of the last attempt.
 	lastStart time.Time
 	// Earliest start of the next attempt.
--- a/internal/coordination/jobs/outcome.go
+++ b/internal/coordination/jobs/outcome.go
@@ -82,9 +82,15 @@
 }
 
 // handleRefusal requeues an item whose attempt did not run. It delays the
-// dispatch of the whole job, because all its items go to the same service.
+// dispatch of the whole job, because all its items go to the same service, unless
+// the reason may be the size of the item.
 func (p *plan) handleRefusal(now time.Time, outcome *callOutcome) decision {
 	t := outcome.item
+	t.tooLarge = outcome.code == codeTooLarge
+	if t.tooLarge {
+		t.refusals++
+		return p.requeue(t, now.Add(p.retryDelay(outcome, t.refusals)))
+	}
 	p.limit.decrease(now, t.lastStart)
 	p.consecutiveRefusals++
 	t.refusals++
--- a/internal/coordination/jobs/plan.go
+++ b/internal/coordination/jobs/plan.go
@@ -26,6 +26,9 @@
 	// custom ids when this many consecutive reads of the input have failed.
 	maxInputFailures = 3
 	preemptedDelay   = time.Second
+	// Items that were rejected for their size and are read ahead beside the others, which
+	// bounds the memory that they take.
+	maxTooLargeAhead = 1000
 )
 
 // Error codes that the plan distinguishes or sets.
@@ -34,6 +37,7 @@
 	codeLost      = "backend-lost"
 	codePreempted = "preempted"
 	codeDeadline  = "deadline-passed"
+	codeTooLarge  = "request-too-large"
 )
 
 // mode is what the owner of a job currently does with it.
@@ -181,7 +185,13 @@
 	if p.inputComplete || p.pendingBytes >= maxPendingBytes {
 		return false
 	}
-	return p.mode == modeExpired || p.mode == modeActive && len(p.queued) < int(p.limit.size)
+	n := 0
+	for _, t := range p.queued {
+		if t.tooLarge {
+			n++
+		}
+	}
+	return p.mode == modeExpired || p.mode == modeActive && len(p.queued)-min(n, maxTooLargeAhead) < int(p.limit.size)
 }
 
 // isPendingFull reports whether the uncommitted results, with those expected of
--- a/internal/coordination/place/attempt.go
+++ b/internal/coordination/place/attempt.go
@@ -70,6 +70,7 @@
 	}
 	k := a.call
 	a.server.recordCompletion(now)
+	a.server.largestAnswered = max(a.server.largestAnswered, k.request.GetCostTokens())
 	p.crashTracker.ClearSuspect(now, k.fingerprint)
 	p.recordBegun(now, k)
 	if k.online() {
@@ -125,7 +126,11 @@
 	if code == "" {
 		code = codeFailed
 	}
-	a.server.recordFailure(now, false)
+	if code == codeBusy && verdict == trail.NotRun && a.server.mayLackMemory(a.call) {
+		code = codeTooLarge
+	} else {
+		a.server.recordFailure(now, false)
+	}
 	p.retryOrReject(now, a, verdict, code, false)
 	return p.takeDecisions()
 }
--- a/internal/coordination/place/call.go
+++ b/internal/coordination/place/call.go
@@ -27,6 +27,8 @@
 	codeFailed              = "backend-failed"
 	codeSilent              = "backend-silent"
 	codeReplaced            = "backend-replaced"
+	codeBusy                = "backend-busy"
+	codeTooLarge            = "request-too-large"
 )
 
 const (
--- a/internal/coordination/place/process.go
+++ b/internal/coordination/place/process.go
@@ -69,6 +69,7 @@
 	s.drainUntil = time.Time{}
 	s.pacer, s.pacedUntil = nil, time.Time{}
 	s.prefixes = prefixHistory{}
+	s.largestAnswered = 0
 }
 
 // ProcessSeen reports the start of the process that has answered for a backend server
--- a/internal/coordination/place/server.go
+++ b/internal/coordination/place/server.go
@@ -84,6 +84,8 @@
 	// The suspect for which it takes no other work, or nil.
 	reservedFor *call
 	prefixes    prefixHistory
+	// Cost of the largest call that its process has completed, in tokens.
+	largestAnswered int64
 	// Cost of the online calls dispatched, with exponential decay by
 	// recentCostDecay, as of onlineCostAt.
 	onlineCost   float64
@@ -307,6 +309,26 @@
 	s.rampLimit = 1
 }
 
+// mayLackMemory reports whether a model engine that has rejected a call as if it were
+// full may lack the memory for it: it has not completed one as large, nor have all others
+// that have completed any, if it has completed none. Its memory is not known here.
+func (s *server) mayLackMemory(call *call) bool {
+	c := call.request.GetCostTokens()
+	if !s.service.isModel() || c == 0 || c <= s.largestAnswered {
+		return false
+	}
+	n := 0
+	for _, x := range s.service.servers {
+		if x.largestAnswered > 0 && x.largestAnswered < c {
+			return true
+		}
+		if x.largestAnswered > 0 {
+			n++
+		}
+	}
+	return n == 0
+}
+
 // recordCompletion records that the backend server has completed a call, and
 // raises its limit after an ejection.
 func (s *server) recordCompletion(now time.Time) {
--- a/internal/coordination/place/session_test.go
+++ b/internal/coordination/place/session_test.go
@@ -126,7 +126,8 @@
 	case "server-draining":
 		return placer.ServerDraining(n, w[2])
 	case "failed":
-		return placer.AttemptFailed(n, w[2], trail.ParseVerdict(w[3]), "")
+		v, c, _ := strings.Cut(w[3], " ")
+		return placer.AttemptFailed(n, w[2], trail.ParseVerdict(v), c)
 	case "crashed":
 		return placer.ServerCrashed(n, w[2])
 	case "crashes":
--- a/internal/coordination/sched/task.go
+++ b/internal/coordination/sched/task.go
@@ -155,6 +155,7 @@
 	"scheduler-draining":   "the scheduler is shutting down",
 	"unknown-service":      "the service is not configured",
 	"no-backend-server":    "no backend server of the service is available",
+	"request-too-large":    "backend servers reject the request, maybe for its size",
 	"queue-full":           "too many requests wait for the service",
 	"deadline-unreachable": "the deadline can't be met",
 	"deadline-exceeded":    "the deadline passed before the answer was complete",
