batch: results are divided by the size that is sent to the platform

All later results of the job wait behind those that the platform refuses.

Cause: a results object was filled up to half of ValueBytes by the size of its protobuf message. What is sent is JSON, in which encoding/json writes these characters as six bytes each, also inside a value that is JSON already.

Failed before: TestResultsAreLargerAsSentThanCounted with `<`, control characters and four-byte runes one byte beside half of an object, and with four large results of `<` or control characters.

Change: object.Size adds up what is sent without encoding it, in one pass over the new results of a write; the size of an object that this front wrote is remembered.

Old and new builds: objects have the same form.

--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -13,6 +13,10 @@
 	"bulrushtrail.example/trail/internal/state/object"
 )
 
+// Bytes of a results object beside its results, each with a comma, as it is sent to the
+// platform.
+const partBytes = len(`{"results":[]}`) - len(",")
+
 // commitLoop writes the pending results of a job after a delay, and again until
 // none are left.
 func (s *Jobs) commitLoop(job *ownedJob, delay time.Duration) {
@@ -95,33 +99,42 @@
 // appends to it any longer and the next object is created only once.
 func (s *Jobs) appendResults(ctx context.Context, job *ownedJob, results []*wire.BatchResult, index int, newest *part) error {
 	if newest == nil || newest.value.GetFull() {
-		return s.writePart(ctx, job, index+1, 0, wire.BatchResults_builder{Results: s.fitResults(0, results)}.Build())
+		f, n := s.fitResults(0, results)
+		return s.writePart(ctx, job, index+1, 0, n, wire.BatchResults_builder{Results: f}.Build())
+	}
+	n := newest.size
+	if n == 0 {
+		n = object.Size(newest.value)
 	}
-	f := s.fitResults(proto.Size(newest.value), results)
+	f, n := s.fitResults(n, results)
 	v := proto.CloneOf(newest.value)
 	if len(f) == 0 {
 		v.SetFull(true)
 	} else {
 		v.SetResults(append(v.GetResults(), f...))
 	}
-	return s.writePart(ctx, job, index, newest.version, v)
+	return s.writePart(ctx, job, index, newest.version, n, v)
 }
 
-// fitResults returns the results for which an object with a payload of size
-// bytes has room. An empty object takes at least one.
-func (s *Jobs) fitResults(size int, results []*wire.BatchResult) []*wire.BatchResult {
+// fitResults returns the results for which a results object of size bytes has room,
+// and its size with them. An empty object, of size 0, takes at least one.
+func (s *Jobs) fitResults(size int, results []*wire.BatchResult) ([]*wire.BatchResult, int) {
 	n := size
+	if n == 0 {
+		n = partBytes
+	}
 	for i, r := range results {
-		n += proto.Size(r)
-		if n > s.payloadBytes && (i > 0 || size > 0) {
-			return results[:i]
+		w := object.Size(r) + len(",")
+		if n+w > s.payloadBytes && (i > 0 || size > 0) {
+			return results[:i], n
 		}
+		n += w
 	}
-	return results
+	return results, n
 }
 
-// writePart creates or replaces a results object.
-func (s *Jobs) writePart(ctx context.Context, job *ownedJob, index int, version int64, value *wire.BatchResults) error {
+// writePart creates or replaces a results object of size bytes.
+func (s *Jobs) writePart(ctx context.Context, job *ownedJob, index int, version int64, size int, value *wire.BatchResults) error {
 	b, e := object.Encode(kindResults, partName(job.id, index), version, value)
 	if e != nil {
 		return e
@@ -135,7 +148,7 @@
 	if e != nil {
 		return e
 	}
-	s.cachePart(job.cached, index, &part{version: b.Version(), value: value})
+	s.cachePart(job.cached, index, &part{version: b.Version(), value: value, size: size})
 	s.setWritesSettled(job, true)
 	s.logger.WithFields(log.Fields{"job-id": job.id, "part": index, "results": len(value.GetResults())}).Info("batch: results listed")
 	return nil
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -47,8 +47,9 @@
 	// Time after the start in which a process learns from heartbeats which
 	// other fronts are alive. Before its end it takes no jobs over.
 	discoveryTime = 2500 * time.Millisecond
-	// Share of the largest object value that input and results objects fill
-	// with payload. The rest is left for the encoding.
+	// Share of the largest object that input and results objects fill with several
+	// items or results. An earlier version of the program, which counts in another
+	// encoding, may append to a results object.
 	payloadShare = 0.5
 )
 
@@ -67,7 +68,8 @@
 	// Called when something has changed that the heartbeats of this front
 	// report: slots taken or freed, failures of backend servers, released jobs.
 	onLoadChange func()
-	// Largest payload of an input or results object in bytes.
+	// Largest payload of an input or results object with several items or results, in
+	// bytes as they are sent to the platform.
 	payloadBytes int
 	// Bytes that long events hold while they are read.
 	eventRoom *buffer.Limit
@@ -151,6 +153,8 @@
 type part struct {
 	version int64
 	value   *wire.BatchResults
+	// Bytes of the value as it is sent to the platform, 0 if not counted yet.
+	size int
 }
 
 func newCachedJob(value *wire.BatchJob) *cachedJob {
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -50,6 +50,10 @@
 	writeError  error
 	// Writes that have failed with it.
 	failedWrites int
+	// Most bytes of a write as it is sent, 0 for no limit, and the writes that were
+	// refused for it.
+	sentLimit     int
+	refusedWrites int
 }
 
 // failWrites makes all writes of objects of a kind fail without effect, or none if
@@ -199,6 +203,10 @@
 		s.mu.Lock()
 		return obj, e
 	}
+	if s.sentLimit > 0 && sentBytes(obj) > s.sentLimit {
+		s.refusedWrites++
+		return obj, trail.NewError("platform-refused", trail.NotRun, "refused")
+	}
 	s.version++
 	obj = object.New(obj.Kind(), obj.Name(), s.version, obj.Value())
 	s.objects[objectKey(obj)] = obj
--- /dev/null
+++ b/internal/coordination/batch/size_test.go
@@ -0,0 +1,97 @@
+package batch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/state/object"
+)
+
+// sentBytes returns the number of bytes of an object as it is sent.
+func sentBytes(obj object.Object) int {
+	m := map[string]any{"Name": obj.Name(), "Revision": obj.Version()}
+	b, _ := json.Marshal(map[string]any{"Metadata": m, "Spec": json.RawMessage(obj.Value()), "Status": nil})
+	return len(b)
+}
+
+// newBody returns an answer whose output takes size bytes as a JSON string, of a character
+// that takes charBytes, with line feeds.
+func newBody(char string, charBytes, size int) io.ReadCloser {
+	n := size - len(`""`)
+	l := 10_000*charBytes + len(`\n`)
+	b := strings.Repeat("data: "+strings.Repeat(char, 10_000)+"\n\n", n/l)
+	b += "data: " + strings.Repeat(char, n%l/charBytes) + strings.Repeat("x", n%l%charBytes) + "\n\n"
+	return io.NopCloser(strings.NewReader(b))
+}
+
+// countSized returns the number of results of the given sizes, and ten for each one that
+// is given up.
+func countSized(ctx context.Context, jobs *batch.Jobs, sizes []int) int {
+	n := 0
+	for p := 0; p < len(sizes); {
+		_, l, e := jobs.Results(ctx, "job", p, 0)
+		for _, r := range l {
+			b, _ := json.Marshal(r.GetOutput())
+			if r.GetFailed() {
+				n += 10
+			} else if len(b) == sizes[r.GetId()[1]-'0'] {
+				n++
+			}
+		}
+		p += len(l)
+		if e != nil || len(l) == 0 {
+			break
+		}
+	}
+	return n
+}
+
+// Guards against results that are larger as sent than they were counted: the platform
+// refuses them, with all later ones of their job.
+func TestResultsAreLargerAsSentThanCounted(t *testing.T) {
+	// Bytes of an object with one result beside its output, and of another result.
+	o, p := len(`{"results":[{"id":"i0","failed":false,"output":}]}`), len(`,{"id":"i1","failed":false,"output":}`)
+	h := valueBytes/2 - o - p
+	for c, w := range map[string]int{"<": 6, "\x01": 6, "😀": 4} {
+		for _, k := range []struct {
+			sizes []int
+			// Results as countSized tells after 10 s and after the wait, and their objects.
+			early, late, objects int
+		}{
+			{[]int{h / 2, h - h/2}, 2, 2, 1},
+			{[]int{h / 2, h - h/2 + 1}, 2, 2, 2},
+			{[]int{400 << 10, 400 << 10, 400 << 10, 400 << 10}, 4, 4, 4},
+		} {
+			t.Run(fmt.Sprintf("%q %d", c, k.sizes), func(t *testing.T) {
+				withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+					store.sentLimit = valueBytes
+					for n, s := range k.sizes {
+						engine.setBodies(fmt.Sprint("i", n), newBody(c, w, s), newBody(c, w, s), newBody(c, w, s), newBody(c, w, s))
+					}
+					j := newJobs(t, ctx, "a", store, engine, valueBytes)
+					accept(t, ctx, j, "job", len(k.sizes))
+					var g []int
+					for _, d := range []time.Duration{10 * time.Second, 15 * time.Second} {
+						time.Sleep(d)
+						g = append(g, countSized(ctx, j, k.sizes))
+					}
+					n := 0
+					for _, x := range store.keys() {
+						n += min(store.resultCount(x), 1)
+					}
+					if d := cmp.Diff([]int{k.early, k.late, k.objects, 0}, append(g, n, store.refusedWrites)); d != "" {
+						t.Error(d)
+					}
+				})
+			})
+		}
+	}
+}
