batch, front: items are divided by the size that is sent, one that fits nowhere gets 413

What callers saw: a job with much markup in headers of its items is answered with 503 each time, as the platform refuses its objects. So is a job with an item that no object can hold, and its caller comes again and again.

Cause: items were divided by the size of their protobuf messages; bodies are base64 in JSON, and texts are escaped. A write that the platform refuses each time was answered like an outage.

Change: object.Size divides them.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -18,10 +18,16 @@
 	writeRetryInterval = 60 * time.Millisecond
 	// Code of a write that the platform would refuse each time.
 	codeRefused = "platform-refused"
+	// Code of a job with an item that is larger than an object.
+	codeItemTooLarge = "item-too-large"
 	// Retry-After for callers whose job could not be stored.
 	acceptRetryAfter = 700 * time.Millisecond
 )
 
+// Bytes of an input object beside its items, each with a comma, as it is sent to the
+// platform.
+const inputBytes = len(`{"items":[]}`) - len(",")
+
 // Accept stores a job with its items. It returns nil once the job is accepted,
 // also when it was accepted before. The error's verdict says whether any part
 // of the job may run.
@@ -37,6 +43,9 @@
 	for n, i := range l {
 		_, e := s.createObject(ctx, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
 		if e != nil && !errors.Is(e, trail.ErrExists) {
+			if trail.CodeOf(e) == codeRefused && s.isTooLarge(i) {
+				return trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
+			}
 			// The verdict is NotRun: no item runs before the job object exists.
 			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").WithPlace(id).WithRetryAfter(acceptRetryAfter)
 		}
@@ -126,19 +135,25 @@
 	}
 }
 
-// splitItems divides items into groups of at most maxBytes each. A larger item
-// is a group of its own.
+// splitItems divides items into groups of at most maxBytes each, as they are sent to
+// the platform. A larger item is a group of its own.
 func splitItems(items []*wire.BatchItem, maxBytes int) [][]*wire.BatchItem {
 	var l [][]*wire.BatchItem
 	n := 0
 	for _, i := range items {
-		w := proto.Size(i)
+		w := object.Size(i) + len(",")
 		if len(l) == 0 || n+w > maxBytes {
 			l = append(l, nil)
-			n = 0
+			n = inputBytes
 		}
 		l[len(l)-1] = append(l[len(l)-1], i)
 		n += w
 	}
 	return l
 }
+
+// isTooLarge reports whether a group of items is a single one that has no room in an
+// object of its own.
+func (s *Jobs) isTooLarge(items []*wire.BatchItem) bool {
+	return len(items) == 1 && inputBytes+len(",")+object.Size(items[0]) > s.singleBytes
+}
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -51,6 +51,9 @@
 	// items or results. An earlier version of the program, which counts in another
 	// encoding, may append to a results object.
 	payloadShare = 0.5
+	// Bytes of an object beside its items or results: the platform's metadata, whose
+	// name has up to 135 bytes, and the mark of a full results object.
+	metadataBytes = 512
 )
 
 // Jobs holds the batch jobs that this front runs or has cached. Its methods may
@@ -71,6 +74,9 @@
 	// Largest payload of an input or results object with several items or results, in
 	// bytes as they are sent to the platform.
 	payloadBytes int
+	// Largest payload of an object with a single item or result. A response to a
+	// caller has room for it too.
+	singleBytes int
 	// Bytes that long events hold while they are read.
 	eventRoom *buffer.Limit
 	// Bytes that the outputs of unfinished items may hold together.
@@ -111,7 +117,7 @@
 func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routeTable func() *rules.Table, valueBytes, outputBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
 	s := &Jobs{
 		running: ctx, self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routeTable: routeTable, logger: logger, onLoadChange: onLoadChange,
-		payloadBytes: int(float64(valueBytes) * payloadShare), eventRoom: buffer.New(outputBytes), outputBytes: outputBytes, dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), lookSignal: make(chan struct{}, 1), startTime: time.Now(),
+		payloadBytes: int(float64(valueBytes) * payloadShare), singleBytes: int(min(valueBytes, maxResultsBytes)) - metadataBytes, eventRoom: buffer.New(outputBytes), outputBytes: outputBytes, dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), lookSignal: make(chan struct{}, 1), startTime: time.Now(),
 		cached: map[string]*cachedJob{}, owned: map[string]*ownedJob{}, inheritedProgress: map[string][]*wire.ItemProgress{}, agenda: agenda.New(), runs: map[string][]*itemRun{},
 		outcomes: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
 			Name: "bulrushtrail_batch_runs_total",
--- a/internal/coordination/batch/size_test.go
+++ b/internal/coordination/batch/size_test.go
@@ -10,8 +10,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
 	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
 )
 
@@ -95,3 +98,30 @@
 		}
 	}
 }
+
+// Guards against a job that is never accepted because its items are larger as sent than
+// they were counted, and against one with an item that no object can hold and whose
+// caller is told to come again.
+func TestItemsAreLargerAsSentThanCounted(t *testing.T) {
+	for _, k := range []struct {
+		items, header, body int
+		want                string
+	}{{4, 60_000, 0, ""}, {9, 0, 250_000, ""}, {1, 0, 785_000, ""}, {1, 0, 787_000, "item-too-large"}, {1, 175_000, 0, "item-too-large"}} {
+		withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+			store.sentLimit = valueBytes
+			l := newItems(k.items)
+			for _, i := range l {
+				i.SetHeaders([]*wire.Header{wire.Header_builder{Name: proto.String("N"), Values: []string{strings.Repeat("<", k.header)}}.Build()})
+				i.SetBody(make([]byte, k.body))
+			}
+			j := newJobs(t, ctx, "a", store, engine, valueBytes)
+			c, f := context.WithTimeout(ctx, 2*time.Second)
+			defer f()
+			e := j.Accept(c, "job", "h", "/b/1", l)
+			if (e == nil) != (k.want == "") || e != nil && trail.CodeOf(e) != k.want {
+				t.Error(k.items, k.header, k.body, e)
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
