batch: a result that is larger than an object by itself has an outcome

What callers saw: an item whose output is larger than half of ValueBytes is never done: it runs again and again until MaxWaitS. Each run counted as a failure of its server, so that its front left sound servers alone. With markup, an output that the platform refuses held up all later results of the job.

Cause: the limit of an output was half of an object, counted in plain bytes, and an output beyond it was always taken for the fault of a server that sends without end.

Evidence, failed before: the cases of TestResultsAreLargerAsSentThanCounted with an output at the limit of an object and one byte beside it, with each text; TestInheritedOutputHidesAllResults with an output larger than an object.

Change: an output may fill an object of its own, as it is sent, less 512 bytes for the metadata. Such an object is created as full. A run with a larger output ends at once. The item runs MaxAttempts times, since the server may be at fault, and only the first counts against its server. Others run and are listed meanwhile. Output that an earlier version hands over and that fits in no object is dropped.

Without the mark an earlier version would append to an object that is nearly full. It still runs an item with a larger output again and again.

--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -75,6 +75,8 @@
 	rejections int
 	// The last run was refused, broke off or failed.
 	broken bool
+	// The item does not run again.
+	suspended bool
 }
 
 // New returns an empty agenda.
@@ -175,7 +177,7 @@
 	for n := range job.items {
 		i := &job.items[n]
 		switch {
-		case i.state != waiting || now.Before(i.notBefore) || onTime != job.onTime(now, i, a.meanRunTime):
+		case i.state != waiting || i.suspended || now.Before(i.notBefore) || onTime != job.onTime(now, i, a.meanRunTime):
 		case i.rejections > 0:
 			if !now.Before(a.rejectedNotBefore) {
 				r = append(r, n)
@@ -223,7 +225,7 @@
 func (a *Agenda) HasWaiting() bool {
 	for _, j := range a.jobs {
 		for n := range j.items {
-			if j.items[n].state == waiting {
+			if j.items[n].state == waiting && !j.items[n].suspended {
 				return true
 			}
 		}
@@ -305,6 +307,16 @@
 	return false
 }
 
+// Suspend requeues an item that does not run again. It stays among the waiting items
+// whose last run did not succeed until it is closed.
+func (a *Agenda) Suspend(id string, index int) {
+	a.RequeueBroken(time.Time{}, id, index, false)
+	j := a.find(id)
+	if j != nil {
+		j.items[index].suspended = true
+	}
+}
+
 func (a *Agenda) requeue(id string, index int, notBefore time.Time) {
 	j := a.find(id)
 	if j == nil || j.items[index].state != running {
--- a/internal/coordination/batch/commit.go
+++ b/internal/coordination/batch/commit.go
@@ -100,7 +100,12 @@
 func (s *Jobs) appendResults(ctx context.Context, job *ownedJob, results []*wire.BatchResult, index int, newest *part) error {
 	if newest == nil || newest.value.GetFull() {
 		f, n := s.fitResults(0, results)
-		return s.writePart(ctx, job, index+1, 0, n, wire.BatchResults_builder{Results: f}.Build())
+		v := wire.BatchResults_builder{Results: f}.Build()
+		if n > s.payloadBytes {
+			// An earlier version of the program would append to it.
+			v.SetFull(true)
+		}
+		return s.writePart(ctx, job, index+1, 0, n, v)
 	}
 	n := newest.size
 	if n == 0 {
@@ -133,6 +138,16 @@
 	return results, n
 }
 
+// maxOutput returns the most bytes that the output of an item may take in a results
+// object of its own, as JSON.
+func (s *Jobs) maxOutput(item *wire.BatchItem) int {
+	return s.singleBytes - partBytes - len(",") - object.Size(newResult(item.GetId(), false, ""))
+}
+
+func newResult(id string, failed bool, output string) *wire.BatchResult {
+	return wire.BatchResult_builder{Id: &id, Failed: &failed, Output: &output}.Build()
+}
+
 // writePart creates or replaces a results object of size bytes.
 func (s *Jobs) writePart(ctx context.Context, job *ownedJob, index int, version int64, size int, value *wire.BatchResults) error {
 	b, e := object.Encode(kindResults, partName(job.id, index), version, value)
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -12,6 +12,7 @@
 	"bulrushtrail.example/trail/internal/protocol/event"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/build"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 const (
@@ -206,8 +207,9 @@
 	}
 	for n, i := range items {
 		p := l[i.GetId()]
-		if p != nil && !listed[i.GetId()] && isText(p) {
-			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true, build: build.New(p.GetService(), p.GetVersion())}
+		z := object.EscapedSize(p.GetText())
+		if p != nil && !listed[i.GetId()] && isText(p) && z <= s.maxOutput(i) {
+			m[n] = &itemProgress{lastEventID: p.GetLast(), output: p.GetText(), hasData: true, escapedBytes: z, build: build.New(p.GetService(), p.GetVersion())}
 			m[n].size.Store(int64(len(p.GetText())))
 		}
 	}
--- a/internal/coordination/batch/handover_test.go
+++ b/internal/coordination/batch/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,10 +120,11 @@
 	})
 }
 
-// Guards against output of an earlier version of the program that is no text, is
-// handed over with a job, and keeps all results of the job from being listed.
+// Guards against output of an earlier version of the program that is no text, or that no
+// object can hold, is handed over with a job, and keeps all results of the job from being
+// listed.
 func TestInheritedOutputHidesAllResults(t *testing.T) {
-	for _, k := range []struct{ name, last, text string }{{"output", "1", "\xff"}, {"event id", "\xff", "i0"}} {
+	for _, k := range []struct{ name, last, text string }{{"output", "1", "\xff"}, {"event id", "\xff", "i0"}, {"larger than an object", "1", strings.Repeat("<", 200_000)}} {
 		t.Run(k.name, func(t *testing.T) {
 			withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
 				r := newCluster(ctx, store, engine, "front-1", "front-2")
--- a/internal/coordination/batch/output.go
+++ b/internal/coordination/batch/output.go
@@ -8,6 +8,7 @@
 	"bulrushtrail.example/trail/internal/protocol/event"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/build"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 const (
@@ -25,6 +26,10 @@
 	lastEventID string
 	// Data of the events so far, joined by line feeds.
 	output []byte
+	// Bytes of the output in a JSON string.
+	escapedBytes int
+	// Runs whose output was larger than an object.
+	oversized int
 	// Length of the output, which others may read while the item runs.
 	size atomic.Int64
 	// Whether any event with data was received.
@@ -51,8 +56,10 @@
 	if reader.HasData() {
 		if p.hasData {
 			p.output = append(p.output, '\n')
+			p.escapedBytes += len(`\n`)
 		}
 		p.output = append(p.output, reader.Data()...)
+		p.escapedBytes += object.EscapedSize(reader.Data())
 		p.size.Store(int64(len(p.output)))
 		p.hasData = true
 		p.events++
@@ -70,7 +77,7 @@
 
 // reset discards the output.
 func (p *itemProgress) reset() {
-	p.lastEventID, p.output, p.hasData, p.events = "", nil, false, 0
+	p.lastEventID, p.output, p.escapedBytes, p.hasData, p.events = "", nil, 0, false, 0
 	p.build, p.waitingSince = build.Build{}, time.Time{}
 	p.size.Store(0)
 }
@@ -102,3 +109,28 @@
 		m.cancel(errUnbounded)
 	}
 }
+
+// requeueTooLarge requeues an item whose output no object can hold, as another server
+// may answer otherwise. After the attempts of its route it is suspended: what the
+// platform's users allow is to give it up when the longest wait of the route is over,
+// see giveUpAll. The caller holds the lock.
+func (s *Jobs) requeueTooLarge(now time.Time, run *itemRun, progress *itemProgress) {
+	r := s.route(run.job.cached)
+	progress.oversized++
+	if progress.oversized == 1 {
+		// The next run goes elsewhere. More than once for an item would keep sound
+		// servers from all others.
+		s.fleet.RecordFailedAnswer(now, run.server)
+		s.onLoadChange()
+	}
+	if progress.oversized < max(int(r.GetAttempts()), 1) {
+		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
+		return
+	}
+	if r != nil && r.GetMaxWaitMs() <= 0 {
+		s.agenda.Close(run.job.id, run.index)
+		s.addResult(run.job, run.index, true, "")
+		return
+	}
+	s.agenda.Suspend(run.job.id, run.index)
+}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -34,6 +34,8 @@
 	// errUnbounded marks the failure of a backend server that sends bytes
 	// without end: the answer, an event or the output exceeds its limit.
 	errUnbounded = errors.New("answer of the backend server exceeds the size limit")
+	// errTooLarge says that no object of the platform can hold the output.
+	errTooLarge = errors.New("output is larger than an object of the platform")
 )
 
 // itemRun is one run of an item on a backend server.
@@ -196,6 +198,10 @@
 			return "given-up"
 		}
 		return "failed"
+	case errors.Is(err, errTooLarge):
+		progress.reset()
+		s.requeueTooLarge(w, run, progress)
+		return "too-large"
 	}
 	if errors.Is(err, errEventOrder) || errors.Is(err, errUnbounded) {
 		progress.reset()
@@ -249,8 +255,7 @@
 	delete(job.progress, index)
 	i := job.cached.items[index]
 	s.setWaitingTokens(job, job.waitingTokens-i.GetTokens())
-	n := i.GetId()
-	job.pendingResults = append(job.pendingResults, wire.BatchResult_builder{Id: &n, Failed: &failed, Output: &output}.Build())
+	job.pendingResults = append(job.pendingResults, newResult(i.GetId(), failed, output))
 	if job.committing {
 		return
 	}
@@ -303,7 +308,11 @@
 	r := event.FromResponse(response)
 	r.ShareRoom(s.eventRoom)
 	defer r.Release()
+	m := s.maxOutput(run.item)
 	for {
+		if progress.escapedBytes > m {
+			return false, errTooLarge
+		}
 		e := r.Next()
 		if errors.Is(e, io.EOF) {
 			return progress.hasData, nil
@@ -328,7 +337,7 @@
 		if !progress.addEvent(r) {
 			return false, errEventOrder
 		}
-		if len(progress.output) > s.payloadBytes || progress.exceeds(run.item) {
+		if progress.exceeds(run.item) {
 			return false, errUnbounded
 		}
 		if n/outputStep != len(progress.output)/outputStep {
--- a/internal/coordination/batch/size_test.go
+++ b/internal/coordination/batch/size_test.go
@@ -58,11 +58,12 @@
 }
 
 // Guards against results that are larger as sent than they were counted: the platform
-// refuses them, with all later ones of their job.
+// refuses them, with all later ones of their job. One that no object can hold must be
+// given up when the wait of its route is over, and no sooner.
 func TestResultsAreLargerAsSentThanCounted(t *testing.T) {
 	// Bytes of an object with one result beside its output, and of another result.
 	o, p := len(`{"results":[{"id":"i0","failed":false,"output":}]}`), len(`,{"id":"i1","failed":false,"output":}`)
-	h := valueBytes/2 - o - p
+	h, m := valueBytes/2-o-p, valueBytes-512-o
 	for c, w := range map[string]int{"<": 6, "\x01": 6, "😀": 4} {
 		for _, k := range []struct {
 			sizes []int
@@ -72,10 +73,13 @@
 			{[]int{h / 2, h - h/2}, 2, 2, 1},
 			{[]int{h / 2, h - h/2 + 1}, 2, 2, 2},
 			{[]int{400 << 10, 400 << 10, 400 << 10, 400 << 10}, 4, 4, 4},
+			{[]int{m, 100}, 2, 2, 2},
+			{[]int{m + 1, 100}, 1, 11, 1},
 		} {
 			t.Run(fmt.Sprintf("%q %d", c, k.sizes), func(t *testing.T) {
 				withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
 					store.sentLimit = valueBytes
+					store.setRoutes(changedRoute(func(r *wire.RouteRule) { r.SetMaxWaitMs(20_000) }))
 					for n, s := range k.sizes {
 						engine.setBodies(fmt.Sprint("i", n), newBody(c, w, s), newBody(c, w, s), newBody(c, w, s), newBody(c, w, s))
 					}
@@ -89,6 +93,10 @@
 					n := 0
 					for _, x := range store.keys() {
 						n += min(store.resultCount(x), 1)
+						// A front of an earlier version appends to an object without the mark.
+						if v := store.objects[x].Value(); sentBytes(store.objects[x]) > valueBytes/2+512 && !strings.Contains(string(v[len(v)-20:]), "full") {
+							t.Error("object is not marked as full:", x)
+						}
 					}
 					if d := cmp.Diff([]int{k.early, k.late, k.objects, 0}, append(g, n, store.refusedWrites)); d != "" {
 						t.Error(d)
