batch: a read of results is limited in the encoding that callers get

Cause: outputs were added up in plain bytes; the response is JSON.

Change: results are counted as JSON, with their ids and the fields around them.

--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -19,6 +19,10 @@
 	resultsFreshFor = 300 * time.Millisecond
 	// Most bytes of results in one response.
 	maxResultsBytes = 1 << 20
+	// Most bytes of a response without results, and of a result without the texts of
+	// its id and output.
+	responseBytes       = 100
+	resultOverheadBytes = 60
 )
 
 // Results returns the number of items of a job and the results from position
@@ -128,12 +132,12 @@
 	return s.owned[job.id] == job && job.writesSettled && job.confirmed(d)
 }
 
-// limitResults cuts results to the size of one response, but keeps at least
+// limitResults cuts results to the size of one response in JSON, but keeps at least
 // one.
 func limitResults(results []*wire.BatchResult) []*wire.BatchResult {
-	n := 0
+	n := responseBytes
 	for i, r := range results {
-		n += len(r.GetOutput())
+		n += resultOverheadBytes + object.TextSize(r.GetId()) + object.TextSize(r.GetOutput())
 		if i > 0 && n > maxResultsBytes {
 			return results[:i]
 		}
--- a/internal/coordination/batch/size_test.go
+++ b/internal/coordination/batch/size_test.go
@@ -36,13 +36,15 @@
 }
 
 // countSized returns the number of results of the given sizes, and ten for each one that
-// is given up.
+// is given up, and -1 if a read returns more than 1 MB.
 func countSized(ctx context.Context, jobs *batch.Jobs, sizes []int) int {
 	n := 0
 	for p := 0; p < len(sizes); {
 		_, l, e := jobs.Results(ctx, "job", p, 0)
+		z := 0
 		for _, r := range l {
 			b, _ := json.Marshal(r.GetOutput())
+			z += len(b)
 			if r.GetFailed() {
 				n += 10
 			} else if len(b) == sizes[r.GetId()[1]-'0'] {
@@ -50,6 +52,9 @@
 			}
 		}
 		p += len(l)
+		if z > 1<<20 {
+			return -1
+		}
 		if e != nil || len(l) == 0 {
 			break
 		}
