batch: a large output keeps no others back from a hand-over

What callers saw: items that had begun start anew after the planned stop of a front, because one item of their job has a large output.

Cause: the outputs of a job are handed over until one does not fit, in no particular order, and those after it are left out. They were counted without ids and versions.

Change: an output that does not fit is left out alone. The limit counts the message that is sent.

Old and new builds: the notice has the same form.

--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -121,14 +121,17 @@
 		if r[i] || !p.resumable() || p.build.IsUnknown() {
 			continue
 		}
-		n += len(p.output)
-		if n > maxProgressBytes {
-			break
-		}
-		l = append(l, wire.ItemProgress_builder{
+		x := wire.ItemProgress_builder{
 			Item: proto.String(job.cached.items[i].GetId()), Last: &p.lastEventID, Text: p.output,
 			Service: proto.String(p.build.Service()), Version: proto.String(p.build.Version()),
-		}.Build())
+		}.Build()
+		w := proto.Size(x)
+		if n+w > maxProgressBytes {
+			// A large output does not keep back the others.
+			continue
+		}
+		n += w
+		l = append(l, x)
 	}
 	return l
 }
--- a/internal/coordination/batch/handover_test.go
+++ b/internal/coordination/batch/handover_test.go
@@ -120,6 +120,32 @@
 	})
 }
 
+// Guards against items that start anew after a hand-over because the output of another
+// item of their job is too large to be handed over, in the encoding that is sent.
+func TestLargeOutputKeepsOthersFromHandOver(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		r := newCluster(ctx, store, engine, "front-1", "front-2")
+		r.advance(5*time.Second, "")
+		// Length of each of the three events that come of an item.
+		for n, l := range []int{250_000, 512<<10/3 - 1, 10, 10} {
+			b, w := io.Pipe()
+			engine.setBodies(fmt.Sprint("i", n), b)
+			t := "data: " + strings.Repeat("x", l) + "\n\n"
+			go func() { _, _ = io.WriteString(w, t+t+"id: 1\n"+t) }()
+		}
+		accept(t, ctx, r.jobs["front-1"], "job", 4)
+		time.Sleep(300 * time.Millisecond)
+		d, f := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer f()
+		r.jobs["front-1"].Drain(d)
+		r.advance(5*time.Second, "front-1")
+		w := map[string][]string{"i0": {"", ""}, "i1": {"", ""}, "i2": {"", "1"}, "i3": {"", "1"}}
+		if d := cmp.Diff(w, engine.resumedAfter); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against output of an earlier version of the program that is no text, or that no
 // object can hold, is handed over with a job, and keeps all results of the job from being
 // listed.
