objapi: a value is measured as it is sent

What was wrong on the own interface: a value with markup that is larger than 1 MB as it is sent was sent, to be refused; one that is larger only by spaces was refused here.

Cause: the value was measured before encoding/json escapes and compacts it.

Evidence, failed before: TestValueIsCountedOtherThanSent (markup, one byte beside the limit).

Change: the encoded document is measured; the value alone only if the document is larger than the limit.

Old and new builds: nothing is sent that was not before, but values whose spaces made them too large.

--- a/internal/protocol/objapi/client.go
+++ b/internal/protocol/objapi/client.go
@@ -120,9 +120,6 @@
 }
 
 func (s *Client) writeObject(ctx context.Context, verb, method, target string, obj object.Object) (object.Object, error) {
-	if len(obj.Value()) > maxValueBytes {
-		return object.Object{}, tooLarge().WithPlace(target)
-	}
 	b, e := json.Marshal(document{
 		Kind:     obj.Kind(),
 		Metadata: metadata{Name: obj.Name(), ResourceVersion: obj.Version()},
@@ -131,6 +128,10 @@
 	if e != nil {
 		return object.Object{}, refused(e, "value is not JSON").WithPlace(target)
 	}
+	// The value is counted as it is sent, with more escapes than it was given.
+	if len(b) > maxValueBytes && len(compact(obj.Value())) > maxValueBytes {
+		return object.Object{}, tooLarge().WithPlace(target)
+	}
 	var d document
 	e = s.write(ctx, verb, method, target, b, &d)
 	if e != nil {
@@ -149,6 +150,12 @@
 	return s.write(ctx, "delete", http.MethodDelete, escapePath(obj.Kind(), obj.Name()), b, &d)
 }
 
+// compact returns a JSON value as a document holds it, nil if it is not JSON.
+func compact(value json.RawMessage) []byte {
+	b, _ := json.Marshal(value)
+	return b
+}
+
 func escapePath(parts ...string) string {
 	l := make([]string, 0, len(parts))
 	for _, p := range parts {
--- a/internal/protocol/objapi/client_test.go
+++ b/internal/protocol/objapi/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -277,3 +278,26 @@
 		}
 	})
 }
+
+// Guards against a value that is counted in another encoding than the one that is sent,
+// so that one which the platform takes is refused, or one that it refuses is sent.
+func TestValueIsCountedOtherThanSent(t *testing.T) {
+	o := 1<<20 - len(value(""))
+	for n, k := range []struct {
+		text string
+		fits bool
+	}{
+		{strings.Repeat("x", o), true},
+		{strings.Repeat("x", o+1), false},
+		{strings.Repeat("<", o/6) + strings.Repeat("x", o%6), true},
+		{strings.Repeat("<", o/6) + strings.Repeat("x", o%6+1), false},
+		{strings.Repeat("😀", o/4) + strings.Repeat("x", o%4), true},
+	} {
+		run(t, 1000, func(c context.Context, t *testing.T, s *objapi.Client, w *network) {
+			_, e := s.Create(c, object.New("jobs", "a", 0, append(value(k.text), ' ')))
+			if d := cmp.Diff([]bool{k.fits, k.fits}, []bool{e == nil, w.dials.Load() > 0}); d != "" {
+				t.Error(n, e, d)
+			}
+		})
+	}
+}
