sched: a test reads the replies of a call after their receiver has written them

Cause: the test's own, as old as the test. It slept until the call had ended and read the body that another goroutine had written; a sleep does not order the two, synctest.Wait does.

The other tests that read replies do so after a call that waits. What is expected is unchanged.

--- a/internal/coordination/sched/process_test.go
+++ b/internal/coordination/sched/process_test.go
@@ -184,6 +184,8 @@
 				r.stream("ONLINE", 1)
 				r.stream("ONLINE", 3)
 				time.Sleep(20 * time.Second)
+				// What the receiver of the replies has written is read below.
+				synctest.Wait()
 				if d := cmp.Diff(k.want, versions(x)); d != "" {
 					r.t.Error(d)
 				}
