node, daemon: a front connects to backend servers from an address of its own

A host with several addresses had no say in the one from which its front connects to backend servers: the system chose it. The setting dial-address names it; without it nothing changes. It lets stand-ins on loopback tell fronts apart, so that one front can be cut off from servers that others reach.

--- a/internal/command/daemon/process.go
+++ b/internal/command/daemon/process.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// backendDialer returns the dialer for connections to backend servers.
+func (p *process) backendDialer() *net.Dialer {
+	d := *p.dialer
+	if a := net.ParseIP(p.settings.GetDialAddress()); a != nil {
+		d.LocalAddr = &net.TCPAddr{IP: a}
+	}
+	return &d
+}
+
 // reloadSettings reads and checks the settings file for each value received from
 // changed. New settings only take effect at the next start, since a running
 // process keeps its ports and addresses.
--- a/internal/state/node/load.go
+++ b/internal/state/node/load.go
@@ -41,6 +41,9 @@
 	if net.ParseIP(settings.GetHostAddress()) == nil {
 		f("host-address", "is not an IP address")
 	}
+	if d := settings.GetDialAddress(); d != "" && net.ParseIP(d) == nil {
+		f("dial-address", "is not an IP address")
+	}
 	if !isIPPort(settings.GetStoreAddress()) {
 		f("store-address", "is not of the form IP:port")
 	}
