standin: servers write answers too many on kept connections

A package of its own records what a connection has carried and writes copies of refusals, failures, successes and halves of successes, with or without the id, where the next answer is due, in one segment with it, byte by byte or right after an answer. It can refuse or fail every n-th request, so that there is something to copy. The engine and the plain service use it.

The plain service can keep its runs by key in a file, so that a restart hides no run.

--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 )
@@ -111,7 +110,7 @@
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if t, y := n.(*net.TCPConn); y {
+	if t, y := n.(interface{ SetLinger(seconds int) error }); y {
 		_ = t.SetLinger(0)
 	}
 	_ = n.Close()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -75,7 +75,7 @@
 func (f *Fleet) Start(ctx context.Context) error {
 	f.add("platform", "standin", f.PlatformURL()+"/control/faults", "platform", "-address", f.platformAddress(), "-host-lag", "100ms")
 	for _, b := range f.backends {
-		a := []string{"plain", "-address", b.address}
+		a := []string{"plain", "-address", b.address, "-runs-file", f.path(b.name + ".runs")}
 		if b.model != "" {
 			a = []string{"engine", "-address", b.address, "-model", b.model}
 		}
@@ -260,6 +260,16 @@
 	return f.Control(ctx, http.MethodPut, f.PlatformURL()+"/control/hosts/"+name, v)
 }
 
+// AddHost lists a backend server a second time, under another name at the same address.
+func (f *Fleet) AddHost(ctx context.Context, name, alias string) error {
+	i := slices.IndexFunc(f.backends, func(b backend) bool { return b.name == name })
+	b := f.backends[i]
+	v := map[string]any{
+		"name": alias, "service": b.service, "data-centre": b.dataCentre, "address": b.address, "ready": true, "leaving": false,
+	}
+	return f.Control(ctx, http.MethodPut, f.PlatformURL()+"/control/hosts/"+alias, v)
+}
+
 // Control sends a JSON document to the control interface of a stand-in. A
 // response with a status other than 2xx is an error.
 func (f *Fleet) Control(ctx context.Context, method, url string, document any) error {
--- a/internal/standin/plain/service.go
+++ b/internal/standin/plain/service.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +31,8 @@
 	byKey  map[string]int
 	// Number of runs by X-Request-Id.
 	byAttempt map[string]int
+	// Gets a line with the key of each run, nil for none.
+	runsFile *os.File
 }
 
 // faultsForm is the body of POST /control/faults, which replaces all faults.
@@ -80,6 +84,20 @@
 	return s
 }
 
+// KeepRuns counts the runs by Idempotency-Key that a process before has left in a file,
+// and adds each further run to it before the request is answered.
+func (s *Service) KeepRuns(file string) error {
+	b, e := os.ReadFile(file)
+	if e != nil && !os.IsNotExist(e) {
+		return e
+	}
+	for k := range strings.Lines(string(b)) {
+		increment(s.byKey, strings.TrimSuffix(k, "\n"))
+	}
+	s.runsFile, e = os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return e
+}
+
 // ServeHTTP runs the request, or handles it as a control request.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
@@ -145,7 +163,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.total++
-	increment(s.byKey, r.Header.Get("Idempotency-Key"))
+	k := r.Header.Get("Idempotency-Key")
+	increment(s.byKey, k)
+	if s.runsFile != nil && k != "" {
+		// A run that can't be counted would hide that a request ran twice.
+		_, e := s.runsFile.WriteString(k + "\n")
+		if e != nil {
+			panic(e)
+		}
+	}
 	increment(s.byAttempt, r.Header.Get("X-Request-Id"))
 	return s.total
 }
--- a/internal/standin/subcmd/engine.go
+++ b/internal/standin/subcmd/engine.go
@@ -43,7 +43,8 @@
     {"silence": true}             all open connections stop responding for good
     {"drain": true}               answer new requests with 503 and
                                   Draining: true
-    {"slow": 3.5}                 factor by which all times are multiplied`
+    {"slow": 3.5}                 factor by which all times are multiplied
+  POST /control/extra                   answers too many, see standin plain -h`
 
 // engineCommand returns the command that runs a model engine stand-in.
 func engineCommand(out io.Writer) *ffcli.Command {
@@ -68,7 +69,7 @@
 				ctx, engine.Model(*m), engine.Slots(*n, *q), engine.Timing(*t, *p, *r), engine.CacheBlocks(*b),
 				engine.ReportLag(*l, *v, *g), engine.ChecksFencing(*k), engine.OnExit(exitAfterCrash),
 			)
-			return serveHTTP(ctx, out, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
+			return serveBackend(ctx, out, *a, &http.Server{Handler: x, ConnContext: x.ConnContext})
 		},
 	}
 }
--- a/internal/standin/subcmd/http.go
+++ b/internal/standin/subcmd/http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bulrushtrail.example/trail/internal/standin/extra"
 )
 
 const (
@@ -17,9 +19,18 @@
 	shutdownTimeout = 5 * time.Second
 )
 
+// serveBackend runs a backend server like serveHTTP, with the fault of answers too many.
+func serveBackend(ctx context.Context, out io.Writer, address string, server *http.Server) error {
+	return serve(ctx, out, address, server, func(l net.Listener) net.Listener { return extra.New().Attach(server, l) })
+}
+
 // serveHTTP runs server at address until ctx is done. The first line that it
 // writes to out gives the address, for tests that use port 0.
 func serveHTTP(ctx context.Context, out io.Writer, address string, server *http.Server) error {
+	return serve(ctx, out, address, server, func(l net.Listener) net.Listener { return l })
+}
+
+func serve(ctx context.Context, out io.Writer, address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
 	l, e := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if e != nil {
 		return e
@@ -37,7 +48,7 @@
 		}
 	})
 	defer f()
-	e = server.Serve(l)
+	e = server.Serve(wrap(l))
 	if errors.Is(e, http.ErrServerClosed) {
 		return nil
 	}
