--- a/internal/standin/fleet/reorder_test.go
+++ b/internal/standin/fleet/reorder_test.go
@@ -61,14 +61,23 @@
 	}
 }
 
-// underFault sends a wave of reorders through all entries with the same keys,
-// makes the fault when some of them have run, sends them again through the
-// entries that are left, and checks the runs once all processes have ended.
-// Heal, if there is one, ends the fault after the first answers.
+// underFault starts a deployment, sends waves of reorders, and checks the runs once all
+// processes have ended.
 func underFault(t *testing.T, fault, heal func(x *fleet.Fleet), entries ...int) {
 	t.Helper()
 	x := startSmallKeyed(t)
 	o := newOrders(x)
+	o.waves(t, fault, heal, entries...)
+	stopMembers(t, x)
+	o.check(t)
+}
+
+// waves sends a wave of reorders through all entries with the same keys, makes the fault
+// when some of them have run, and sends them again through the entries that are left.
+// Heal, if there is one, ends the fault after the first answers.
+func (o *orders) waves(t *testing.T, fault, heal func(x *fleet.Fleet), entries ...int) {
+	t.Helper()
+	x := o.x
 	o.serves(t, 1, 2, 3)
 	plainFaults(t, x, map[string]any{"delay-ms": orderDelayMS})
 	l := o.spread(t.Context(), "first", waveKeys)
@@ -84,6 +93,11 @@
 	}
 	o.serves(t, entries...)
 	o.resend(t.Context(), l[len(l)/4:len(l)*3/4], entries...)
+}
+
+// stopMembers shuts the processes of the system down, so that nothing runs later.
+func stopMembers(t *testing.T, x *fleet.Fleet) {
+	t.Helper()
 	for _, r := range []string{"entry-", "sched-", "depot-"} {
 		for _, n := range x.Names(r) {
 			e := x.Terminate(n)
@@ -92,7 +106,6 @@
 			}
 		}
 	}
-	o.check(t)
 }
 
 // P6, no fault: a reorder sent through all entries at the same moment runs at
