batch: an object that exists after a lost creation need not be the front's own

Items of a job ran at two fronts at the same time (TWICE where the first run goes on): the first front's creation of the job object had no answer and no effect, the caller handed the job in at another front, which stored it, and the first one's next try was answered that the object exists. It took that for its own creation, and started the items as well.

The front reads the object after such an answer, and leaves the job to its owner if that is another front or another start of this one. A read that fails leaves the outcome open (502).

TestJobOfLostCreationRunsAtTwoFronts failed before: each of four items ran twice.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -71,6 +71,13 @@
 		s.retryReconcile()
 		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job object was not stored").WithPlace(id).WithRetryAfter(acceptRetryAfter)
 	}
+	if o.Version() == 0 {
+		var m bool
+		o, m, e = s.confirmCreated(ctx, id, j)
+		if e != nil || !m {
+			return e
+		}
+	}
 	s.logger.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
 	if v {
 		s.cacheJob(o, j)
@@ -81,6 +88,23 @@
 	return nil
 }
 
+// confirmCreated reads a job object that exists after a try of unknown outcome, and returns
+// whether this front has created it. Another one has if the caller has repeated the job
+// there meanwhile, and it runs the items then.
+func (s *Jobs) confirmCreated(ctx context.Context, id string, created *wire.BatchJob) (object.Object, bool, error) {
+	o, e := s.store.Get(ctx, kindJobs, id)
+	if e != nil {
+		s.retryReconcile()
+		return o, false, trail.WrapError(e, trail.CodeOf(e), trail.MayHaveRun, "owner of the job is not known").WithPlace(id).WithRetryAfter(acceptRetryAfter)
+	}
+	j := &wire.BatchJob{}
+	e = o.Decode(j)
+	if e != nil {
+		return o, false, trail.WrapError(e, "object-unreadable", trail.MayHaveRun, "job object is not decodable").WithPlace(id)
+	}
+	return o, j.GetOwner() == created.GetOwner() && j.GetIncarnation() == created.GetIncarnation(), nil
+}
+
 func (s *Jobs) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,7 +119,8 @@
 
 // createObject creates an object and retries failed writes until ctx ends, unless
 // the platform would refuse the object each time. When the object exists after a
-// try of unknown outcome, that try has created it, and the call succeeds.
+// try of unknown outcome, that try may have created it: the call succeeds, and the
+// version of the returned object is 0.
 func (s *Jobs) createObject(ctx context.Context, kind, name string, message proto.Message) (object.Object, error) {
 	o, e := object.Encode(kind, name, 0, message)
 	if e != nil {
--- a/internal/coordination/batch/accept_test.go
+++ b/internal/coordination/batch/accept_test.go
@@ -41,3 +41,30 @@
 		})
 	}
 }
+
+// Guards against items that run at two fronts at a time: the first creation of the job by one
+// front had no answer and no effect, the caller handed the job in at another front, and the
+// first one takes the object there for its own.
+func TestJobOfLostCreationRunsAtTwoFronts(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		r := newCluster(ctx, store, engine, "a", "b")
+		r.advance(2*time.Second, "")
+		store.failWrites("batch-jobs", newError(trail.ErrUnavailable, trail.MayHaveRun))
+		l := newItems(4)
+		time.AfterFunc(100*time.Millisecond, func() {
+			store.failWrites("", nil)
+			if e := r.jobs["b"].Accept(ctx, "job", "h", "/b/1", l); e != nil {
+				t.Error(e)
+			}
+		})
+		if e := r.jobs["a"].Accept(ctx, "job", "h", "/b/1", l); e != nil {
+			t.Error(e)
+		}
+		r.advance(10*time.Second, "")
+		for _, i := range l {
+			if d := cmp.Diff(1, engine.runCount(i.GetId())); d != "" {
+				t.Error(i.GetId(), d)
+			}
+		}
+	})
+}
