batch: items are given up only by a configuration that was read since

Callers got dead_letter for items that no server had failed or even seen: a front that the platform turned away (or that stood still) took over a job whose route its copy of the configuration lacked, and after 5 s gave all of its items up.

Cause: absence in a copy of any age was taken for removal. The same belief stood behind the attempts of a route (one, if the copy lacks the route; too few, if an old version has fewer), its longest wait, and the due time of a job that came before its route.

Now a front that would give items up first reads the newest configuration, directly or through another front, by a read that began after the items were found to be lost; while no read succeeds they wait. An item that has failed as often as the known route allows rests until then. The first read is made as soon as a job has no route, so a front with an old copy runs the job at once. If the read brings another version, the 5 s begin anew. Whether the copy once had the route makes no difference, so a route that was seen removed and has come back is safe too. A job's due time is set when its route is known.

Ruled out: the age of the copy as gossip confirms it. After a stop of the process, datagrams from before wait in its socket and seem new.

TestGivenUpAfterAttempts asks the agenda for the items that have failed often enough in place of the closing of the third run, with its time: as strict.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +26,6 @@
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/object"
 	"bulrushtrail.example/trail/internal/state/rules"
 	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/httpd"
@@ -49,6 +49,8 @@
 	answerReserve = 200 * time.Millisecond
 	// Interval between two looks at the attempts of other fronts during a stop.
 	proxiedPollInterval = 20 * time.Millisecond
+	// Name of the object that holds the configuration.
+	currentConfig = "current"
 	// Fronts of each data centre that are asked for a stream.
 	askedFronts = 2
 )
@@ -74,6 +76,8 @@
 	pool  *pool.Pool
 	paths *paths.Monitor
 	proxy *proxy.Upstream
+	// Held while a configuration is put in force.
+	configLock sync.Mutex
 	// Backend servers of the last call of logServerChanges, by id.
 	lastServers map[string]*wire.BackendServer
 }
@@ -149,7 +153,7 @@
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
-	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s.direct.Table, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
+	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
@@ -295,9 +299,12 @@
 func (s *frontRole) watchConfig(ctx context.Context) {
 	for {
 		w := s.configs.Changed()
-		o, k := s.configs.Get("current")
+		_, k := s.configs.Get(currentConfig)
 		if k {
-			s.applyConfig(o)
+			e := s.applyConfig()
+			if e != nil {
+				s.logger.WithError(e).Error("bulrushd: configuration could not be decoded, keeping the one in force")
+			}
 		}
 		select {
 		case <-w:
@@ -307,22 +314,41 @@
 	}
 }
 
-// applyConfig puts a configuration in force if its version is higher than that of
-// the one in force.
-func (s *frontRole) applyConfig(obj object.Object) {
+// applyConfig puts the newest known configuration in force if its version is higher
+// than that of the one in force.
+func (s *frontRole) applyConfig() error {
+	s.configLock.Lock()
+	defer s.configLock.Unlock()
+	o, k := s.configs.Get(currentConfig)
+	if !k {
+		return errors.New("platform has no configuration that can be decoded")
+	}
 	t := &wire.RouteTable{}
-	e := obj.Decode(t)
+	e := o.Decode(t)
 	if e != nil {
-		s.logger.WithError(e).Error("bulrushd: configuration could not be decoded, keeping the one in force")
-		return
+		return errors.Wrap(e, "decode configuration")
 	}
 	r := rules.New(t)
 	h := s.direct.Table()
 	if h != nil && h.Version() >= r.Version() {
-		return
+		return nil
 	}
 	s.direct.SetTable(r)
 	s.builds.TriggerCheck()
-	s.jobs.ReapplyQuotas()
+	s.jobs.ApplyRoutes()
 	s.logger.WithField("config-version", r.Version()).Info("bulrushd: configuration in force")
+	return nil
+}
+
+// Table implements trail.Routes.
+func (s *frontRole) Table() *rules.Table { return s.direct.Table() }
+
+// Refresh implements trail.Routes. It reads the configuration through another front
+// while the platform does not answer this one.
+func (s *frontRole) Refresh(ctx context.Context) error {
+	e := s.configs.ListThrough(ctx, s.relay)
+	if e != nil {
+		return e
+	}
+	return s.applyConfig()
 }
--- a/internal/coordination/agenda/agenda.go
+++ b/internal/coordination/agenda/agenda.go
@@ -1,6 +1,7 @@
 package agenda
 
 import (
+	"slices"
 	"time"
 )
 
@@ -63,6 +64,8 @@
 	state state
 	// Number of runs that the backend server answered with a failure.
 	failures int
+	// End of the last of them, or when the item was suspended.
+	failedAt time.Time
 	// End of the backoff.
 	notBefore time.Time
 	// The item has been started at least once by this front.
@@ -98,7 +101,7 @@
 	if a.find(id) != nil {
 		return
 	}
-	j := &job{id: id, due: due, completionWindow: completionWindow}
+	j := &job{id: id}
 	for _, i := range items {
 		s := waiting
 		if withResult[i] {
@@ -108,13 +111,28 @@
 		}
 		j.items = append(j.items, item{id: i, state: s})
 	}
+	a.insert(j, due, completionWindow)
+}
+
+// insert adds a job to the list, which is sorted by due time.
+func (a *Agenda) insert(job *job, due time.Time, completionWindow time.Duration) {
+	job.due, job.completionWindow = due, completionWindow
 	n := len(a.jobs)
 	for n > 0 && a.jobs[n-1].due.After(due) {
 		n--
 	}
-	a.jobs = append(a.jobs, nil)
-	copy(a.jobs[n+1:], a.jobs[n:])
-	a.jobs[n] = j
+	a.jobs = slices.Insert(a.jobs, n, job)
+}
+
+// SetDue changes when a job is due, with the time from its acceptance until then. An
+// unknown id is ignored.
+func (a *Agenda) SetDue(id string, due time.Time, completionWindow time.Duration) {
+	j := a.find(id)
+	if j == nil {
+		return
+	}
+	a.Remove(id)
+	a.insert(j, due, completionWindow)
 }
 
 // Remove removes a job with its items. An unknown id is ignored.
@@ -288,35 +306,6 @@
 	return d
 }
 
-// RequeueFailed requeues an item whose run the backend server answered with a
-// failure. After maxAttempts failures it closes the item instead and returns
-// true.
-func (a *Agenda) RequeueFailed(now time.Time, id string, index, maxAttempts int) bool {
-	j := a.find(id)
-	if j == nil {
-		return false
-	}
-	i := &j.items[index]
-	i.broken = true
-	i.failures++
-	if i.failures >= maxAttempts {
-		a.Close(id, index)
-		return true
-	}
-	a.requeue(id, index, now.Add(failedBackoff))
-	return false
-}
-
-// Suspend requeues an item that does not run again. It stays among the waiting items
-// whose last run did not succeed until it is closed.
-func (a *Agenda) Suspend(id string, index int) {
-	a.RequeueBroken(time.Time{}, id, index, false)
-	j := a.find(id)
-	if j != nil {
-		j.items[index].suspended = true
-	}
-}
-
 func (a *Agenda) requeue(id string, index int, notBefore time.Time) {
 	j := a.find(id)
 	if j == nil || j.items[index].state != running {
--- a/internal/coordination/agenda/agenda_test.go
+++ b/internal/coordination/agenda/agenda_test.go
@@ -65,15 +65,24 @@
 func TestGivenUpAfterAttempts(t *testing.T) {
 	a := agenda.New()
 	a.Add("j", start.Add(time.Minute), time.Minute, []string{"a"}, nil)
-	var g []bool
+	var g [][]int
+	var q []bool
 	for k := range 3 {
 		n := start.Add(time.Duration(k) * time.Second)
 		next(a, n)
-		g = append(g, a.RequeueFailed(n, "j", 0, 3))
+		a.RequeueFailed(n, "j", 0)
+		for _, b := range []time.Time{n, n.Add(time.Millisecond)} {
+			l, o := a.Spent("j", 3, false, b)
+			g, q = append(g, l), append(q, o)
+		}
+	}
+	if d := cmp.Diff([][]int{nil, nil, nil, nil, nil, {0}}, g); d != "" {
+		t.Error(d)
 	}
-	if d := cmp.Diff([]bool{false, false, true}, g); d != "" {
+	if d := cmp.Diff([]bool{false, false, false, false, true, false}, q); d != "" {
 		t.Error(d)
 	}
+	a.Close("j", 0)
 	if d := cmp.Diff(0, a.Unfinished("j")); d != "" {
 		t.Error(d)
 	}
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -254,7 +254,7 @@
 	}.Build()}, time.Now(), time.Now())
 	n := wire.Front_builder{Name: &name, Incarnation: proto.Uint64(1)}.Build()
 	x := store.peers
-	j := batch.New(ctx, n, store, x, fleet, engine, store.routeTable, valueBytes, outputBytes,
+	j := batch.New(ctx, n, store, x, fleet, engine, frontRoutes{store, name}, valueBytes, outputBytes,
 		&log.Logger{Handler: discard.New()}, prometheus.NewRegistry(), func() {})
 	x.add(name, j)
 	return j
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -17,7 +17,6 @@
 	"bulrushtrail.example/trail/internal/coordination/ledger"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/object"
-	"bulrushtrail.example/trail/internal/state/rules"
 	"bulrushtrail.example/trail/internal/transport/buffer"
 )
 
@@ -59,12 +58,12 @@
 // Jobs holds the batch jobs that this front runs or has cached. Its methods may
 // be called from any goroutine.
 type Jobs struct {
-	self       *wire.Front
-	store      trail.StaleStore
-	fleet      *fleet.Fleet
-	upstream   trail.Upstream
-	routeTable func() *rules.Table
-	peers      trail.PeerJobs
+	self     *wire.Front
+	store    trail.StaleStore
+	fleet    *fleet.Fleet
+	upstream trail.Upstream
+	routes   trail.Routes
+	peers    trail.PeerJobs
 	// Tokens that the jobs reserve of the quotas of their routes.
 	ledger *ledger.Ledger
 	logger log.Interface
@@ -108,15 +107,19 @@
 	runs map[string][]*itemRun
 	// The front is stopping; no new items are started.
 	draining bool
+	// Start of the last read of the configuration that was asked for here, zero for none.
+	routesReadAt time.Time
+	// Such a read is in progress, or the pause after it.
+	readingRoutes bool
 
 	outcomes *prometheus.CounterVec
 }
 
 // New starts to run the jobs that this front owns, until ctx ends. The platform takes
 // objects of up to valueBytes; outputs of unfinished items hold up to outputBytes.
-func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routeTable func() *rules.Table, valueBytes, outputBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
+func New(ctx context.Context, self *wire.Front, store trail.StaleStore, peers trail.PeerJobs, fleet *fleet.Fleet, upstream trail.Upstream, routes trail.Routes, valueBytes, outputBytes int64, logger log.Interface, registry prometheus.Registerer, onLoadChange func()) *Jobs {
 	s := &Jobs{
-		running: ctx, self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routeTable: routeTable, logger: logger, onLoadChange: onLoadChange,
+		running: ctx, self: self, store: store, peers: peers, fleet: fleet, upstream: upstream, routes: routes, logger: logger, onLoadChange: onLoadChange,
 		payloadBytes: int(float64(valueBytes) * payloadShare), singleBytes: int(min(valueBytes, maxResultsBytes)) - metadataBytes, eventRoom: buffer.New(outputBytes), outputBytes: outputBytes, dispatchSignal: make(chan struct{}, 1), reconcileSignal: make(chan struct{}, 1), peerLostSignal: make(chan struct{}, 1), lookSignal: make(chan struct{}, 1), startTime: time.Now(),
 		cached: map[string]*cachedJob{}, owned: map[string]*ownedJob{}, inheritedProgress: map[string][]*wire.ItemProgress{}, agenda: agenda.New(), runs: map[string][]*itemRun{},
 		outcomes: promauto.With(registry).NewCounterVec(prometheus.CounterOpts{
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -38,6 +38,13 @@
 	peers *fakePeers
 	// The configuration.
 	routes *rules.Table
+	// Number of times that it was replaced.
+	routesVersion int64
+	// Older configurations that fronts have, by front, until they read the newest one.
+	oldRoutes map[string]*rules.Table
+	// Fronts that can't read the configuration, and the reads of all.
+	routesUnreadable map[string]bool
+	routesReads      int
 	// The next write takes effect and then fails, as if its response was lost.
 	loseAnswer bool
 	// Time until that write returns its failure.
@@ -77,7 +84,7 @@
 }
 
 func newStore() *memStore {
-	s := &memStore{objects: map[string]object.Object{}, getCalls: map[string]int{}, peers: &fakePeers{fronts: map[string]*batch.Jobs{}}}
+	s := &memStore{objects: map[string]object.Object{}, getCalls: map[string]int{}, oldRoutes: map[string]*rules.Table{}, routesUnreadable: map[string]bool{}, peers: &fakePeers{fronts: map[string]*batch.Jobs{}}}
 	s.setRoutes(batchRoute(), quotaRoute())
 	return s
 }
@@ -86,13 +93,47 @@
 func (s *memStore) setRoutes(routes ...*wire.RouteRule) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routes = rules.New(wire.RouteTable_builder{Routes: routes}.Build())
+	s.routesVersion++
+	s.routes = rules.New(wire.RouteTable_builder{Version: &s.routesVersion, Routes: routes}.Build())
 }
 
-func (s *memStore) routeTable() *rules.Table {
+// setOldRoutes makes a front keep the present configuration when it is replaced, and
+// lets it read newer ones or not.
+func (s *memStore) setOldRoutes(front string, readable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes
+	s.oldRoutes[front], s.routesUnreadable[front] = s.routes, !readable
+}
+
+// frontRoutes are the routes as a front knows them.
+type frontRoutes struct {
+	store *memStore
+	front string
+}
+
+func (r frontRoutes) Table() *rules.Table {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if t := r.store.oldRoutes[r.front]; t != nil {
+		return t
+	}
+	return r.store.routes
+}
+
+func (r frontRoutes) Refresh(ctx context.Context) error {
+	select {
+	case <-time.After(callDuration):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.store.routesReads++
+	if r.store.routesUnreadable[r.front] {
+		return newError(trail.ErrUnavailable, trail.NotRun)
+	}
+	delete(r.store.oldRoutes, r.front)
+	return nil
 }
 
 func newError(cause error, verdict trail.Verdict) error {
--- a/internal/coordination/batch/output.go
+++ b/internal/coordination/batch/output.go
@@ -113,7 +113,7 @@
 // requeueTooLarge requeues an item whose output no object can hold, as another server
 // may answer otherwise. After the attempts of its route it is suspended: what the
 // platform's users allow is to give it up when the longest wait of the route is over,
-// see giveUpAll. The caller holds the lock.
+// if there is one, see giveUpAll. The caller holds the lock.
 func (s *Jobs) requeueTooLarge(now time.Time, run *itemRun, progress *itemProgress) {
 	r := s.route(run.job.cached)
 	progress.oversized++
@@ -127,10 +127,5 @@
 		s.agenda.RequeueBroken(now, run.job.id, run.index, false)
 		return
 	}
-	if r != nil && r.GetMaxWaitMs() <= 0 {
-		s.agenda.Close(run.job.id, run.index)
-		s.addResult(run.job, run.index, true, "")
-		return
-	}
-	s.agenda.Suspend(run.job.id, run.index)
+	s.agenda.Suspend(now, run.job.id, run.index)
 }
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -16,6 +16,9 @@
 // items, so these need attempts to spare.
 const firstOwnerFactor = 2
 
+// Time until a job without a route counts as due. Its items can't run.
+const unknownDue = time.Hour
+
 // ownedJob is a job that this front runs.
 type ownedJob struct {
 	id     string
@@ -38,6 +41,8 @@
 	writesSettled bool
 	// When the job was accepted, or later: clocks differ between hosts.
 	acceptedAt time.Time
+	// The configuration has shown when the job is due.
+	dueKnown bool
 	// Since when the configuration has no route for the job, zero if it has one.
 	unroutedSince time.Time
 	// Start of the last read or write of the job's object that found this process
@@ -68,8 +73,6 @@
 	o := &ownedJob{id: d, cached: k, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
 	o.ctx, o.cancel = context.WithCancelCause(context.Background())
 	s.owned[d] = o
-	// Time from the acceptance of the job until it is due.
-	u := time.Duration(s.route(k).GetDueMs()) * time.Millisecond
 	l := make([]string, 0, len(items))
 	for _, i := range items {
 		l = append(l, i.GetId())
@@ -78,13 +81,10 @@
 		}
 	}
 	s.holdTokens(o)
-	// Age of the job. It is clamped, as clocks differ between hosts and may be
-	// set.
 	n := time.Now()
-	a := n.Sub(time.UnixMilli(value.GetAcceptedUnixMs()))
-	o.acceptedAt = n.Add(-max(a-maxClockSkew, 0))
-	a = min(max(a, 0), u)
-	s.agenda.Add(d, n.Add(u-a), u, l, h)
+	o.acceptedAt = n.Add(-max(ageOf(n, value)-maxClockSkew, 0))
+	s.agenda.Add(d, n.Add(unknownDue), unknownDue, l, h)
+	s.noteDue(o)
 	if s.agenda.Unfinished(d) == 0 {
 		// An earlier owner has listed all results.
 		go s.completeJob(o)
@@ -92,13 +92,46 @@
 	s.TriggerDispatch()
 }
 
+// ageOf returns the time since a job was accepted, as the clocks of two hosts show it.
+func ageOf(now time.Time, value *wire.BatchJob) time.Duration {
+	return now.Sub(time.UnixMilli(value.GetAcceptedUnixMs()))
+}
+
+// noteDue sets when a job is due, once the configuration has its route: a front may get
+// a job before the version of the configuration under which it was accepted. The caller
+// holds the lock.
+func (s *Jobs) noteDue(job *ownedJob) {
+	u := s.route(job.cached)
+	if job.dueKnown || u == nil {
+		return
+	}
+	job.dueKnown = true
+	w := time.Duration(u.GetDueMs()) * time.Millisecond
+	n := time.Now()
+	// The age is clamped, as clocks differ between hosts and may be set.
+	s.agenda.SetDue(job.id, n.Add(w-min(max(ageOf(n, job.cached.job), 0), w)), w)
+}
+
+// ApplyRoutes follows a change of the configuration: it records the reservations of all
+// jobs again, and when those are due that had no route before. Jobs that were accepted
+// without a quota count towards the one that their route has now.
+func (s *Jobs) ApplyRoutes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.owned {
+		s.holdTokens(o)
+		s.noteDue(o)
+	}
+	s.TriggerDispatch()
+}
+
 // maxFailures returns how often an item may fail before it is given up. The
 // platform allows one to three times the attempts of the route. A later owner
 // does not know how often the items have failed before and uses one times, so
 // that the first owner and one successor together stay within three.
-func (s *Jobs) maxFailures(job *ownedJob) int {
-	n := max(int(s.route(job.cached).GetAttempts()), 1)
-	if job.firstOwner {
+func (o *ownedJob) maxFailures(route *wire.RouteRule) int {
+	n := max(int(route.GetAttempts()), 1)
+	if o.firstOwner {
 		return firstOwnerFactor * n
 	}
 	return n
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -15,7 +15,7 @@
 // route returns the route of a job, nil when the route was removed or no
 // configuration is known.
 func (s *Jobs) route(cached *cachedJob) *wire.RouteRule {
-	t := s.routeTable()
+	t := s.routes.Table()
 	if t == nil {
 		return nil
 	}
@@ -38,7 +38,7 @@
 // that does not serve its route any more. The caller holds the lock.
 func (s *Jobs) acquireServer(now time.Time, table *rules.Table, job *ownedJob, index int) *wire.BackendServer {
 	u := routeIn(table, job.cached)
-	if u == nil {
+	if u == nil || s.agenda.Failures(job.id, index) >= job.maxFailures(u) {
 		return nil
 	}
 	p := job.progress[index]
--- a/internal/coordination/batch/quota.go
+++ b/internal/coordination/batch/quota.go
@@ -12,7 +12,7 @@
 // reserveQuota reserves the tokens of a new job in the quota of its route. It
 // returns true when the job was accepted before.
 func (s *Jobs) reserveQuota(ctx context.Context, id, host, path string, items []*wire.BatchItem) (bool, error) {
-	u := s.routeTable().Match(host, path)
+	u := s.routes.Table().Match(host, path)
 	if u.GetWaitingTokens() <= 0 {
 		return false, nil
 	}
@@ -51,17 +51,6 @@
 	s.ledger.ReduceReservation(s.route(job.cached), job.id, tokens)
 }
 
-// ReapplyQuotas records the reservations of all jobs again after a change of
-// the configuration. Jobs that were accepted without a quota count towards the
-// one that their route has now.
-func (s *Jobs) ReapplyQuotas() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, o := range s.owned {
-		s.holdTokens(o)
-	}
-}
-
 // QuotaNearLimit says whether this front has recently found a quota nearly used
 // up.
 func (s *Jobs) QuotaNearLimit() bool { return s.ledger.NearLimit() }
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -88,7 +88,7 @@
 	if s.draining || len(s.owned) == 0 || !s.agenda.HasWaiting() {
 		return false
 	}
-	t := s.routeTable()
+	t := s.routes.Table()
 	if t == nil {
 		return false
 	}
@@ -190,10 +190,7 @@
 	case errors.Is(err, errFailed):
 		s.fleet.RecordFailedAnswer(w, run.server)
 		s.onLoadChange()
-		if s.agenda.RequeueFailed(w, run.job.id, run.index, s.maxFailures(run.job)) {
-			s.addResult(run.job, run.index, true, "")
-			return "given-up"
-		}
+		s.agenda.RequeueFailed(w, run.job.id, run.index)
 		return "failed"
 	case errors.Is(err, errTooLarge):
 		progress.reset()
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -149,16 +149,28 @@
 }
 
 // replaceAll replaces the copy by a list of the platform, or by one replicated
-// from another front. Objects that the list lacks are deleted. A list that is
-// older than the last one is ignored. The list has all changes up to
+// from another front, which ends an unavailability. The list has all changes up to
 // confirmedAt, which is zero if unknown.
 func (s *Informer) replaceAll(objects []object.Object, version int64, relayed bool, confirmedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relayed = relayed
-	if version < s.listVersion {
+	if !s.merge(objects, version, confirmedAt) {
 		return
 	}
+	if !s.unavailableSince.IsZero() && s.recoveredAt.IsZero() {
+		s.recoveredAt = time.Now()
+		s.logger.WithField("away", s.recoveredAt.Sub(s.unavailableSince).String()).Info("inform: watch of the platform regained")
+	}
+}
+
+// merge replaces the copy by a list with all changes up to confirmedAt, which is zero
+// if unknown. Objects that the list lacks are deleted. It returns false and does
+// nothing if the list is older than the last one. The caller holds the lock.
+func (s *Informer) merge(objects []object.Object, version int64, confirmedAt time.Time) bool {
+	if version < s.listVersion {
+		return false
+	}
 	s.listVersion = version
 	s.completeVersion = max(s.completeVersion, version)
 	n := make(map[string]object.Object, len(objects))
@@ -176,14 +188,11 @@
 	s.objects = n
 	s.deletedVersions = map[string]int64{}
 	s.synced = true
-	if !s.unavailableSince.IsZero() && s.recoveredAt.IsZero() {
-		s.recoveredAt = time.Now()
-		s.logger.WithField("away", s.recoveredAt.Sub(s.unavailableSince).String()).Info("inform: watch of the platform regained")
-	}
 	b := s.confirmedAt
 	s.confirm(confirmedAt)
 	s.notify()
 	s.confirmedBeforeChange = b
+	return true
 }
 
 func (s *Informer) apply(change trail.Change) {
--- a/internal/coordination/inform/list.go
+++ b/internal/coordination/inform/list.go
@@ -100,6 +100,21 @@
 	}()
 }
 
+// ListThrough lists the kind once through another store, such as one that also calls
+// the platform through other fronts. An unavailability goes on: its end is a list that
+// the platform answers this process.
+func (s *Informer) ListThrough(ctx context.Context, store trail.Store) error {
+	b := time.Now()
+	l, v, e := store.List(ctx, s.kind)
+	if e != nil {
+		return e
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.merge(l, v, b)
+	return nil
+}
+
 // noteListError records that the platform has not answered a list.
 func (s *Informer) noteListError(ctx context.Context, err error) {
 	// ErrTooOld requires a new list, but the platform is available.
