batch: a job is handed over to a front that the platform answers

The order is now taken among the fronts that the platform answers, and among all if it answers none. Only the front that hands over decides this; who takes over the jobs of a lost front is as before, since all have to agree on that.

--- a/internal/coordination/batch/cluster_test.go
+++ b/internal/coordination/batch/cluster_test.go
@@ -21,6 +21,8 @@
 	deaf string
 	// A front that announces that it stops, or the empty string.
 	leaving string
+	// A front that the platform turns away, or the empty string.
+	troubled string
 	// Ends the work of a front of its own accord.
 	stops map[string]context.CancelFunc
 }
@@ -60,7 +62,7 @@
 
 // sendHeartbeat sends the heartbeat of a front to all others.
 func (r *cluster) sendHeartbeat(name string) {
-	l := wire.Load_builder{Name: &name, Incarnation: proto.Uint64(1), Sequence: &r.sequence, Leaving: proto.Bool(name == r.leaving)}
+	l := wire.Load_builder{Name: &name, Incarnation: proto.Uint64(1), Sequence: &r.sequence, Leaving: proto.Bool(name == r.leaving), Troubled: proto.Bool(name == r.troubled)}
 	for _, p := range r.names {
 		if p != name && !r.fleets[name].ReceivedWithin(time.Now(), p, fleet.HeartbeatTimeout) {
 			l.Unheard = append(l.Unheard, p)
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -157,11 +157,11 @@
 	return m
 }
 
-// notifySuccessor hands a job without an owner over to its successor. If there
+// notifySuccessor hands a job without an owner over to another front. If there
 // is none or it can't be notified, the released count goes up, upon which all
 // fronts look for the job.
 func (s *Jobs) notifySuccessor(ctx context.Context, id string, progress []*wire.ItemProgress) {
-	n := s.successor(id, "")
+	n := s.handOverTarget(id)
 	o, _ := s.cachedOwner(id)
 	if n != "" {
 		e := s.peers.Notify(ctx, n, newNotice(o, progress))
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -186,15 +187,26 @@
 }
 
 // successor returns the first of the other live fronts and the candidate in the
-// rendezvous order of a job. An empty candidate leaves only the other fronts;
-// the result is empty when there are none.
+// rendezvous order of a job.
 func (s *Jobs) successor(id, candidate string) string {
-	b := candidate
+	return firstInOrder(id, append(s.fleet.ActivePeers(time.Now()), candidate))
+}
+
+// handOverTarget returns the front that a job is handed over to: the first in its
+// rendezvous order of the other live fronts that the platform answers, or of all if it
+// answers none, empty if there are none. The others run the job as well, but their
+// copies may be old, and an earlier version of the program gives items up by them.
+func (s *Jobs) handOverTarget(id string) string {
+	n := time.Now()
+	return cmp.Or(firstInOrder(id, s.fleet.HealthyPeers(n)), firstInOrder(id, s.fleet.ActivePeers(n)))
+}
+
+// firstInOrder returns the first of several fronts in the rendezvous order of a job,
+// empty if there are none.
+func firstInOrder(id string, fronts []string) string {
+	b := ""
 	var m uint64
-	if b != "" {
-		m = xxhash.Sum64String(id + "/" + b)
-	}
-	for _, n := range s.fleet.ActivePeers(time.Now()) {
+	for _, n := range fronts {
 		h := xxhash.Sum64String(id + "/" + n)
 		if b == "" || h > m {
 			b, m = n, h
--- a/internal/coordination/batch/stale_test.go
+++ b/internal/coordination/batch/stale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,30 @@
 		})
 	}
 }
+
+// Guards against a job that is handed over to a front which the platform turns away,
+// while it answers another one.
+func TestJobIsHandedToTurnedAwayFront(t *testing.T) {
+	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
+		r := newCluster(ctx, store, engine, "front-1", "front-2", "front-3")
+		r.troubled = "front-2"
+		r.advance(4*time.Second, "")
+		var l []string
+		for n := range 8 {
+			l = append(l, fmt.Sprint("job-", n))
+			accept(t, ctx, r.jobs["front-1"], l[n], 8)
+		}
+		c, f := context.WithCancel(ctx)
+		f()
+		r.jobs["front-1"].Drain(c)
+		r.advance(time.Second, "front-1")
+		m := map[string]int{}
+		for _, i := range l {
+			m[store.owner(i)]++
+		}
+		if d := cmp.Diff(map[string]int{"front-3": 8}, m); d != "" {
+			t.Error(d)
+		}
+		r.advance(time.Minute, "front-1")
+	})
+}
