inform: a front that is turned away lists the configuration through another

A front that hears of another configuration while the platform does not answer it now lists it through another front, once for each version that it hears of. Its copy is then confirmed by the others' datagrams like any. It still counts as one that the platform does not answer, so nobody calls the platform through it.

A front that starts while it is turned away knows no other fronts yet and is as before.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -142,7 +142,8 @@
 	}.Build(), process.dialer, process.logger)
 	s.fanout = fanout.New(process.store, process.settings.GetName(), member.Kind, s.mesh, process.logger)
 	// Configurations may be large, so every front watches them at the platform
-	// instead of receiving them from another front.
+	// instead of receiving them from another front. One that the platform turns away
+	// lists them through another front when that one has a newer version.
 	s.configs = inform.New(ctx, process.store, "configs", process.logger)
 	s.hosts = s.newSharedInformer(ctx, "hosts")
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
@@ -150,6 +151,7 @@
 	s.proxy = proxy.New(s.connect, s.paths, s.mesh, s.connectedPeers, s.reportsProcess, s.recordNotice, process.logger, process.registry)
 	u := permit.New(process.settings.GetName(), s.fleet, s.proxy, s, process.logger, process.registry)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
+	s.configs.SetFallback(s.relay)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -28,6 +28,8 @@
 	store  trail.Store
 	kind   string
 	logger log.Interface
+	// Store through which Refresh lists while the platform is unavailable, nil for none.
+	fallback trail.Store
 
 	mu      sync.Mutex
 	objects map[string]object.Object
@@ -79,6 +81,11 @@
 	return s
 }
 
+// SetFallback sets the store through which Refresh lists while the platform does not
+// answer this process, such as one that calls it through other fronts. It must be
+// called before Relist.
+func (s *Informer) SetFallback(store trail.Store) { s.fallback = store }
+
 func (s *Informer) run(ctx context.Context) {
 	p := initialBackoff
 	for ctx.Err() == nil {
--- a/internal/coordination/inform/relist.go
+++ b/internal/coordination/inform/relist.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -43,12 +44,10 @@
 		case <-t.C:
 			t.Reset(s.relistIfStale(ctx, rank, onRelist))
 		case <-s.refreshRequests:
-			if s.recovering() {
+			if s.recovering() && s.fallback == nil {
 				continue
 			}
-			// Not counted and not announced: the front whose datagram caused
-			// the refresh already has what the list returns.
-			s.relist(ctx)
+			s.refresh(ctx)
 			select {
 			case <-time.After(minRefreshInterval):
 			case <-ctx.Done():
@@ -58,6 +57,19 @@
 	}
 }
 
+// refresh lists the kind because another front has other objects, through the fallback
+// while the platform is unavailable. It is not counted and not announced: that front
+// already has what the list returns.
+func (s *Informer) refresh(ctx context.Context) {
+	if !s.recovering() {
+		s.relist(ctx)
+		return
+	}
+	d := s.Digest()
+	e := s.ListThrough(ctx, s.fallback)
+	s.logger.WithFields(log.Fields{"changed": d != s.Digest(), "failed": e != nil}).Info("inform: listed through another front")
+}
+
 // relistIfStale lists the kind if its copy is too old. It returns the time until
 // the next check.
 func (s *Informer) relistIfStale(ctx context.Context, rank func() int, onRelist func()) time.Duration {
