batch: a job follows the route under which it was accepted

With an added batch route that leads to a service without servers, the items waited there until MaxWaitS, while the servers of their own route were idle.

Cause: a job kept its host and path, and its route was looked up by them in each version. A path tells the route under which a job was accepted; later versions may give the path to another route.

All uses follow: due time, attempts, memory of items, builds that may go on, giving up, and the quota. There the reservation is moved when a job follows another route, and lowered by the account's name, so that an account of a route that is away for a while is lowered too; the quota of a submission is that of the route which the handler has matched, not of a later look.

Beside earlier builds: they ignore the field, and drop it when they update a job's object. The name stands in the first input object too, which nobody ever replaces, and is read from there with the items. Of jobs that an earlier build accepted the name is not known; a nested route for online requests does not take them either, a nested batch route does. An earlier build that runs a job still follows the path.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -24,26 +24,32 @@
 	acceptRetryAfter = 700 * time.Millisecond
 )
 
-// Bytes of an input object beside its items, each with a comma, as it is sent to the
-// platform.
-const inputBytes = len(`{"items":[]}`) - len(",")
+// inputBytes returns the bytes of an input object of a job on a route beside its items,
+// each with a comma, as it is sent to the platform.
+func inputBytes(route *wire.RouteRule) int {
+	return len(`{"items":[],"route":}`) + object.TextSize(route.GetName()) - len(",")
+}
 
-// Accept stores a job with its items. It returns nil once the job is accepted,
-// also when it was accepted before. The error's verdict says whether any part
-// of the job may run.
-func (s *Jobs) Accept(ctx context.Context, id, host, path string, items []*wire.BatchItem) error {
+// Accept stores a job with its items, whose submission the route has matched. It
+// returns nil once the job is accepted, also when it was accepted before. The error's
+// verdict says whether any part of the job may run.
+func (s *Jobs) Accept(ctx context.Context, route *wire.RouteRule, id, host, path string, items []*wire.BatchItem) error {
 	if s.isCached(id) {
 		return nil
 	}
-	d, e := s.reserveQuota(ctx, id, host, path, items)
+	d, e := s.reserveQuota(ctx, route, id, items)
 	if e != nil || d {
 		return e
 	}
-	l := splitItems(items, s.payloadBytes)
+	l := splitItems(items, inputBytes(route), s.payloadBytes)
 	for n, i := range l {
-		_, e := s.createObject(ctx, kindInputs, partName(id, n), wire.BatchInput_builder{Items: i}.Build())
+		v := wire.BatchInput_builder{Items: i}.Build()
+		if n == 0 {
+			v.SetRoute(route.GetName())
+		}
+		_, e := s.createObject(ctx, kindInputs, partName(id, n), v)
 		if e != nil && !errors.Is(e, trail.ErrExists) {
-			if trail.CodeOf(e) == codeRefused && s.isTooLarge(i) {
+			if trail.CodeOf(e) == codeRefused && s.isTooLarge(route, i) {
 				return trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
 			}
 			// The verdict is NotRun: no item runs before the job object exists.
@@ -51,7 +57,7 @@
 		}
 	}
 	j := wire.BatchJob_builder{
-		Host: &host, Path: &path, Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
+		Host: &host, Path: &path, Route: proto.String(route.GetName()), Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
 		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
 		AcceptedUnixMs: proto.Int64(time.Now().UnixMilli()),
 	}.Build()
@@ -161,15 +167,15 @@
 }
 
 // splitItems divides items into groups of at most maxBytes each, as they are sent to
-// the platform. A larger item is a group of its own.
-func splitItems(items []*wire.BatchItem, maxBytes int) [][]*wire.BatchItem {
+// the platform, with the bytes beside them. A larger item is a group of its own.
+func splitItems(items []*wire.BatchItem, besideBytes, maxBytes int) [][]*wire.BatchItem {
 	var l [][]*wire.BatchItem
 	n := 0
 	for _, i := range items {
 		w := object.Size(i) + len(",")
 		if len(l) == 0 || n+w > maxBytes {
 			l = append(l, nil)
-			n = inputBytes
+			n = besideBytes
 		}
 		l[len(l)-1] = append(l[len(l)-1], i)
 		n += w
@@ -179,6 +185,6 @@
 
 // isTooLarge reports whether a group of items is a single one that has no room in an
 // object of its own.
-func (s *Jobs) isTooLarge(items []*wire.BatchItem) bool {
-	return len(items) == 1 && inputBytes+len(",")+object.Size(items[0]) > s.singleBytes
+func (s *Jobs) isTooLarge(route *wire.RouteRule, items []*wire.BatchItem) bool {
+	return len(items) == 1 && inputBytes(route)+len(",")+object.Size(items[0]) > s.singleBytes
 }
--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -263,7 +263,7 @@
 // batchRoute returns the route of the jobs that accept submits.
 func batchRoute() *wire.RouteRule {
 	return wire.RouteRule_builder{
-		Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
+		Name: proto.String("batch"), Host: proto.String("h"), Prefix: proto.String("/b/"), Attempts: proto.Int32(3), DueMs: proto.Int64(18000), Batch: proto.Bool(true),
 		Shares: []*wire.RouteShare{wire.RouteShare_builder{Service: proto.String("v"), Weight: proto.Float64(1)}.Build()},
 	}.Build()
 }
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -145,6 +145,9 @@
 	inputCount int
 	host       string
 	path       string
+	// Name of the route under which the job was accepted, empty if not known. An earlier
+	// version of the program drops it from the job's object.
+	route string
 	// The newest version that was read, written or received from another front.
 	object object.Object
 	job    *wire.BatchJob
@@ -168,7 +171,7 @@
 
 func newCachedJob(value *wire.BatchJob) *cachedJob {
 	return &cachedJob{
-		total: int(value.GetTotal()), inputCount: int(value.GetInputs()), host: value.GetHost(), path: value.GetPath(),
+		total: int(value.GetTotal()), inputCount: int(value.GetInputs()), host: value.GetHost(), path: value.GetPath(), route: value.GetRoute(),
 		job: value, resultsChanged: make(chan struct{}),
 	}
 }
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -23,14 +23,9 @@
 }
 
 // routeIn returns the route of a job in a configuration, nil if there is none. A route
-// for online requests that matches the job's path is another one, and may lead to
-// other services.
+// that matches the job's path may be another one, and lead to other services.
 func routeIn(table *rules.Table, cached *cachedJob) *wire.RouteRule {
-	u := table.Match(cached.host, cached.path)
-	if !u.GetBatch() {
-		return nil
-	}
-	return u
+	return table.JobRoute(cached.route, cached.host, cached.path)
 }
 
 // acquireServer chooses a backend server for the next run of an item, or returns
--- a/internal/coordination/batch/quota.go
+++ b/internal/coordination/batch/quota.go
@@ -11,12 +11,11 @@
 
 // reserveQuota reserves the tokens of a new job in the quota of its route. It
 // returns true when the job was accepted before.
-func (s *Jobs) reserveQuota(ctx context.Context, id, host, path string, items []*wire.BatchItem) (bool, error) {
-	u := s.routes.Table().Match(host, path)
-	if u.GetWaitingTokens() <= 0 {
+func (s *Jobs) reserveQuota(ctx context.Context, route *wire.RouteRule, id string, items []*wire.BatchItem) (bool, error) {
+	if route.GetWaitingTokens() <= 0 {
 		return false, nil
 	}
-	e := s.ledger.Reserve(ctx, u, id, sumTokens(items))
+	e := s.ledger.Reserve(ctx, route, id, sumTokens(items))
 	if trail.CodeOf(e) != "quota-exceeded" {
 		return false, e
 	}
@@ -38,17 +37,25 @@
 	return true, nil
 }
 
-// holdTokens records the reservation of a job that this front runs in the
-// ledger; the caller holds the lock.
+// holdTokens records the reservation of a job that this front runs in the account of
+// its route, and ends the one on a route that it had before. The caller holds the lock.
 func (s *Jobs) holdTokens(job *ownedJob) {
-	s.ledger.SetReservation(s.route(job.cached), job.id, job.waitingTokens)
+	u := s.route(job.cached)
+	if u == nil {
+		return
+	}
+	if job.account != u.GetName() {
+		s.ledger.ReduceReservation(job.account, job.id, 0)
+		job.account = u.GetName()
+	}
+	s.ledger.SetReservation(u, job.id, job.waitingTokens)
 }
 
 // setWaitingTokens reduces the reservation of a job to the tokens of its items
 // without a result; the caller holds the lock.
 func (s *Jobs) setWaitingTokens(job *ownedJob, tokens int64) {
 	job.waitingTokens = tokens
-	s.ledger.ReduceReservation(s.route(job.cached), job.id, tokens)
+	s.ledger.ReduceReservation(job.account, job.id, tokens)
 }
 
 // QuotaNearLimit says whether this front has recently found a quota nearly used
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -201,6 +202,7 @@
 	if obj.Version() > k.object.Version() {
 		k.object = obj
 		k.job = value
+		k.route = cmp.Or(k.route, value.GetRoute())
 	}
 	return k
 }
@@ -330,6 +332,7 @@
 		return nil
 	}
 	var l []*wire.BatchItem
+	r := ""
 	for i := range cached.inputCount {
 		o, e := s.getImmutable(ctx, kindInputs, partName(id, i))
 		if e != nil {
@@ -341,9 +344,11 @@
 			return trail.WrapError(e, "object-unreadable", trail.NotRun, "input object is not decodable").WithPlace(id)
 		}
 		l = append(l, v.GetItems()...)
+		r = cmp.Or(r, v.GetRoute())
 	}
 	s.mu.Lock()
 	cached.items = l
+	cached.route = cmp.Or(cached.route, r)
 	s.mu.Unlock()
 	return nil
 }
--- a/internal/coordination/batch/stale_test.go
+++ b/internal/coordination/batch/stale_test.go
@@ -92,11 +92,15 @@
 	}{
 		{
 			"attempts", func(r *wire.RouteRule) { r.SetAttempts(1) }, func(r *wire.RouteRule) { r.SetAttempts(3) },
-			func(g *fakeEngine) { g.failItem("i0") }, [][2]int{{7, 0}, {7, 1}}, 3,
+			func(g *fakeEngine) { g.failItem("i0") },
+			[][2]int{{7, 0}, {7, 1}},
+			3,
 		},
 		{
 			"wait", func(r *wire.RouteRule) { r.SetMaxWaitMs(3000) }, func(r *wire.RouteRule) { r.SetMaxWaitMs(60_000) },
-			func(g *fakeEngine) { g.loseItem("i0") }, [][2]int{{7, 0}, {7, 0}}, 2,
+			func(g *fakeEngine) { g.loseItem("i0") },
+			[][2]int{{7, 0}, {7, 0}},
+			2,
 		},
 	} {
 		t.Run(k.name, func(t *testing.T) {
--- a/internal/coordination/ledger/ledger.go
+++ b/internal/coordination/ledger/ledger.go
@@ -109,12 +109,12 @@
 }
 
 // ReduceReservation lowers the reservation of a job to the tokens that are still
-// waiting. It does nothing for a route on which this front has made or set no
-// reservation.
-func (s *Ledger) ReduceReservation(route *wire.RouteRule, job string, tokens int64) {
+// waiting on the route with a name. It does nothing for a route on which this front has
+// made or set no reservation.
+func (s *Ledger) ReduceReservation(route, job string, tokens int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.accounts[route.GetName()]
+	b := s.accounts[route]
 	if b == nil {
 		return
 	}
--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -51,6 +51,33 @@
 	return nil
 }
 
+// JobRoute returns the route of a batch job that was accepted for host and path on the
+// route called name, or nil if it was removed. A batch route of that name is the job's
+// also when another one has a longer prefix by now. Without one the job's route was
+// renamed or removed, and what Match returns is the job's route if it accepts jobs. With
+// an empty name the route is not known: it is the batch route with the longest prefix.
+func (s *Table) JobRoute(name, host, path string) *wire.RouteRule {
+	var l []*wire.RouteRule
+	for _, r := range s.routesByHost[hostKey(host)] {
+		switch {
+		case !strings.HasPrefix(path, r.GetPrefix()):
+		case r.GetBatch() && r.GetName() == name:
+			return r
+		default:
+			l = append(l, r)
+		}
+	}
+	for _, r := range l {
+		if r.GetBatch() {
+			return r
+		}
+		if name != "" {
+			break
+		}
+	}
+	return nil
+}
+
 // HasHost reports whether the configuration has routes for host. It ignores
 // case and port like Match.
 func (s *Table) HasHost(host string) bool {
--- a/internal/state/rules/table_test.go
+++ b/internal/state/rules/table_test.go
@@ -57,3 +57,43 @@
 		t.Error(d)
 	}
 }
+
+// batchRule returns a route of batch jobs.
+func batchRule(name, host, prefix string) *wire.RouteRule {
+	r := rule(name, host, prefix)
+	r.SetBatch(true)
+	return r
+}
+
+// Guards against a job that follows a route which was added, removed or changed beside
+// its own one.
+func TestJobFollowsAnotherRoute(t *testing.T) {
+	o := batchRule("own", "h", "/a/")
+	for _, k := range []struct {
+		name, route string
+		routes      []*wire.RouteRule
+		want        string
+	}{
+		{"alone", "own", []*wire.RouteRule{o}, "own"},
+		{"online nested", "own", []*wire.RouteRule{o, rule("n", "h", "/a/b/")}, "own"},
+		{"batch nested", "own", []*wire.RouteRule{o, batchRule("n", "h", "/a/b/")}, "own"},
+		{"wider beside", "own", []*wire.RouteRule{o, batchRule("w", "h", "/")}, "own"},
+		{"removed", "own", nil, ""},
+		{"removed, nested stays", "own", []*wire.RouteRule{batchRule("n", "h", "/a/b/")}, "n"},
+		{"removed, wider stays", "own", []*wire.RouteRule{batchRule("w", "h", "/")}, "w"},
+		{"removed, online nested stays", "own", []*wire.RouteRule{rule("n", "h", "/a/b/"), batchRule("w", "h", "/")}, ""},
+		{"renamed", "own", []*wire.RouteRule{batchRule("new", "h", "/a/")}, "new"},
+		{"online now", "own", []*wire.RouteRule{rule("own", "h", "/a/")}, ""},
+		{"name goes to another path", "own", []*wire.RouteRule{batchRule("own", "h", "/c/")}, ""},
+		{"name goes to another host", "own", []*wire.RouteRule{batchRule("own", "g", "/a/")}, ""},
+		{"name goes to another path, nested stays", "own", []*wire.RouteRule{batchRule("own", "h", "/c/"), batchRule("n", "h", "/a/b/")}, "n"},
+		{"not known, online nested", "", []*wire.RouteRule{o, rule("n", "h", "/a/b/")}, "own"},
+		{"not known, batch nested", "", []*wire.RouteRule{o, batchRule("n", "h", "/a/b/")}, "n"},
+		{"not known, none", "", []*wire.RouteRule{rule("n", "h", "/a/b/")}, ""},
+	} {
+		s := rules.New(wire.RouteTable_builder{Routes: k.routes}.Build())
+		if d := cmp.Diff(k.want, s.JobRoute(k.route, "H:80", "/a/b/1").GetName()); d != "" {
+			t.Errorf("%s: %s", k.name, d)
+		}
+	}
+}
