--- a/internal/coordination/batch/nested_test.go
+++ b/internal/coordination/batch/nested_test.go
@@ -48,9 +48,9 @@
 					t.Fatal(e)
 				}
 				store.setRoutes(batchRoute(), nestedRoute(k.batch))
-				silent := ""
+				z := ""
 				if k.handed {
-					silent = "front-1"
+					z = "front-1"
 					store.peers.unreachable = k.dropped
 					c, f := context.WithCancel(ctx)
 					f()
@@ -61,12 +61,12 @@
 					store.changeJob(t, "job", func(j *wire.BatchJob) { j.ClearRoute() })
 					r.jobs["front-2"].TriggerReconcile()
 				}
-				r.advance(25*time.Second, silent)
+				r.advance(25*time.Second, z)
 				n, m := countResults(t, ctx, r.jobs["front-2"], "job")
 				if d := cmp.Diff([]int{20, 0}, []int{n, m}); d != "" {
 					t.Error(d)
 				}
-				r.advance(time.Minute, silent)
+				r.advance(time.Minute, z)
 			})
 		})
 	}
