--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -34,7 +34,7 @@
 // returns nil once the job is accepted, also when it was accepted before. The error's
 // verdict says whether any part of the job may run.
 func (s *Jobs) Accept(ctx context.Context, route *wire.RouteRule, id, host, path string, items []*wire.BatchItem) error {
-	if s.isCached(id) {
+	if s.Knows(id) {
 		return nil
 	}
 	d, e := s.reserveQuota(ctx, route, id, items)
@@ -117,7 +117,8 @@
 	return s.draining
 }
 
-func (s *Jobs) isCached(id string) bool {
+// Knows reports whether this front has seen a job with an id, by its own memory.
+func (s *Jobs) Knows(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.cached[id] != nil
--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -84,6 +84,11 @@
 	return len(s.routesByHost[hostKey(host)]) > 0
 }
 
+// HasBatch reports whether the configuration has batch routes for host.
+func (s *Table) HasBatch(host string) bool {
+	return slices.ContainsFunc(s.routesByHost[hostKey(host)], (*wire.RouteRule).GetBatch)
+}
+
 // SameHost reports whether two hosts are the same but for case and port.
 func SameHost(a, b string) bool { return hostKey(a) == hostKey(b) }
 
