daemon: the owner of an ended job that is not listed is looked up

The owner, for its part, reads old copies only, and gets no datagrams from a front that does not list it.

A front that is missing from this one's copy of the registrations is now looked up at the platform, through another front while the platform does not answer, before it counts as unknown. That serves notices and questions for results alike, and costs a read only while a live owner is not listed.

Left: if no other front can be reached either, the end is still acknowledged after 1.8 s without the owner's word.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -155,7 +156,7 @@
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
-	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.roster.Address), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
+	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.addressOf), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
@@ -236,6 +237,23 @@
 // backend servers. Requests are sent through them when this front cannot.
 func (s *frontRole) connectedPeers() []string { return s.addresses(s.fleet.ConnectedPeers(time.Now())) }
 
+// addressOf returns the peer address of a front, empty if unknown. A front that this
+// one's copy of the registrations lacks is looked up at the platform, through another
+// front while the platform does not answer: the copy may be old.
+func (s *frontRole) addressOf(ctx context.Context, front string) string {
+	a := s.roster.Address(front)
+	if a != "" {
+		return a
+	}
+	f := &wire.Front{}
+	o, e := s.relay.Get(ctx, member.Kind, front)
+	if e == nil {
+		e = o.Decode(f)
+	}
+	s.logger.WithFields(log.Fields{"front": front, "address": f.GetPeerAddress(), "failed": e != nil}).Info("bulrushd: front that is not listed was looked up")
+	return f.GetPeerAddress()
+}
+
 // addresses returns the peer addresses of fronts.
 func (s *frontRole) addresses(fronts []string) []string {
 	var l []string
--- a/internal/coordination/jobrpc/client.go
+++ b/internal/coordination/jobrpc/client.go
@@ -24,13 +24,13 @@
 type Client struct {
 	mesh *mesh.Mesh
 	// Returns the peer address of a front, empty when it is unknown.
-	address func(front string) string
+	address func(ctx context.Context, front string) string
 }
 
 var _ trail.PeerJobs = (*Client)(nil)
 
 // New returns a client that resolves names of fronts with address.
-func New(mesh *mesh.Mesh, address func(front string) string) *Client {
+func New(mesh *mesh.Mesh, address func(ctx context.Context, front string) string) *Client {
 	return &Client{mesh: mesh, address: address}
 }
 
@@ -58,7 +58,7 @@
 
 // call sends a request to a front on a new stream and reads its response.
 func (s *Client) call(ctx context.Context, front string, request *wire.Open, response proto.Message) error {
-	a := s.address(front)
+	a := s.address(ctx, front)
 	if a == "" {
 		return trail.NewError("peer-unknown", trail.NotRun, "peer address of the front is unknown").WithPlace(front)
 	}
--- a/internal/coordination/jobrpc/client_test.go
+++ b/internal/coordination/jobrpc/client_test.go
@@ -38,7 +38,7 @@
 			})
 		}()
 		synctest.Wait()
-		s := jobrpc.New(m, func(front string) string {
+		s := jobrpc.New(m, func(_ context.Context, front string) string {
 			return map[string]string{"far": "far:1", "gone": "gone:1"}[front]
 		})
 		for _, k := range []struct{ front, job, code string }{
