batch: tests of old configurations read what they share under its lock

TestAddedRouteTakesJobFromItsOwn set a field of the fakes without its lock, and TestRouteOfJobIsKeptWithItsItems ended while items ran.

--- a/internal/coordination/batch/fakes_test.go
+++ b/internal/coordination/batch/fakes_test.go
@@ -206,6 +206,13 @@
 	n.fronts[front] = jobs
 }
 
+// setUnreachable makes all calls between fronts fail, or none.
+func (n *fakePeers) setUnreachable(unreachable bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unreachable = unreachable
+}
+
 // remove makes a front unreachable for the others.
 func (n *fakePeers) remove(front string) {
 	n.mu.Lock()
--- a/internal/coordination/batch/memstore_test.go
+++ b/internal/coordination/batch/memstore_test.go
@@ -105,6 +105,13 @@
 	s.oldRoutes[front], s.routesUnreadable[front] = s.routes, !readable
 }
 
+// routesReadCount returns the number of reads of the configuration.
+func (s *memStore) routesReadCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routesReads
+}
+
 // frontRoutes are the routes as a front knows them.
 type frontRoutes struct {
 	store *memStore
--- a/internal/coordination/batch/nested_test.go
+++ b/internal/coordination/batch/nested_test.go
@@ -51,7 +51,7 @@
 				z := ""
 				if k.handed {
 					z = "front-1"
-					store.peers.unreachable = k.dropped
+					store.peers.setUnreachable(k.dropped)
 					c, f := context.WithCancel(ctx)
 					f()
 					r.jobs["front-1"].Drain(c)
@@ -130,6 +130,7 @@
 func TestRouteOfJobIsKeptWithItsItems(t *testing.T) {
 	withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
 		accept(t, ctx, newJobs(t, ctx, "a", store, engine, valueBytes), "job", 3)
+		time.Sleep(20 * time.Second)
 		v, j := &wire.BatchInput{}, &wire.BatchJob{}
 		store.mu.Lock()
 		defer store.mu.Unlock()
--- a/internal/coordination/batch/stale_test.go
+++ b/internal/coordination/batch/stale_test.go
@@ -68,8 +68,8 @@
 				if d := cmp.Diff(k.want, l); d != "" {
 					t.Error(d)
 				}
-				if store.routesReads > 30 {
-					t.Error("reads of the configuration:", store.routesReads)
+				if n := store.routesReadCount(); n > 30 {
+					t.Error("reads of the configuration:", n)
 				}
 				time.Sleep(time.Hour)
 			})
