--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"crypto/sha256"
 	"slices"
 	"strings"
 
@@ -15,12 +16,17 @@
 	// longest first.
 	routesByHost map[string][]*wire.RouteRule
 	services     map[string]*wire.ServiceRule
+	// By name.
+	teams map[string]*wire.TeamRule
+	// By the digest of a key. A key of two teams is that of none.
+	teamsByDigest map[[sha256.Size]byte]*wire.TeamRule
 }
 
 // New returns a table that indexes config, which must not be modified
 // afterwards.
 func New(config *wire.RouteTable) *Table {
 	s := &Table{config: config, routesByHost: map[string][]*wire.RouteRule{}, services: map[string]*wire.ServiceRule{}}
+	s.indexTeams()
 	for _, r := range config.GetRoutes() {
 		h := strings.ToLower(r.GetHost())
 		s.routesByHost[h] = append(s.routesByHost[h], r)
--- a/upstream.go
+++ b/upstream.go
@@ -123,6 +123,8 @@
 	// attempt that brought its first event, and of the last event received.
 	resumedAttempt string
 	lastEventID    string
+	// Name of the caller's team, empty for none.
+	team string
 }
 
 // NewRequest returns a request without a deadline.
@@ -138,6 +140,16 @@
 	return &q
 }
 
+// WithTeam returns a copy of a request of a team of callers.
+func (r *Request) WithTeam(name string) *Request {
+	q := *r
+	q.team = name
+	return &q
+}
+
+// Team returns the name of the caller's team, or the empty string if it has none.
+func (r *Request) Team() string { return r.team }
+
 // ID returns the attempt's id.
 func (r *Request) ID() string { return r.id }
 
