fleet: which front counts the requests of a team

The first live front in rendezvous order that says that it counts, 2 s after its start or after it has stood still.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -90,6 +90,7 @@
 	// When fronts timed out without having announced that they stop, by name.
 	lostPeers         map[string]time.Time
 	lastLivenessCheck time.Time
+	counters          rateCounters
 }
 
 // server is one backend server.
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -37,6 +37,7 @@
 	}
 	p.load = load
 	p.lastSeen = now
+	f.recordCounter(now, load)
 	if load.HasAll() {
 		f.setDataCentreLoad(now, load.GetDataCentre(), load.GetAll())
 	} else if f.countedIndividually(p) {
@@ -66,6 +67,7 @@
 	for n, p := range f.peers {
 		if now.Sub(p.lastSeen) > peerTimeout {
 			delete(f.peers, n)
+			f.counters.end(n, p.lastSeen.Add(peerTimeout))
 			delete(f.peersByHash, p.nameHash)
 			if !p.load.GetLeaving() {
 				f.lostPeers[n] = now
