limit, gossip, direct, front: keep the rate limits of teams

A request of a team with a limit is counted once, after a backend server was acquired and before it is sent, by one datagram each way to the front that counts.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -19,6 +19,7 @@
 	"bulrushtrail.example/trail/internal/coordination/gossip"
 	"bulrushtrail.example/trail/internal/coordination/inform"
 	"bulrushtrail.example/trail/internal/coordination/jobrpc"
+	"bulrushtrail.example/trail/internal/coordination/limit"
 	"bulrushtrail.example/trail/internal/coordination/member"
 	"bulrushtrail.example/trail/internal/coordination/paths"
 	"bulrushtrail.example/trail/internal/coordination/permit"
@@ -156,8 +157,10 @@
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
+	t := limit.New(process.settings.GetName(), s.fleet, s, process.logger, process.registry)
+	s.direct.SetRateLimits(t)
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.addressOf), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
-	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
+	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, t, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
@@ -169,6 +172,11 @@
 	return s.gossip.AskPermit(ctx, front, request)
 }
 
+// AskRate implements trail.RateAsker in the same way.
+func (s *frontRole) AskRate(ctx context.Context, front string, request *wire.RateRequest) (*wire.RateReply, error) {
+	return s.gossip.AskRate(ctx, front, request)
+}
+
 // AskStream implements trail.StreamAsker in the same way.
 func (s *frontRole) AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error) {
 	return s.gossip.AskStream(ctx, front, query)
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -37,6 +37,8 @@
 	notRunAttempts int
 	// Number of attempts that a backend server's limit did not allow.
 	deniedAttempts int
+	// The request was granted by the rate limit of its team, or has none.
+	counted bool
 	// Number of all attempts.
 	attempts int
 	// Backend server of the last attempt.
@@ -114,11 +116,17 @@
 		if e := x.stopError(); e != nil {
 			return e
 		}
+		if e := x.deniedError(); e != nil {
+			return e
+		}
 		b, n, w := x.acquire()
 		x.selectionReason = n
 		if b == nil {
 			return x.refusalError(n, w)
 		}
+		if e := x.countAgainstLimit(b); e != nil {
+			return e
+		}
 		if x.backendServer != nil && x.status != 0 {
 			x.logGoesOn(x.backendServer, b)
 		}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -17,6 +17,7 @@
 	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/coordination/limit"
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/retry"
 	"bulrushtrail.example/trail/internal/protocol/wire"
@@ -56,6 +57,8 @@
 	// Bodies of responses that are not relayed yet.
 	buffers *buffer.Limit
 	table   atomic.Pointer[rules.Table]
+	// Nil if no team has a limit.
+	rates *limit.Teams
 
 	mu sync.Mutex
 	// By service.
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -21,7 +21,7 @@
 		Name: proto.String(t.self.GetName()), Incarnation: proto.Uint64(t.self.GetIncarnation()),
 		DataCentre: proto.String(t.self.GetDataCentre()),
 		Sequence:   proto.Uint64(t.sequence),
-		Leaving:    &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled, CutOff: &s.cutOff,
+		Leaving:    &s.leaving, Released: &s.released, Missed: &s.missed, Troubled: &s.troubled, CutOff: &s.cutOff, CountsRates: &s.countsRates,
 		Configs: proto.Uint64(t.configs.Digest()), Hosts: proto.Uint64(t.hosts.Digest()),
 		ConfigsAgeMs: ageMillis(t.configs), HostsAgeMs: ageMillis(t.hosts),
 		QuotaPressed: proto.Bool(t.jobs.QuotaNearLimit()),
--- a/internal/coordination/gossip/query.go
+++ b/internal/coordination/gossip/query.go
@@ -15,6 +15,7 @@
 var (
 	_ trail.PermitAsker = (*Task)(nil)
 	_ trail.StreamAsker = (*Task)(nil)
+	_ trail.RateAsker   = (*Task)(nil)
 )
 
 // reply is a message that answers a question of this front.
@@ -89,6 +90,14 @@
 	})
 }
 
+// AskRate implements trail.RateAsker.
+func (t *Task) AskRate(ctx context.Context, front string, request *wire.RateRequest) (*wire.RateReply, error) {
+	return ask(ctx, t, &t.rateReplies, front, func(id uint64) wire.Load_builder {
+		request.SetId(id)
+		return wire.Load_builder{RateRequest: request}
+	})
+}
+
 // AskStream implements trail.StreamAsker.
 func (t *Task) AskStream(ctx context.Context, front string, query *wire.StreamQuery) (*wire.StreamReply, error) {
 	return ask(ctx, t, &t.streamReplies, front, func(id uint64) wire.Load_builder {
@@ -117,6 +126,10 @@
 		e = t.sendMessage(wire.Load_builder{PermitReply: t.granter.Grant(datagram.GetPermitRequest())}, from)
 	case datagram.HasPermitReply():
 		t.permits.deliver(datagram.GetPermitReply())
+	case datagram.HasRateRequest():
+		e = t.sendMessage(wire.Load_builder{RateReply: t.rates.Count(datagram.GetRateRequest())}, from)
+	case datagram.HasRateReply():
+		t.rateReplies.deliver(datagram.GetRateReply())
 	case datagram.HasStreamQuery():
 		e = t.sendMessage(wire.Load_builder{StreamReply: t.streams.Answer(datagram.GetStreamQuery())}, from)
 	case datagram.HasStreamReply():
--- a/internal/coordination/gossip/task.go
+++ b/internal/coordination/gossip/task.go
@@ -54,6 +54,8 @@
 	jobs           trail.WorkSharer
 	granter        trail.PermitGranter
 	permits        replies[*wire.PermitReply]
+	rates          trail.RateCounter
+	rateReplies    replies[*wire.RateReply]
 	streams        *resume.Record
 	streamReplies  replies[*wire.StreamReply]
 	builds         *builds.Keeper
@@ -93,6 +95,7 @@
 type status struct {
 	leaving, troubled bool
 	cutOff            bool
+	countsRates       bool
 	released, missed  uint32
 	crashes           uint64
 }
@@ -109,10 +112,10 @@
 // jobs after each datagram received. It asks the informers of configs and hosts
 // for a new list when their digest and that of another front differ for longer
 // than a change takes to propagate. granter answers the other fronts' requests for
-// permits, and streams their questions.
-func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter, streams *resume.Record, builds *builds.Keeper, paths *paths.Monitor) *Task {
+// permits, rates those of teams with a rate limit, and streams their questions.
+func New(ctx context.Context, conn net.PacketConn, self *wire.Front, fleet *fleet.Fleet, crashes *crash.Record, fronts *roster.Roster, configs, hosts *inform.Informer, logger log.Interface, registry prometheus.Registerer, jobs trail.WorkSharer, granter trail.PermitGranter, rates trail.RateCounter, streams *resume.Record, builds *builds.Keeper, paths *paths.Monitor) *Task {
 	t := &Task{
-		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, streams: streams, builds: builds, paths: paths, wake: make(chan struct{}, 1), startTime: time.Now(),
+		conn: conn, self: self, fleet: fleet, crashes: crashes, fronts: fronts, configs: configs, hosts: hosts, logger: logger, jobs: jobs, granter: granter, rates: rates, streams: streams, builds: builds, paths: paths, wake: make(chan struct{}, 1), startTime: time.Now(),
 		sentDatagrams: promauto.With(registry).NewCounter(prometheus.CounterOpts{
 			Name: "bulrushtrail_load_datagrams_total",
 			Help: "Datagrams with loads sent to other fronts.",
@@ -276,6 +279,7 @@
 		leaving: t.leaving.Load(), troubled: t.configs.Unavailable() || t.hosts.Unavailable(),
 		released: t.jobs.ReleaseCount(), missed: t.configs.MissedLists() + t.hosts.MissedLists(),
 		crashes: t.crashes.Changes(), cutOff: t.paths.Lost(),
+		countsRates: t.fleet.CountsRates(time.Now()),
 	}
 }
 
--- a/internal/coordination/gossip/task_test.go
+++ b/internal/coordination/gossip/task_test.go
@@ -191,7 +191,7 @@
 	f.crashes = crash.New(f.name)
 	k := builds.New(nil, f.fleet, func() []string { return nil }, func() int { return 0 }, l)
 	f.streams = resume.New(k, f, func() []string { return f.fleet.Sample(time.Now(), 2) })
-	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{}, granter{}, f.streams, k, paths.New(ctx, nil, f.fleet.SampleAddresses, func(bool) {}, l))
+	f.gossip = gossip.New(ctx, s, registrationOf(f), f.fleet, f.crashes, roster.New(registrationOf(f), x, f.fleet, l), inform.New(ctx, platform, "configs", l), f.hosts, l, prometheus.NewRegistry(), sharer{}, granter{}, granter{}, f.streams, k, paths.New(ctx, nil, f.fleet.SampleAddresses, func(bool) {}, l))
 }
 
 // startRequests counts online requests as started by a front, and schedules a
