--- a/internal/coordination/fleet/rates.go
+++ b/internal/coordination/fleet/rates.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -101,17 +99,22 @@
 func (f *Fleet) RateCounter(now time.Time, team string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := rendezvous{key: rateKey(team)}
+	h := hashOf(team)
+	var b string
+	var m uint64
 	if f.countsRates(now) {
-		b.add(f.self, "")
+		b, m = f.self, rateScore(h, hashOf(f.self))
 	}
 	for n := range f.counters.began {
 		p := f.peers[n]
-		if p != nil && now.Sub(p.lastSeen) <= peerTimeout {
-			b.add(n, "")
+		if p == nil || now.Sub(p.lastSeen) > peerTimeout {
+			continue
+		}
+		if r := rateScore(h, p.nameHash); b == "" || r > m {
+			b, m = n, r
 		}
 	}
-	return b.name
+	return b
 }
 
 // CountingSince returns since when this front has counted the requests of a team,
@@ -125,13 +128,11 @@
 	if now.Before(s) {
 		return s, false
 	}
-	o := rateScore(team, f.self)
+	h := hashOf(team)
+	o := rateScore(h, hashOf(f.self))
 	for n, t := range f.counters.began {
-		if rateScore(team, n) <= o {
-			continue
-		}
 		p := f.peers[n]
-		if p == nil {
+		if p == nil || rateScore(h, p.nameHash) <= o {
 			continue
 		}
 		e := p.lastSeen.Add(peerTimeout)
@@ -142,7 +143,7 @@
 		}
 	}
 	for n, t := range f.counters.ended {
-		if rateScore(team, n) > o {
+		if rateScore(h, hashOf(n)) > o {
 			s = latest(s, t)
 		}
 	}
@@ -188,26 +189,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.checkLiveness(now)
-	o := rateScore(team, f.self)
+	h := hashOf(team)
+	o := rateScore(h, hashOf(f.self))
 	fronts = 1
-	a := func(name string) {
+	a := func(name uint64) {
 		fronts++
-		if rateScore(team, name) < o {
+		if rateScore(h, name) < o {
 			position++
 		}
 	}
-	for n, p := range f.peers {
+	for _, p := range f.peers {
 		if !p.load.GetLeaving() {
-			a(n)
+			a(p.nameHash)
 		}
 	}
 	for n := range f.lostPeers {
-		a(n)
+		a(hashOf(n))
 	}
 	return position, fronts, now.Sub(f.awakeSince) >= HeartbeatTimeout
 }
 
-func rateKey(team string) string { return "team " + team }
-
-// rateScore orders the fronts for a team, as rendezvous does.
-func rateScore(team, front string) uint64 { return xxhash.Sum64String(rateKey(team) + "/" + front) }
+// rateScore orders the fronts for a team, by the hashes of both names. A front that
+// counts computes the scores of all others for each question, so it hashes no text for
+// them. This is the finalizer of SplitMix64, which makes each bit depend on all.
+func rateScore(team, front uint64) uint64 {
+	x := team ^ front
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
