internal/transport/pool: a response without a length whose connection was cut is not complete

Cause: while a long body is written in its own goroutine, a reset of the connection is a pending error of the socket that the kernel reports once. If the write takes it, the read that follows sees an end of file, which ended a response without a length as complete. The same came of a server that ended its side of the connection before it had read the request.

At the end of such a response the exchange now ends the write, and asks the socket (TCP_INFO) whether the peer alone has ended its side and has received all that was written. A reset leaves another state, whoever took the error. The response is otherwise cut, verdict may-have-run. A response with a length or chunks is complete by these as before. A status outside 100 to 599 fails with the new code answer-invalid, may-have-run: 600 and 999 were passed on, and after 000 and 099 the next response was awaited.

--- a/internal/transport/pool/exchange.go
+++ b/internal/transport/pool/exchange.go
@@ -26,6 +26,8 @@
 	// Interim (1xx) responses before the final one; with this many the response
 	// counts as unbounded.
 	maxInterimResponses = 8
+	// Least and greatest status of HTTP (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
 	// Maximum body of a response in bytes.
 	maxResponseBody = 64 << 20
 	// A longer request body is written while the response is read, because the
@@ -38,6 +40,7 @@
 	// errUnbounded means that a response exceeds one of the limits above, or
 	// switches to another protocol.
 	errUnbounded = errors.New("response exceeds a limit")
+	errStatus    = errors.New("status of the response is not between 100 and 599")
 )
 
 // exchange is one request and its response on a connection.
@@ -112,7 +115,7 @@
 		if matches(a, f) {
 			x.conn.expires = time.Now().Add(keepAliveTime(a))
 			x.conn.limited.remaining = maxResponseBody
-			a.Body = &responseBody{exchange: x, reader: a.Body, closesConn: a.Close}
+			a.Body = &responseBody{exchange: x, reader: a.Body, status: a.StatusCode, closesConn: a.Close, endsWithConn: endsWithConnection(a)}
 			return a, nil
 		}
 		x.passedOver++
@@ -134,6 +137,9 @@
 		if e != nil {
 			return nil, e
 		}
+		if a.StatusCode < minStatus || a.StatusCode > maxStatus {
+			return nil, errStatus
+		}
 		if a.StatusCode == http.StatusSwitchingProtocols {
 			// The request asked for no upgrade. What follows is not HTTP and has no
 			// defined end.
@@ -189,16 +195,31 @@
 type responseBody struct {
 	exchange *exchange
 	reader   io.ReadCloser
+	status   int
 	// The connection cannot be used after this response.
 	closesConn bool
+	// The end of the connection is that of the response.
+	endsWithConn bool
+	// Result of the last read, nil before it. Its end is checked once.
+	err error
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, e := b.reader.Read(p)
 	if errors.Is(e, errUnbounded) {
 		e = unboundedError(e, b.exchange.conn.address)
 	}
+	if errors.Is(e, io.EOF) && b.endsWithConn {
+		f := b.exchange.endError(b.status)
+		if f != nil {
+			e = f
+		}
+	}
 	if e != nil {
+		b.err = e
 		b.exchange.finish(errors.Is(e, io.EOF) && !b.closesConn)
 	}
 	return n, e
--- a/internal/transport/pool/pool.go
+++ b/internal/transport/pool/pool.go
@@ -66,8 +66,10 @@
 // for which matches returns true. The caller must close the body of the response.
 //
 // An error has a verdict and one of the codes request-invalid, backend-unreachable,
-// backend-restarted, backend-unidentified, backend-lost and answer-unbounded. Reading a body over the size
-// limit also fails with answer-unbounded. The argument fresh of matches is true if the
+// backend-restarted, backend-unidentified, backend-lost, answer-unbounded and
+// answer-invalid. Reading a body over the size limit also fails with answer-unbounded.
+// Reading a body without a length fails if its connection was reset, or ended before the
+// whole request was sent. The argument fresh of matches is true if the
 // connection has carried no request and no probe before; otherwise a response
 // that does not identify its request may be a late duplicate of an earlier one. When
 // ctx ends, the connection is aborted, also while the body is read.
@@ -94,6 +96,9 @@
 		if errors.Is(e, errUnbounded) || n.limited.remaining <= 0 {
 			return nil, unboundedError(e, destination.Address())
 		}
+		if errors.Is(e, errStatus) {
+			return nil, trail.WrapError(e, "answer-invalid", trail.MayHaveRun, "answer of backend server is not HTTP").WithPlace(destination.Address())
+		}
 		return nil, trail.WrapError(e, "backend-lost", trail.MayHaveRun, "no answer from backend server").WithPlace(destination.Address())
 	}
 	b := n.born
