--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -23,6 +23,8 @@
 const (
 	// Error code for a backend server whose response exceeds a size limit.
 	codeUnbounded = "answer-unbounded"
+	// Error code for a backend server whose response has a status that HTTP does not know.
+	codeInvalidAnswer = "answer-invalid"
 	// Error code for a backend server whose limit allows no request yet.
 	codeLimited = "backend-limited"
 	// Error codes of a stream that can't go on at a server: another process has its
@@ -94,7 +96,7 @@
 		r.unreachable = true
 	default:
 		r.unreachable = trail.CodeOf(err) == "backend-unreachable"
-		r.serverFailed = trail.CodeOf(err) == codeUnbounded
+		r.serverFailed = trail.CodeOf(err) == codeUnbounded || trail.CodeOf(err) == codeInvalidAnswer
 		r.declined = trail.CodeOf(err) == codeDeclined
 		r.rejected = trail.CodeOf(err) == codeBusy
 		r.limited = trail.CodeOf(err) == codeLimited
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -78,8 +78,8 @@
 	verdict trail.Verdict
 	// No connection to the backend server was made, or the attempt timed out.
 	unreachable bool
-	// The backend server responded with a failure of its own, or with more bytes
-	// than the size limit.
+	// The backend server responded with a failure of its own, with more bytes than
+	// the size limit, or with a status that HTTP does not know.
 	serverFailed bool
 	// The connection was lost while the request may have been running, and not
 	// because of the deadline or the caller's disconnection.
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -24,12 +24,16 @@
 const (
 	// Fronts that are tried for one attempt.
 	maxFronts = 2
+	// Greatest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// Code of an attempt that failed because this front has lost its paths. It says
 	// nothing about the backend server.
 	codePathLost = "path-lost"
 	// Code of the upstream for an attempt without a connection.
 	codeUnreachable = "backend-unreachable"
 	codeLost        = "backend-lost"
+	// Code of an attempt whose response has a status that HTTP does not know.
+	codeInvalidAnswer = "answer-invalid"
 	// Code of a stream that goes on at a process of which nobody knows which it is.
 	codeUnidentified = "backend-unidentified"
 )
@@ -70,8 +74,8 @@
 }
 
 // Send implements trail.Upstream. Its errors are those of the upstream for direct
-// attempts, path-lost if this front has lost its paths, and those of the mesh for
-// other fronts.
+// attempts, path-lost if this front has lost its paths, answer-invalid, and those of
+// the mesh for other fronts.
 func (s *Upstream) Send(ctx context.Context, server *wire.BackendServer, request *trail.Request, lastEventID string) (*trail.Response, error) {
 	if s.monitor.Lost() {
 		return s.sendThrough(ctx, server, request, lastEventID)
@@ -153,6 +157,12 @@
 		return nil, d.GetCutOff() && trail.VerdictOf(x) == trail.NotRun, x
 	}
 	h := y.GetHead()
+	if h.GetStatus() < http.StatusOK || h.GetStatus() > maxStatus {
+		// A front of an earlier version passes on any status.
+		f()
+		closeNow(n)
+		return nil, false, trail.NewError(codeInvalidAnswer, trail.MayHaveRun, "answer through front %s has status %d", address, h.GetStatus())
+	}
 	s.notice(server, h.GetNotice())
 	b := h.GetBorn()
 	if b == 0 && server.GetBorn() != 0 && s.reports(server.GetService()) {
--- a/internal/protocol/objapi/call.go
+++ b/internal/protocol/objapi/call.go
@@ -75,6 +75,10 @@
 		return responseLost(e)
 	}
 	defer r.Body.Close()
+	if r.StatusCode < http.StatusOK {
+		// No final status, such as 000, or 101, which net/http takes for one.
+		return responseLost(errors.Newf("status %d is not that of a response", r.StatusCode))
+	}
 	b := io.LimitReader(r.Body, maxResponseBytes)
 	if r.StatusCode >= http.StatusMultipleChoices {
 		_, _ = io.Copy(io.Discard, b)
--- a/internal/transport/invoke/client.go
+++ b/internal/transport/invoke/client.go
@@ -34,6 +34,8 @@
 	maxIdleConnsPerServer = 64
 	// The body of a rejection is read to its end to verify that it is complete.
 	maxRejectionBytes = 64 << 10
+	// Greatest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// Used if a rejection has no valid Retry-After header.
 	defaultRetryAfter = time.Second
 )
@@ -118,6 +120,12 @@
 		return s.endWithoutHead(m, target, call, e)
 	}
 	s.headSeconds.Observe(time.Since(b).Seconds())
+	if a.StatusCode < http.StatusOK || a.StatusCode > maxStatus {
+		// Such as 101, which net/http takes for a final response.
+		m.closeConn()
+		_ = a.Body.Close()
+		return newInvalidReplies(s, m, target, call), nil
+	}
 	if !m.ownsAnswer(call, a) {
 		m.closeConn()
 		_ = a.Body.Close()
--- a/internal/transport/invoke/replies.go
+++ b/internal/transport/invoke/replies.go
@@ -68,6 +68,12 @@
 	return &replies{client: client, monitor: monitor, target: target, call: call, state: stateEnd, end: f.end(0)}
 }
 
+// newInvalidReplies returns the replies to a call whose answer has no final status of HTTP.
+func newInvalidReplies(client *Client, monitor *callMonitor, target string, call *wire.Call) trail.Replies {
+	f := failure{code: codeProtocol, message: "backend server gave an invalid answer"}
+	return &replies{client: client, monitor: monitor, target: target, call: call, state: stateEnd, end: f.end(0)}
+}
+
 // Recv implements trail.Replies.
 func (s *replies) Recv() (*wire.Reply, error) {
 	o := &wire.Reply{}
--- a/internal/transport/invoke/verdict_test.go
+++ b/internal/transport/invoke/verdict_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,6 +99,34 @@
 			script: respond("SSH-2.0-server\r\n"),
 			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
 		},
+		"status 000": {
+			script: respond("HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
+		"status 099": {
+			script: respond("HTTP/1.1 099 x\r\nContent-Length: 2\r\n\r\n{}"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
+		"status 600": {
+			script: respond("HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\n{}"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
+		"status 999": {
+			script: respond("HTTP/1.1 999 x\r\nContent-Length: 2\r\n\r\n{}"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
+		"unexpected switch of protocols": {
+			script: respond("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n{}"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
+		"interim response only": {
+			script: respond("HTTP/1.1 103 Early Hints\r\n\r\n"),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-lost", Crashed: true},
+		},
+		"interim responses without end": {
+			script: respond(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("a", 4<<10)+"\r\n\r\n", 4<<10)),
+			want:   outcome{Verdict: mayHaveRun, Code: "backend-protocol"},
+		},
 		"draining": {
 			script: respond("HTTP/1.1 503 Service Unavailable\r\nDraining: true\r\nContent-Length: 2\r\n\r\n{}"),
 			want:   outcome{Verdict: "not-run", Code: "backend-leaving", Wait: time.Second},
