--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -27,7 +27,6 @@
 	"bulrushtrail.example/trail/internal/coordination/resume"
 	"bulrushtrail.example/trail/internal/coordination/roster"
 	"bulrushtrail.example/trail/internal/protocol/wire"
-	"bulrushtrail.example/trail/internal/state/rules"
 	"bulrushtrail.example/trail/internal/transport/frame"
 	"bulrushtrail.example/trail/internal/transport/httpd"
 	"bulrushtrail.example/trail/internal/transport/mesh"
@@ -153,6 +152,7 @@
 	u := permit.New(process.settings.GetName(), s.fleet, s.proxy, s, process.logger, process.registry)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.configs.SetFallback(s.relay)
+	s.configs.SetCheck(checkConfig)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
@@ -314,61 +314,3 @@
 	}
 	return n
 }
-
-// watchConfig applies each new configuration until ctx is cancelled.
-func (s *frontRole) watchConfig(ctx context.Context) {
-	for {
-		w := s.configs.Changed()
-		_, k := s.configs.Get(currentConfig)
-		if k {
-			e := s.applyConfig()
-			if e != nil {
-				s.logger.WithError(e).Error("bulrushd: configuration could not be decoded, keeping the one in force")
-			}
-		}
-		select {
-		case <-w:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// applyConfig puts the newest known configuration in force if its version is higher
-// than that of the one in force.
-func (s *frontRole) applyConfig() error {
-	s.configLock.Lock()
-	defer s.configLock.Unlock()
-	o, k := s.configs.Get(currentConfig)
-	if !k {
-		return errors.New("platform has no configuration that can be decoded")
-	}
-	t := &wire.RouteTable{}
-	e := o.Decode(t)
-	if e != nil {
-		return errors.Wrap(e, "decode configuration")
-	}
-	r := rules.New(t)
-	h := s.direct.Table()
-	if h != nil && h.Version() >= r.Version() {
-		return nil
-	}
-	s.direct.SetTable(r)
-	s.builds.TriggerCheck()
-	s.jobs.ApplyRoutes()
-	s.logger.WithField("config-version", r.Version()).Info("bulrushd: configuration in force")
-	return nil
-}
-
-// Table implements trail.Routes.
-func (s *frontRole) Table() *rules.Table { return s.direct.Table() }
-
-// Refresh implements trail.Routes. It reads the configuration through another front
-// while the platform does not answer this one.
-func (s *frontRole) Refresh(ctx context.Context) error {
-	e := s.configs.ListThrough(ctx, s.relay)
-	if e != nil {
-		return e
-	}
-	return s.applyConfig()
-}
--- a/internal/coordination/inform/informer.go
+++ b/internal/coordination/inform/informer.go
@@ -30,6 +30,9 @@
 	logger log.Interface
 	// Store through which Refresh lists while the platform is unavailable, nil for none.
 	fallback trail.Store
+	// Returns an error for an object that must not be taken from a list through another
+	// store; nil for no check.
+	check func(obj object.Object) error
 
 	mu      sync.Mutex
 	objects map[string]object.Object
@@ -86,6 +89,12 @@
 // called before Relist.
 func (s *Informer) SetFallback(store trail.Store) { s.fallback = store }
 
+// SetCheck sets what is asked about each object of a list through another store. A list
+// with an object for which check returns an error is not used: the store may have passed
+// it through a process of an earlier build, which drops what it does not know. SetCheck
+// must be called before Relist.
+func (s *Informer) SetCheck(check func(obj object.Object) error) { s.check = check }
+
 func (s *Informer) run(ctx context.Context) {
 	p := initialBackoff
 	for ctx.Err() == nil {
--- a/internal/coordination/inform/list.go
+++ b/internal/coordination/inform/list.go
@@ -109,6 +109,16 @@
 	if e != nil {
 		return e
 	}
+	for _, o := range l {
+		if s.check == nil {
+			break
+		}
+		e := s.check(o)
+		if e != nil {
+			s.logger.WithError(e).WithField("name", o.Name()).Warn("inform: list through another store not used")
+			return e
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merge(l, v, b)
--- a/internal/coordination/inform/list_test.go
+++ b/internal/coordination/inform/list_test.go
@@ -6,9 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"bulrushtrail.example/trail/internal/coordination/inform"
+	"bulrushtrail.example/trail/internal/state/object"
 )
 
 // Guards against a change that stays unknown while a list waits for its answer
@@ -108,3 +110,27 @@
 		}
 	})
 }
+
+// Guards against objects of a process of an earlier build that replace those of the
+// platform, and against a list of the platform itself that is refused for them.
+func TestUnfitListThroughAnotherStoreIsUsed(t *testing.T) {
+	runInformer(t, func(ctx context.Context, s *platform, i *inform.Informer) {
+		i.SetCheck(func(o object.Object) error {
+			if o.Name() == "unfit" {
+				return errors.New("unfit")
+			}
+			return nil
+		})
+		o := &platform{}
+		o.setObjects(2, "b", "unfit")
+		g := []any{i.ListThrough(ctx, o) != nil, names(i)}
+		o.setObjects(3, "c")
+		g = append(g, i.ListThrough(ctx, o) != nil, names(i))
+		s.setObjects(4, "unfit")
+		go i.Relist(ctx, fixedRank(0), func() {})
+		time.Sleep(2 * time.Second)
+		if d := cmp.Diff([]any{true, "a", false, "c", "unfit"}, append(g, names(i))); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/state/rules/table.go
+++ b/internal/state/rules/table.go
@@ -20,6 +20,8 @@
 	teams map[string]*wire.TeamRule
 	// By the digest of a key. A key of two teams is that of none.
 	teamsByDigest map[[sha256.Size]byte]*wire.TeamRule
+	// Names of the teams with a key of several teams.
+	sharingTeams map[string]bool
 }
 
 // New returns a table that indexes config, which must not be modified
