batch, ledger: jobs belong to teams

While the configuration lists teams, a job keeps the team whose key its submission had, in its object and in its first input object, since an earlier build drops the field from the former when it updates the job. A submission under the id of another team's job, or of items that another team has left behind, is answered as a job that does not exist. A job without a team is anybody's.

The quota of waiting tokens is kept for each pair of team and route. The name of such an account's object is a digest of both; without teams it is that of the route as before, so that earlier builds count in the same account.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -24,43 +24,84 @@
 	acceptRetryAfter = 700 * time.Millisecond
 )
 
-// inputBytes returns the bytes of an input object of a job on a route beside its items,
-// each with a comma, as it is sent to the platform.
-func inputBytes(route *wire.RouteRule) int {
-	return len(`{"items":[],"route":}`) + object.TextSize(route.GetName()) - len(",")
+// inputBytes returns the bytes of an input object of a team's job on a route beside its
+// items, each with a comma, as it is sent to the platform.
+func inputBytes(route *wire.RouteRule, team string) int {
+	n := len(`{"items":[],"route":}`) + object.TextSize(route.GetName()) - len(",")
+	if team != "" {
+		n += len(`,"team":`) + object.TextSize(team)
+	}
+	return n
 }
 
-// Accept stores a job with its items, whose submission the route has matched. It
-// returns nil once the job is accepted, also when it was accepted before. The error's
-// verdict says whether any part of the job may run.
-func (s *Jobs) Accept(ctx context.Context, route *wire.RouteRule, id, host, path string, items []*wire.BatchItem) error {
+// Accept stores a job with its items, whose submission the route has matched, for a
+// team, or for none if team is empty. It returns nil once the job is accepted, also when
+// it was accepted before. The error's verdict says whether any part of the job may run.
+// It is "job-missing" if the id is that of another team's job.
+func (s *Jobs) Accept(ctx context.Context, route *wire.RouteRule, team, id, host, path string, items []*wire.BatchItem) error {
 	if s.Knows(id) {
-		return nil
+		return s.checkTeam(ctx, id, team)
+	}
+	d, e := s.reserveQuota(ctx, route, team, id, items)
+	if d {
+		return s.checkTeam(ctx, id, team)
 	}
-	d, e := s.reserveQuota(ctx, route, id, items)
-	if e != nil || d {
+	if e != nil {
 		return e
 	}
-	l := splitItems(items, inputBytes(route), s.payloadBytes)
+	n, d, e := s.storeItems(ctx, route, team, id, items)
+	if e == nil && !d {
+		d, e = s.storeJob(ctx, id, wire.BatchJob_builder{
+			Host: &host, Path: &path, Route: proto.String(route.GetName()), Team: teamField(team), Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(n)),
+		}.Build(), items)
+	}
+	if d {
+		e = s.checkTeam(ctx, id, team)
+	}
+	if trail.CodeOf(e) == codeJobMissing {
+		s.ledger.ReduceReservation(route.GetName(), s.accountTeam(team), id, 0)
+	}
+	return e
+}
+
+// storeItems creates the input objects of a job and returns their number. It returns
+// true instead if the first one is that of a submission by another team.
+func (s *Jobs) storeItems(ctx context.Context, route *wire.RouteRule, team, id string, items []*wire.BatchItem) (int, bool, error) {
+	l := splitItems(items, inputBytes(route, team), s.payloadBytes)
 	for n, i := range l {
 		v := wire.BatchInput_builder{Items: i}.Build()
 		if n == 0 {
 			v.SetRoute(route.GetName())
+			if team != "" {
+				v.SetTeam(team)
+			}
 		}
-		_, e := s.createObject(ctx, kindInputs, partName(id, n), v)
-		if e != nil && !errors.Is(e, trail.ErrExists) {
-			if trail.CodeOf(e) == codeRefused && s.isTooLarge(route, i) {
-				return trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
+		o, e := s.createObject(ctx, kindInputs, partName(id, n), v)
+		d := errors.Is(e, trail.ErrExists)
+		if e != nil && !d {
+			if trail.CodeOf(e) == codeRefused && s.isTooLarge(route, team, i) {
+				return 0, false, trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
 			}
 			// The verdict is NotRun: no item runs before the job object exists.
-			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").WithPlace(id).WithRetryAfter(acceptRetryAfter)
+			return 0, false, trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").WithPlace(id).WithRetryAfter(acceptRetryAfter)
+		}
+		if n == 0 && (d || o.Version() == 0) {
+			f, e := s.isForeignInput(ctx, id, team)
+			if e != nil || f {
+				return 0, f, e
+			}
 		}
 	}
-	j := wire.BatchJob_builder{
-		Host: &host, Path: &path, Route: proto.String(route.GetName()), Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
-		Owner: proto.String(s.self.GetName()), Incarnation: proto.Uint64(s.self.GetIncarnation()),
-		AcceptedUnixMs: proto.Int64(time.Now().UnixMilli()),
-	}.Build()
+	return len(l), false, nil
+}
+
+// storeJob creates the object of a job, whose owner it sets, and starts to run the job.
+// It returns true if the job was accepted before, perhaps for another team.
+func (s *Jobs) storeJob(ctx context.Context, id string, job *wire.BatchJob, items []*wire.BatchItem) (bool, error) {
+	j := job
+	j.SetOwner(s.self.GetName())
+	j.SetIncarnation(s.self.GetIncarnation())
+	j.SetAcceptedUnixMs(time.Now().UnixMilli())
 	v := s.isDraining()
 	if v {
 		// The successor runs the job.
@@ -69,29 +110,33 @@
 	b := time.Now()
 	o, e := s.createObject(ctx, kindJobs, id, j)
 	if errors.Is(e, trail.ErrExists) {
-		return nil
+		return true, nil
 	}
 	if e != nil {
 		// If the object was stored after all, only this front looks for it
 		// soon.
 		s.retryReconcile()
-		return trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job object was not stored").WithPlace(id).WithRetryAfter(acceptRetryAfter)
+		return false, trail.WrapError(e, trail.CodeOf(e), trail.VerdictOf(e), "job object was not stored").WithPlace(id).WithRetryAfter(acceptRetryAfter)
 	}
 	if o.Version() == 0 {
 		var m bool
 		o, m, e = s.confirmCreated(ctx, id, j)
 		if e != nil || !m {
-			return e
+			return e == nil, e
 		}
 	}
-	s.logger.WithFields(log.Fields{"job-id": id, "items": len(items)}).Info("batch: job accepted")
+	l := s.logger.WithFields(log.Fields{"job-id": id, "items": len(items)})
+	if j.GetTeam() != "" {
+		l = l.WithField("team", j.GetTeam())
+	}
+	l.Info("batch: job accepted")
 	if v {
 		s.cacheJob(o, j)
 		s.notifySuccessor(ctx, id, nil)
-		return nil
+		return false, nil
 	}
 	s.startJob(o, j, items, b, true)
-	return nil
+	return false, nil
 }
 
 // confirmCreated reads a job object that exists after a try of unknown outcome, and returns
@@ -108,7 +153,7 @@
 	if e != nil {
 		return o, false, trail.WrapError(e, "object-unreadable", trail.MayHaveRun, "job object is not decodable").WithPlace(id)
 	}
-	return o, j.GetOwner() == created.GetOwner() && j.GetIncarnation() == created.GetIncarnation(), nil
+	return o, j.GetOwner() == created.GetOwner() && j.GetIncarnation() == created.GetIncarnation() && j.GetTeam() == created.GetTeam(), nil
 }
 
 func (s *Jobs) isDraining() bool {
@@ -186,6 +231,6 @@
 
 // isTooLarge reports whether a group of items is a single one that has no room in an
 // object of its own.
-func (s *Jobs) isTooLarge(route *wire.RouteRule, items []*wire.BatchItem) bool {
-	return len(items) == 1 && inputBytes(route)+len(",")+object.Size(items[0]) > s.singleBytes
+func (s *Jobs) isTooLarge(route *wire.RouteRule, team string, items []*wire.BatchItem) bool {
+	return len(items) == 1 && inputBytes(route, team)+len(",")+object.Size(items[0]) > s.singleBytes
 }
--- a/internal/coordination/batch/accept_test.go
+++ b/internal/coordination/batch/accept_test.go
@@ -31,7 +31,7 @@
 				time.AfterFunc(100*time.Millisecond, func() { store.failWrites("batch-jobs", newError(trail.ErrUnavailable, trail.NotRun)) })
 				c, f := context.WithTimeout(ctx, time.Second)
 				defer f()
-				e := a.Accept(c, batchRoute(), "job", "h", "/b/1", newItems(2))
+				e := a.Accept(c, batchRoute(), "", "job", "h", "/b/1", newItems(2))
 				store.failWrites("", nil)
 				time.Sleep(20 * time.Second)
 				if d := cmp.Diff([]any{k.want, 0}, []any{trail.CodeOf(e) + " " + trail.VerdictOf(e).String(), engine.itemCount()}); d != "" {
@@ -53,11 +53,11 @@
 		l := newItems(4)
 		time.AfterFunc(100*time.Millisecond, func() {
 			store.failWrites("", nil)
-			if e := r.jobs["b"].Accept(ctx, batchRoute(), "job", "h", "/b/1", l); e != nil {
+			if e := r.jobs["b"].Accept(ctx, batchRoute(), "", "job", "h", "/b/1", l); e != nil {
 				t.Error(e)
 			}
 		})
-		if e := r.jobs["a"].Accept(ctx, batchRoute(), "job", "h", "/b/1", l); e != nil {
+		if e := r.jobs["a"].Accept(ctx, batchRoute(), "", "job", "h", "/b/1", l); e != nil {
 			t.Error(e)
 		}
 		r.advance(10*time.Second, "")
--- a/internal/coordination/batch/commit_test.go
+++ b/internal/coordination/batch/commit_test.go
@@ -38,7 +38,7 @@
 		j := newJobs(t, ctx, "a", store, engine, valueBytes)
 		c, f := context.WithTimeout(ctx, 2*time.Second)
 		defer f()
-		e := j.Accept(c, batchRoute(), "job", "h", "/b/1", newItems(1))
+		e := j.Accept(c, batchRoute(), "", "job", "h", "/b/1", newItems(1))
 		if d := cmp.Diff([]any{"platform-refused", trail.NotRun, 1}, []any{trail.CodeOf(e), trail.VerdictOf(e), store.failedWrites}); d != "" {
 			t.Error(d)
 		}
--- a/internal/coordination/batch/end.go
+++ b/internal/coordination/batch/end.go
@@ -42,7 +42,7 @@
 			return s.notifyEnded(ctx, id)
 		}
 		if errors.Is(e, trail.ErrNotFound) {
-			return trail.WrapError(e, "job-missing", trail.NotRun, "no such job").WithPlace(id)
+			return trail.WrapError(e, codeJobMissing, trail.NotRun, "no such job").WithPlace(id)
 		}
 		if !sleep(ctx, writeRetryInterval) {
 			return e
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -148,6 +148,11 @@
 	// Name of the route under which the job was accepted, empty if not known. An earlier
 	// version of the program drops it from the job's object.
 	route string
+	// Team whose key the submission had, empty if it needed none. An earlier version of
+	// the program drops it too.
+	team string
+	// The first input object was read, which has the team as well.
+	teamRead bool
 	// The newest version that was read, written or received from another front.
 	object object.Object
 	job    *wire.BatchJob
@@ -171,7 +176,7 @@
 
 func newCachedJob(value *wire.BatchJob) *cachedJob {
 	return &cachedJob{
-		total: int(value.GetTotal()), inputCount: int(value.GetInputs()), host: value.GetHost(), path: value.GetPath(), route: value.GetRoute(),
+		total: int(value.GetTotal()), inputCount: int(value.GetInputs()), host: value.GetHost(), path: value.GetPath(), route: value.GetRoute(), team: value.GetTeam(),
 		job: value, resultsChanged: make(chan struct{}),
 	}
 }
--- a/internal/coordination/batch/jobs_test.go
+++ b/internal/coordination/batch/jobs_test.go
@@ -30,7 +30,7 @@
 
 func accept(t *testing.T, ctx context.Context, jobs *batch.Jobs, id string, n int) {
 	t.Helper()
-	e := jobs.Accept(ctx, batchRoute(), id, "h", "/b/1", newItems(n))
+	e := jobs.Accept(ctx, batchRoute(), "", id, "h", "/b/1", newItems(n))
 	if e != nil {
 		t.Fatal(e)
 	}
@@ -150,7 +150,7 @@
 		engine.failItem("i1")
 		b, f := context.WithCancel(ctx)
 		q := newJobs(t, b, "front-2", store, engine, valueBytes)
-		_ = q.Accept(ctx, batchRoute(), "other", "h", "/b/1", newItems(2)[1:])
+		_ = q.Accept(ctx, batchRoute(), "", "other", "h", "/b/1", newItems(2)[1:])
 		time.Sleep(2 * time.Second)
 		f()
 		m := engine.runCount("i1")
--- a/internal/coordination/batch/nested_test.go
+++ b/internal/coordination/batch/nested_test.go
@@ -44,7 +44,7 @@
 			withFakes(t, func(t *testing.T, ctx context.Context, store *memStore, engine *fakeEngine) {
 				r := newCluster(ctx, store, engine, "front-1", "front-2")
 				r.advance(4*time.Second, "")
-				if e := r.jobs["front-1"].Accept(ctx, batchRoute(), "job", "h", nestedPath, newItems(20)); e != nil {
+				if e := r.jobs["front-1"].Accept(ctx, batchRoute(), "", "job", "h", nestedPath, newItems(20)); e != nil {
 					t.Fatal(e)
 				}
 				store.setRoutes(batchRoute(), nestedRoute(k.batch))
@@ -109,7 +109,7 @@
 		engine.loseItem("i0")
 		l := newItems(1)
 		l[0].SetTokens(700)
-		if e := j.Accept(ctx, q, "job", "h", "/q/north/1", l); e != nil {
+		if e := j.Accept(ctx, q, "", "job", "h", "/q/north/1", l); e != nil {
 			t.Fatal(e)
 		}
 		var g [][2]int64
--- a/internal/coordination/batch/oversized_test.go
+++ b/internal/coordination/batch/oversized_test.go
@@ -26,7 +26,7 @@
 				i.SetId(engine.rejected + i.GetId())
 				i.SetTokens(2000)
 			}
-			_ = j.Accept(ctx, batchRoute(), "job", "h", "/b/1", l)
+			_ = j.Accept(ctx, batchRoute(), "", "job", "h", "/b/1", l)
 			accept(t, ctx, j, "neighbour", 10)
 			// Done and given up items of both jobs 8 s, 19 s and 27 s after the start.
 			var g [][4]int
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -28,8 +28,8 @@
 	progress map[int]*itemProgress
 	// Tokens of the items without a result.
 	waitingTokens int64
-	// Name of the route whose quota they are reserved of.
-	account string
+	// Where they are reserved.
+	account account
 	// Results that are not listed yet.
 	pendingResults []*wire.BatchResult
 	// A goroutine is writing results.
@@ -73,7 +73,7 @@
 	}
 	k.items = items
 	h := k.listedIDs()
-	o := &ownedJob{id: d, cached: k, account: k.route, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
+	o := &ownedJob{id: d, cached: k, account: account{route: k.route, team: s.accountTeam(k.team)}, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
 	o.ctx, o.cancel = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	l := make([]string, 0, len(items))
--- a/internal/coordination/batch/quota.go
+++ b/internal/coordination/batch/quota.go
@@ -9,13 +9,22 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// reserveQuota reserves the tokens of a new job in the quota of its route. It
-// returns true when the job was accepted before.
-func (s *Jobs) reserveQuota(ctx context.Context, route *wire.RouteRule, id string, items []*wire.BatchItem) (bool, error) {
+// reserveQuota reserves the tokens of a new job in the quota of its route, or in that of
+// its team on the route if the configuration lists teams. It returns true when the job
+// was accepted before.
+func (s *Jobs) reserveQuota(ctx context.Context, route *wire.RouteRule, team, id string, items []*wire.BatchItem) (bool, error) {
 	if route.GetWaitingTokens() <= 0 {
 		return false, nil
 	}
-	e := s.ledger.Reserve(ctx, route, id, sumTokens(items))
+	if s.keyed() {
+		// A job of another team must not reserve tokens of this one, nor a job without
+		// a team in two accounts. An error shows again in Reserve.
+		_, e := s.getJob(ctx, id)
+		if e == nil {
+			return true, nil
+		}
+	}
+	e := s.ledger.Reserve(ctx, route, s.accountTeam(team), id, sumTokens(items))
 	if trail.CodeOf(e) != "quota-exceeded" {
 		return false, e
 	}
@@ -38,24 +47,26 @@
 }
 
 // holdTokens records the reservation of a job that this front runs in the account of
-// its route, and ends the one on a route that it had before. The caller holds the lock.
+// its route, or of its team on the route, and ends the one in an account that it had
+// before. The caller holds the lock.
 func (s *Jobs) holdTokens(job *ownedJob) {
 	u := s.route(job.cached)
 	if u == nil {
 		return
 	}
-	if job.account != u.GetName() {
-		s.ledger.ReduceReservation(job.account, job.id, 0)
-		job.account = u.GetName()
+	a := account{route: u.GetName(), team: s.accountTeam(job.cached.team)}
+	if job.account != a {
+		s.ledger.ReduceReservation(job.account.route, job.account.team, job.id, 0)
+		job.account = a
 	}
-	s.ledger.SetReservation(u, job.id, job.waitingTokens)
+	s.ledger.SetReservation(u, a.team, job.id, job.waitingTokens)
 }
 
 // setWaitingTokens reduces the reservation of a job to the tokens of its items
 // without a result; the caller holds the lock.
 func (s *Jobs) setWaitingTokens(job *ownedJob, tokens int64) {
 	job.waitingTokens = tokens
-	s.ledger.ReduceReservation(job.account, job.id, tokens)
+	s.ledger.ReduceReservation(job.account.route, job.account.team, job.id, tokens)
 }
 
 // QuotaNearLimit says whether this front has recently found a quota nearly used
--- a/internal/coordination/batch/quota_test.go
+++ b/internal/coordination/batch/quota_test.go
@@ -26,7 +26,7 @@
 // with a quota of 1,000 tokens. It returns "accepted" or the error's code and
 // verdict.
 func acceptOutcome(ctx context.Context, jobs *batch.Jobs, id string) string {
-	e := jobs.Accept(ctx, quotaRoute(), id, "h", "/q/1", newItemsWithTokens(5))
+	e := jobs.Accept(ctx, quotaRoute(), "", id, "h", "/q/1", newItemsWithTokens(5))
 	if e == nil {
 		return "accepted"
 	}
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -157,7 +157,7 @@
 	// A stale read will do: callers need only fields that never change.
 	o, e := s.getImmutable(ctx, kindJobs, id)
 	if errors.Is(e, trail.ErrNotFound) {
-		return nil, trail.WrapError(e, "job-missing", trail.NotRun, "no such job").WithPlace(id)
+		return nil, trail.WrapError(e, codeJobMissing, trail.NotRun, "no such job").WithPlace(id)
 	}
 	if e != nil {
 		return nil, e
@@ -203,6 +203,7 @@
 		k.object = obj
 		k.job = value
 		k.route = cmp.Or(k.route, value.GetRoute())
+		k.team = cmp.Or(k.team, value.GetTeam())
 	}
 	return k
 }
@@ -332,7 +333,7 @@
 		return nil
 	}
 	var l []*wire.BatchItem
-	r := ""
+	r, t := "", ""
 	for i := range cached.inputCount {
 		o, e := s.getImmutable(ctx, kindInputs, partName(id, i))
 		if e != nil {
@@ -344,11 +345,12 @@
 			return trail.WrapError(e, "object-unreadable", trail.NotRun, "input object is not decodable").WithPlace(id)
 		}
 		l = append(l, v.GetItems()...)
-		r = cmp.Or(r, v.GetRoute())
+		r, t = cmp.Or(r, v.GetRoute()), cmp.Or(t, v.GetTeam())
 	}
 	s.mu.Lock()
 	cached.items = l
 	cached.route = cmp.Or(cached.route, r)
+	cached.team, cached.teamRead = cmp.Or(cached.team, t), true
 	s.mu.Unlock()
 	return nil
 }
--- a/internal/coordination/batch/size_test.go
+++ b/internal/coordination/batch/size_test.go
@@ -130,7 +130,7 @@
 			j := newJobs(t, ctx, "a", store, engine, valueBytes)
 			c, f := context.WithTimeout(ctx, 2*time.Second)
 			defer f()
-			e := j.Accept(c, batchRoute(), "job", "h", "/b/1", l)
+			e := j.Accept(c, batchRoute(), "", "job", "h", "/b/1", l)
 			if (e == nil) != (k.want == "") || e != nil && trail.CodeOf(e) != k.want {
 				t.Error(k.items, k.header, k.body, e)
 			}
--- a/internal/coordination/ledger/history_test.go
+++ b/internal/coordination/ledger/history_test.go
@@ -112,7 +112,7 @@
 	if tokens == 0 {
 		x.platform.setJob(job, false)
 	}
-	x.ledgers[x.owner[job]].ReduceReservation(route.GetName(), job, tokens)
+	x.ledgers[x.owner[job]].ReduceReservation(route.GetName(), "", job, tokens)
 }
 
 // restartFront replaces a front by a new one without state. The next front takes
@@ -124,7 +124,7 @@
 		if o == front {
 			x.owner[j] = n
 			if x.waiting[j] > 0 {
-				x.ledgers[n].SetReservation(route, j, x.waiting[j])
+				x.ledgers[n].SetReservation(route, "", j, x.waiting[j])
 			}
 		}
 	}
--- a/internal/coordination/ledger/ledger.go
+++ b/internal/coordination/ledger/ledger.go
@@ -15,8 +15,7 @@
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
-// Kind is the kind of the platform objects that hold the accounts. The name of an
-// object is that of its route.
+// Kind is the kind of the platform objects that hold the accounts.
 const Kind = "batch-quotas"
 
 const (
@@ -51,9 +50,8 @@
 	usedTokens *prometheus.GaugeVec
 	tokenLimit *prometheus.GaugeVec
 
-	mu sync.Mutex
-	// By route.
-	accounts map[string]*routeAccount
+	mu       sync.Mutex
+	accounts map[accountKey]*routeAccount
 	// Until when a quota counts as near its limit, by what this front or another
 	// has seen.
 	nearLimitUntil, peerNearLimitUntil time.Time
@@ -63,24 +61,25 @@
 // entries are stale.
 func New(store trail.StaleStore, jobStates trail.JobStates, logger log.Interface, registry prometheus.Registerer) *Ledger {
 	g := func(name, help string) *prometheus.GaugeVec {
-		return promauto.With(registry).NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{"route"})
+		return promauto.With(registry).NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{"route", "team"})
 	}
 	return &Ledger{
-		store: store, jobStates: jobStates, logger: logger, accounts: map[string]*routeAccount{},
-		usedTokens: g("bulrushtrail_quota_waiting_tokens", "Tokens of unfinished batch items on a route, as this front last read or wrote them."),
-		tokenLimit: g("bulrushtrail_quota_limit_tokens", "Limit of the waiting tokens on a route."),
+		store: store, jobStates: jobStates, logger: logger, accounts: map[accountKey]*routeAccount{},
+		usedTokens: g("bulrushtrail_quota_waiting_tokens", "Tokens of unfinished batch items on a route, of one team if there are teams, as this front last read or wrote them."),
+		tokenLimit: g("bulrushtrail_quota_limit_tokens", "Limit of the waiting tokens on a route, for each team if there are teams."),
 	}
 }
 
-// Reserve reserves tokens for a job on a route, and returns nil once the
-// reservation is stored. Its errors have the verdict not-run: "quota-exceeded"
+// Reserve reserves tokens for a job of a team on a route, and returns nil once the
+// reservation is stored. An empty team stands for all jobs of the route that belong to
+// no account of a team. Its errors have the verdict not-run: "quota-exceeded"
 // with the time after which the tokens are expected to fit, "quota-unsettled" if
 // ctx ends first, and the code of the platform's error if the account cannot be
 // read or written.
-func (s *Ledger) Reserve(ctx context.Context, route *wire.RouteRule, job string, tokens int64) error {
+func (s *Ledger) Reserve(ctx context.Context, route *wire.RouteRule, team, job string, tokens int64) error {
 	w := &reservation{route: route, job: job, tokens: tokens, result: make(chan error, 1)}
 	s.mu.Lock()
-	b := s.accountOf(route.GetName())
+	b := s.accountOf(accountKey{route.GetName(), team})
 	b.limit = route.GetWaitingTokens()
 	b.reservations = append(b.reservations, w)
 	s.startWriter(b)
@@ -96,25 +95,25 @@
 // SetReservation records the waiting tokens of a job that this front runs, if the
 // route has a limit. They may exceed the limit, because the job has been accepted
 // already.
-func (s *Ledger) SetReservation(route *wire.RouteRule, job string, tokens int64) {
+func (s *Ledger) SetReservation(route *wire.RouteRule, team, job string, tokens int64) {
 	if route.GetWaitingTokens() <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.accountOf(route.GetName())
+	b := s.accountOf(accountKey{route.GetName(), team})
 	b.limit = route.GetWaitingTokens()
 	b.changes[job] = change{tokens: tokens, mayRaise: true}
 	s.scheduleFlush(b)
 }
 
 // ReduceReservation lowers the reservation of a job to the tokens that are still
-// waiting on the route with a name. It does nothing for a route on which this front has
-// made or set no reservation.
-func (s *Ledger) ReduceReservation(route, job string, tokens int64) {
+// waiting on the route with a name. It does nothing for a team and route for which this
+// front has made or set no reservation.
+func (s *Ledger) ReduceReservation(route, team, job string, tokens int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.accounts[route]
+	b := s.accounts[accountKey{route, team}]
 	if b == nil {
 		return
 	}
@@ -143,12 +142,12 @@
 	}
 }
 
-// accountOf returns the account of a route; the caller holds the lock.
-func (s *Ledger) accountOf(route string) *routeAccount {
-	b := s.accounts[route]
+// accountOf returns an account; the caller holds the lock.
+func (s *Ledger) accountOf(key accountKey) *routeAccount {
+	b := s.accounts[key]
 	if b == nil {
-		b = &routeAccount{route: route, quota: quota.New(nil), changes: map[string]change{}, firstSeen: map[string]time.Time{}}
-		s.accounts[route] = b
+		b = &routeAccount{accountKey: key, object: key.objectName(), quota: quota.New(nil), changes: map[string]change{}, firstSeen: map[string]time.Time{}}
+		s.accounts[key] = b
 	}
 	return b
 }
@@ -196,8 +195,8 @@
 	n, l := account.quota.Used(), rejected.route.GetWaitingTokens()
 	d := account.quota.RetryAfter(rejected.tokens, l, time.Duration(rejected.route.GetDueMs())*time.Millisecond)
 	d += time.Duration(retryAfterJitter * rand.Float64() * float64(d))
-	s.logger.WithFields(log.Fields{
-		"route": account.route, "job-id": rejected.job, "tokens": rejected.tokens, "waiting-tokens": n, "limit": l,
+	s.logger.WithFields(account.fields()).WithFields(log.Fields{
+		"job-id": rejected.job, "tokens": rejected.tokens, "waiting-tokens": n, "limit": l,
 		"age-ms": time.Since(account.readTime).Milliseconds(), "retry-ms": d.Milliseconds(),
 	}).Warn("ledger: job rejected, too many tokens wait on its route")
 	return trail.NewError("quota-exceeded", trail.NotRun, "%d of %d tokens are reserved on route %s, %d more exceed the limit", n, l, account.route, rejected.tokens).WithPlace(rejected.job).WithRetryAfter(d)
--- a/internal/coordination/ledger/ledger_test.go
+++ b/internal/coordination/ledger/ledger_test.go
@@ -171,7 +171,7 @@
 func reserve(front *ledger.Ledger, job string, tokens int64) string {
 	c, f := context.WithTimeout(context.Background(), 3*time.Second)
 	defer f()
-	e := front.Reserve(c, route, job, tokens)
+	e := front.Reserve(c, route, "", job, tokens)
 	if e == nil {
 		return ""
 	}
@@ -217,7 +217,7 @@
 		g := []string{reserve(a, "x", 60), reserve(b, "y", 30)}
 		p.setJob("x", true)
 		p.setJob("y", true)
-		a.ReduceReservation(route.GetName(), "x", 20)
+		a.ReduceReservation(route.GetName(), "", "x", 20)
 		g = append(g, reserve(b, "z", 30))
 		if b.NearLimit() {
 			a.MarkPeerNearLimit()
@@ -240,7 +240,7 @@
 		p := newPlatform()
 		s := newLedger(p)
 		g := []string{reserve(s, "x", 60)}
-		s.ReduceReservation(route.GetName(), "x", 0)
+		s.ReduceReservation(route.GetName(), "", "x", 0)
 		g = append(g, reserve(s, "y", 60))
 		p.setJob("x", false)
 		p.setJob("y", true)
@@ -286,7 +286,7 @@
 		w.Wait()
 		for i := range 6 {
 			for k := range 5 {
-				s.ReduceReservation(route.GetName(), fmt.Sprint(i), int64(4-k))
+				s.ReduceReservation(route.GetName(), "", fmt.Sprint(i), int64(4-k))
 				time.Sleep(100 * time.Millisecond)
 			}
 		}
--- a/internal/coordination/ledger/write.go
+++ b/internal/coordination/ledger/write.go
@@ -23,10 +23,12 @@
 	acceptGracePeriod = 30 * time.Second
 )
 
-// routeAccount is the account of one route, with the reservations and changes
+// routeAccount is one account, with the reservations and changes
 // that are not written yet.
 type routeAccount struct {
-	route string
+	accountKey
+	// Name of its object.
+	object string
 	// Limit of waiting tokens, by the route that was last passed in.
 	limit int64
 	// Reservations that have no result yet.
@@ -148,7 +150,7 @@
 		return nil
 	}
 	o := time.Now()
-	v, e := s.store.Get(ctx, Kind, account.route)
+	v, e := s.store.Get(ctx, Kind, account.object)
 	if errors.Is(e, trail.ErrNotFound) {
 		account.setQuota(o, quota.New(nil), 0)
 		return nil
@@ -163,13 +165,13 @@
 // is newer. Without a copy the known account stays.
 func (s *Ledger) refreshFromStale(ctx context.Context, account *routeAccount) {
 	o := account.readTime
-	v, e := s.store.GetStale(ctx, Kind, account.route)
+	v, e := s.store.GetStale(ctx, Kind, account.object)
 	if e == nil && v.Version() > account.version {
 		// The copy may be as old as the last read, so the read time stays.
 		e = account.decode(o, v)
 	}
 	if e != nil && !errors.Is(e, trail.ErrNotFound) {
-		s.logger.WithError(e).WithField("route", account.route).Debug("ledger: stale read of a quota account failed")
+		s.logger.WithError(e).WithFields(account.fields()).Debug("ledger: stale read of a quota account failed")
 	}
 }
 
@@ -225,7 +227,7 @@
 
 // storeAccount replaces the account's object if it has still the known version.
 func (s *Ledger) storeAccount(ctx context.Context, account *routeAccount, quotaAccount *quota.Account) error {
-	v, e := object.Encode(Kind, account.route, account.version, quotaAccount.Value())
+	v, e := object.Encode(Kind, account.object, account.version, quotaAccount.Value())
 	if e != nil {
 		return e
 	}
@@ -285,7 +287,7 @@
 	account.cleanupTime = o
 	m, e := s.jobStates.States(ctx)
 	if e != nil {
-		s.logger.WithError(e).WithField("route", account.route).Warn("ledger: search for stale entries failed, states of jobs are not available")
+		s.logger.WithError(e).WithFields(account.fields()).Warn("ledger: search for stale entries failed, states of jobs are not available")
 		return false
 	}
 	d := false
@@ -297,7 +299,7 @@
 		if w || !h || !k && o.Sub(t) < acceptGracePeriod {
 			continue
 		}
-		s.logger.WithField("route", account.route).WithField("job-id", j).Info("ledger: entry of a job that does not wait any more removed")
+		s.logger.WithFields(account.fields()).WithField("job-id", j).Info("ledger: entry of a job that does not wait any more removed")
 		quotaAccount.Lower(j, 0)
 		d = true
 	}
@@ -320,7 +322,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if cause != nil {
-		s.logger.WithError(cause).WithField("route", account.route).Warn("ledger: account not written, the platform does not answer")
+		s.logger.WithError(cause).WithFields(account.fields()).Warn("ledger: account not written, the platform does not answer")
 		for j, x := range batch.changes {
 			if _, k := account.changes[j]; !k {
 				account.changes[j] = x
@@ -343,8 +345,8 @@
 // recordUsage sets the metrics of the account, and records if the quota is near
 // its limit; the caller holds the lock.
 func (s *Ledger) recordUsage(account *routeAccount, batch *updateBatch) {
-	s.usedTokens.WithLabelValues(account.route).Set(float64(account.quota.Used()))
-	s.tokenLimit.WithLabelValues(account.route).Set(float64(batch.limit))
+	s.usedTokens.WithLabelValues(account.route, account.team).Set(float64(account.quota.Used()))
+	s.tokenLimit.WithLabelValues(account.route, account.team).Set(float64(batch.limit))
 	if s.nearLimitAfter(batch, account.quota) {
 		s.nearLimitUntil = time.Now().Add(nearLimitDuration)
 	}
