--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -158,7 +158,7 @@
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.addressOf), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
-	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
+	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, process.registry, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
 		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
 }
--- a/internal/coordination/batch/team.go
+++ b/internal/coordination/batch/team.go
@@ -65,7 +65,8 @@
 // the job's object drops the team.
 func (s *Jobs) loadTeam(ctx context.Context, id string, cached *cachedJob) error {
 	s.mu.Lock()
-	d := cached.team != "" || cached.teamRead
+	// The items of a job that was accepted here, or was read as a whole, are cached.
+	d := cached.team != "" || cached.teamRead || cached.items != nil
 	s.mu.Unlock()
 	if d {
 		return nil
--- a/internal/coordination/batch/team_test.go
+++ b/internal/coordination/batch/team_test.go
@@ -47,12 +47,21 @@
 			jobs     *batch.Jobs
 			team, id string
 		}{
-			{p, "north", "j"}, {p, "north", "j"}, {q, "north", "j"},
-			{p, "south", "j"}, {q, "south", "j"}, {r, "south", "j"}, {p, "", "j"}, {q, "", "j"},
+			{p, "north", "j"},
+			{p, "north", "j"},
+			{q, "north", "j"},
+			{p, "south", "j"},
+			{q, "south", "j"},
+			{r, "south", "j"},
+			{p, "", "j"},
+			{q, "", "j"},
 			// A job without a team is anybody's.
-			{p, "", "k"}, {q, "south", "k"}, {p, "", "k"},
+			{p, "", "k"},
+			{q, "south", "k"},
+			{p, "", "k"},
 			// South has no tokens reserved.
-			{p, "south", "l"}, {q, "south", "m"},
+			{p, "south", "l"},
+			{q, "south", "m"},
 		} {
 			g = append(g, submitAs(ctx, x.jobs, x.team, x.id))
 		}
