fleet, direct, batch: tokens in flight count against a server's memory

A backend server crashes if the requests that it holds exceed its memory, and placement compared only single requests with it. Each front now counts the tokens of its requests at each server and sends the sums with its loads, also in the loads of a whole data centre; requests without stated tokens, and those of an earlier build, count 0, and then the datagrams are as before. A front leaves a margin for requests that it has not heard of, which only one front gives out. Batch items leave room for an online request. A request for which no server has room at the moment is refused with the reason memory-full.

AcquireOnline, AcquireBatch and their releases take options: WithTokens states the tokens. A release without them corrects itself with the server's last request of the front.

--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/rules"
 )
@@ -48,7 +49,7 @@
 		m := s.fleet.TooSmall(p.build.Service(), w)
 		b := s.fleet.AcquireBatch(now, p.build.Service(), func(b *wire.BackendServer, listed bool) bool {
 			return listed && p.build.RunsOn(b) && !m[b.GetId()]
-		})
+		}, fleet.WithTokens(w))
 		if b != nil {
 			return b
 		}
@@ -64,7 +65,7 @@
 		return nil
 	}
 	m := s.fleet.TooSmall(v, w)
-	b := s.fleet.AcquireBatch(now, v, func(b *wire.BackendServer, _ bool) bool { return !m[b.GetId()] })
+	b := s.fleet.AcquireBatch(now, v, func(b *wire.BackendServer, _ bool) bool { return !m[b.GetId()] }, fleet.WithTokens(w))
 	if b != nil && p != nil && !p.build.RunsOn(b) {
 		p.reset()
 	}
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/fleet"
 	"bulrushtrail.example/trail/internal/protocol/valid"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
@@ -275,7 +276,7 @@
 	}
 	if !run.slotReleased {
 		run.slotReleased = true
-		s.fleet.ReleaseBatch(run.server.GetId(), answered)
+		s.fleet.ReleaseBatch(run.server.GetId(), answered, fleet.WithTokens(run.item.GetTokens()))
 		s.onLoadChange()
 	}
 }
@@ -307,7 +308,7 @@
 			continue
 		}
 		l[i].slotReleased = true
-		s.fleet.ReleaseBatch(server, false)
+		s.fleet.ReleaseBatch(server, false, fleet.WithTokens(l[i].item.GetTokens()))
 		l[i].cancel(errYielded)
 		n--
 		s.onLoadChange()
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -52,7 +52,7 @@
 	x.sentAt, x.born, x.exchange, x.hasEvent = time.Now(), 0, trail.Exchange{}, false
 	a, e := x.server.upstream.Send(c, backendServer, x.request, x.lastEventID)
 	if e != nil {
-		x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
+		x.release(backendServer, 0)
 		return x.failureResult(c, e)
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -67,7 +67,7 @@
 	if !r.complete || r.serverFailed {
 		h = 0
 	}
-	x.server.fleet.ReleaseOnline(backendServer.GetId(), h)
+	x.release(backendServer, h)
 	return r
 }
 
--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -165,7 +165,7 @@
 	m := x.server.fleet.TooSmall(x.service, x.request.Tokens())
 	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), func(b *wire.BackendServer, listed bool) bool {
 		return !m[b.GetId()] && accepts(b, listed)
-	}, rand.Float64())
+	}, rand.Float64(), fleet.WithTokens(x.request.Tokens()))
 }
 
 func (x *call) untried(entry *wire.BackendServer) bool {
--- /dev/null
+++ b/internal/coordination/direct/release.go
@@ -0,0 +1,15 @@
+package direct
+
+import (
+	"time"
+
+	"bulrushtrail.example/trail/internal/coordination/fleet"
+	"bulrushtrail.example/trail/internal/protocol/wire"
+)
+
+// release ends the request that acquire has counted at a backend server, as
+// fleet.ReleaseOnline does. Each acquired server must be released with it, since its
+// tokens were counted too.
+func (x *call) release(backendServer *wire.BackendServer, serviceTime time.Duration) {
+	x.server.fleet.ReleaseOnline(backendServer.GetId(), serviceTime, fleet.WithTokens(x.request.Tokens()))
+}
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -39,6 +39,7 @@
 	ReasonFull     = "full"
 	ReasonNoServer = "no-backend-server"
 	ReasonPaused   = "limits-used-up"
+	ReasonMemory   = "memory-full"
 )
 
 // AcquireOnline chooses a backend server for an online request and counts the
@@ -53,11 +54,12 @@
 // requests over the servers that other fronts may choose at the same time,
 // decides which of the fronts that see the same free queue place take it, and
 // spreads retries.
-func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, accepts func(entry *wire.BackendServer, listed bool) bool, draw float64) (*wire.BackendServer, string, time.Duration) {
+func (f *Fleet) AcquireOnline(now time.Time, serviceName string, target, remaining time.Duration, accepts func(entry *wire.BackendServer, listed bool) bool, draw float64, options ...option) (*wire.BackendServer, string, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.service(serviceName)
 	v.recordArrival(now)
+	z := f.tokenCheck(now, v, options, 0)
 	var l []candidate
 	// Free places in the queues of all candidates.
 	o := 0
@@ -73,6 +75,10 @@
 			a = earliest(a, s.limit.pausedUntil)
 			continue
 		}
+		if !z.fits(s) {
+			z.lacking = z.lacking || !u
+			continue
+		}
 		p := f.rank(s)
 		if u {
 			p.tier = tierSuspect
@@ -83,6 +89,9 @@
 	if len(l) == 0 && !a.IsZero() {
 		return nil, ReasonPaused, max(a.Sub(now), retryAfter(remaining, minNoServerWaitShare, draw))
 	}
+	if z.lacking && (len(l) == 0 || l[0].rank.tier == tierSuspect) {
+		return nil, ReasonMemory, retryAfter(remaining, minOverloadWaitShare, draw)
+	}
 	if len(l) == 0 {
 		return nil, ReasonNoServer, retryAfter(remaining, minNoServerWaitShare, draw)
 	}
@@ -101,6 +110,7 @@
 		return nil, ReasonFull, retryAfter(remaining, minOverloadWaitShare, (draw-p)/(1-p))
 	}
 	b.online++
+	v.countTokens(b, z.tokens)
 	return b.entry, tierReasons[c.rank.tier], 0
 }
 
@@ -217,7 +227,7 @@
 // A server with a limit comes first. Its slots are mostly free, since the limit
 // counts requests and not their length, and items are longer than online
 // requests. Its slots are no headroom for these, unless all servers have a limit.
-func (f *Fleet) AcquireBatch(now time.Time, serviceName string, accepts func(entry *wire.BackendServer, listed bool) bool) *wire.BackendServer {
+func (f *Fleet) AcquireBatch(now time.Time, serviceName string, accepts func(entry *wire.BackendServer, listed bool) bool, options ...option) *wire.BackendServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var b *server
@@ -225,6 +235,7 @@
 	r, l := 0, 0
 	v := f.service(serviceName)
 	u := v.hasUnlimited(now)
+	z := f.tokenCheck(now, v, options, itemReserveSlots)
 	for _, s := range v.servers {
 		if s.suspect(now) || !s.usable(now) {
 			continue
@@ -236,6 +247,9 @@
 		if s.total() >= s.slots() || s.paused(now) || accepts != nil && !accepts(s.entry, s.isListed()) {
 			continue
 		}
+		if !z.fits(s) {
+			continue
+		}
 		p := f.itemRank(s)
 		if b == nil || p.before(k) {
 			b, k = s, p
@@ -245,6 +259,7 @@
 		return nil
 	}
 	b.batch++
+	v.countTokens(b, z.tokens)
 	return b.entry
 }
 
@@ -269,7 +284,7 @@
 	if s == nil || s.batch == 0 {
 		return 0
 	}
-	x := s.total() - s.slots()
+	x := max(s.total()-s.slots(), s.memoryExcess())
 	for n, t := range f.dataCentreLoads {
 		if n < f.dataCentre {
 			x -= t.servers[s.idHash].batch
@@ -305,8 +320,8 @@
 
 // ReleaseOnline ends an online request that AcquireOnline has counted.
 // serviceTime is how long the request held a slot until its complete answer, or
-// 0 if it has no complete answer.
-func (f *Fleet) ReleaseOnline(id string, serviceTime time.Duration) {
+// 0 if it has no complete answer. The options are those of AcquireOnline.
+func (f *Fleet) ReleaseOnline(id string, serviceTime time.Duration, options ...option) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
@@ -314,6 +329,7 @@
 		return
 	}
 	s.online = max(s.online-1, 0)
+	s.releaseTokens(newPlacement(options).tokens)
 	if serviceTime > 0 {
 		s.recordSuccess()
 		v := f.service(s.entry.GetService())
@@ -322,8 +338,8 @@
 }
 
 // ReleaseBatch ends a batch item that AcquireBatch has counted. answered says
-// whether its answer was complete.
-func (f *Fleet) ReleaseBatch(id string, answered bool) {
+// whether its answer was complete. The options are those of AcquireBatch.
+func (f *Fleet) ReleaseBatch(id string, answered bool, options ...option) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
@@ -331,6 +347,7 @@
 		return
 	}
 	s.batch = max(s.batch-1, 0)
+	s.releaseTokens(newPlacement(options).tokens)
 	if answered {
 		s.recordSuccess()
 	}
--- a/internal/coordination/fleet/datacentre.go
+++ b/internal/coordination/fleet/datacentre.go
@@ -15,6 +15,7 @@
 // inFlight counts the requests in flight at a backend server.
 type inFlight struct {
 	online, batch int
+	tokens        int64
 	// Some front avoids the server because it answers with failures.
 	failing bool
 }
@@ -34,14 +35,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := wire.DataCentreLoad_builder{}
+	k := false
 	for h, n := range f.ownDataCentreLoad(now) {
 		t.Servers = append(t.Servers, h)
 		t.Online = append(t.Online, int32(n.online))
 		t.Batch = append(t.Batch, int32(n.batch))
+		t.Tokens = append(t.Tokens, n.tokens)
+		k = k || n.tokens > 0
 		if n.failing {
 			t.Failing = append(t.Failing, h)
 		}
 	}
+	if !k {
+		t.Tokens = nil
+	}
 	for _, p := range f.peers {
 		if p.load.GetDataCentre() == f.dataCentre && now.Sub(p.lastSeen) <= recentlyHeard {
 			t.Heard = append(t.Heard, p.nameHash)
@@ -68,6 +75,7 @@
 		n := sums[x.GetServer()]
 		n.online += int(x.GetOnline())
 		n.batch += int(x.GetBatch())
+		n.tokens += max(x.GetTokens(), 0)
 		n.failing = n.failing || x.GetFailing()
 		sums[x.GetServer()] = n
 	}
@@ -77,13 +85,18 @@
 // the hash of the backend server's id. It returns nil if the lists in the
 // datagram differ in length.
 func decodeDataCentreLoad(load *wire.DataCentreLoad) map[uint64]inFlight {
-	l, o, b := load.GetServers(), load.GetOnline(), load.GetBatch()
-	if len(o) != len(l) || len(b) != len(l) {
+	l, o, b, t := load.GetServers(), load.GetOnline(), load.GetBatch(), load.GetTokens()
+	// An earlier build, and a data centre without requests that state tokens, send none.
+	if len(o) != len(l) || len(b) != len(l) || len(t) != len(l) && len(t) != 0 {
 		return nil
 	}
 	m := make(map[uint64]inFlight, len(l))
 	for i, h := range l {
-		m[h] = inFlight{online: int(o[i]), batch: int(b[i])}
+		n := inFlight{online: int(o[i]), batch: int(b[i])}
+		if len(t) > 0 {
+			n.tokens = max(t[i], 0)
+		}
+		m[h] = n
 	}
 	for _, h := range load.GetFailing() {
 		n := m[h]
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -112,6 +112,9 @@
 	online, batch int
 	// Requests in flight from other fronts.
 	remoteOnline, remoteBatch int
+	// Tokens of the requests in flight from this front and from others, as far as they
+	// state them.
+	ownTokens, remoteTokens int64
 	// After a failure the server is not used before this time.
 	backoffUntil time.Time
 	// Failures since the last successful answer.
@@ -145,6 +148,8 @@
 	expired           int
 	expiryWindowStart time.Time
 	memory            memoryRange
+	// Sizes of the requests that state their tokens.
+	sizes tokenSizes
 }
 
 // New returns an empty fleet for the front named self.
@@ -338,6 +343,9 @@
 		}
 		o, b := int32(s.online), int32(s.batch)
 		v := wire.ServerLoad_builder{Server: &s.idHash, Online: &o, Batch: &b}.Build()
+		if s.ownTokens > 0 {
+			v.SetTokens(s.ownTokens)
+		}
 		if a {
 			v.SetFailing(true)
 		}
--- a/internal/coordination/fleet/limited.go
+++ b/internal/coordination/fleet/limited.go
@@ -124,6 +124,11 @@
 func (f *Fleet) First(now time.Time, key, dataCentre string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.first(now, key, dataCentre)
+}
+
+// first is First for a caller that holds the lock.
+func (f *Fleet) first(now time.Time, key, dataCentre string) string {
 	b := rendezvous{key: key, dataCentre: dataCentre, name: f.self}
 	if !f.leaving {
 		b.add(f.self, f.dataCentre)
--- a/internal/coordination/fleet/peer.go
+++ b/internal/coordination/fleet/peer.go
@@ -133,6 +133,7 @@
 	for _, s := range f.servers {
 		s.remoteOnline = 0
 		s.remoteBatch = 0
+		s.remoteTokens = 0
 		s.remoteFailing = 0
 	}
 	for _, p := range f.peers {
@@ -148,7 +149,7 @@
 // adjustLoads adds the loads of another front, or subtracts them if sign is -1.
 func (f *Fleet) adjustLoads(loads []*wire.ServerLoad, sign int) {
 	for _, x := range loads {
-		f.adjustServer(x.GetServer(), inFlight{online: int(x.GetOnline()), batch: int(x.GetBatch()), failing: x.GetFailing()}, sign)
+		f.adjustServer(x.GetServer(), inFlight{online: int(x.GetOnline()), batch: int(x.GetBatch()), tokens: max(x.GetTokens(), 0), failing: x.GetFailing()}, sign)
 	}
 }
 
@@ -161,6 +162,7 @@
 	}
 	s.remoteOnline += sign * requests.online
 	s.remoteBatch += sign * requests.batch
+	s.remoteTokens += int64(sign) * requests.tokens
 	if requests.failing {
 		s.remoteFailing += sign
 	}
