meter, daemon, docs: the estimates of backend servers as metrics and log lines

Gauges of each listed server's speed and of the slots that it serves well, removed with the server, and a log line when an estimate becomes notable, at most ten a second and one a server each 10 s.

Run: go test -race -count=1 ./internal/coordination/meter ./internal/coordination/fleet (ok, without the bursts, which do not depend on it), make check (ok).

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -114,6 +114,9 @@
 	go s.builds.Run(l)
 	go s.watchConfig(l)
 	go s.watchHosts(l)
+	if process.settings.GetLearnCapacity() {
+		go s.reportEstimates(l)
+	}
 	d := make(chan struct{})
 	context.AfterFunc(ctx, func() { s.drain(d) })
 	e = s.api.Serve(ctx, a)
--- a/internal/coordination/fleet/capacity.go
+++ b/internal/coordination/fleet/capacity.go
@@ -314,3 +314,20 @@
 	}
 	return s.weight(), s.servedSlots(), true
 }
+
+// VisitEstimates calls visit with the id and service of each listed backend server, what
+// Estimate returns of it, and its slots. visit must not call the fleet. There are no
+// calls unless the fleet learns.
+func (f *Fleet) VisitEstimates(now time.Time, visit func(id, service string, speed float64, slots, of int)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.learning {
+		return
+	}
+	for n, v := range f.services {
+		f.updateCapacities(now, v, 0)
+		for _, s := range v.servers {
+			visit(s.entry.GetId(), n, s.weight(), s.servedSlots(), s.slots())
+		}
+	}
+}
