--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -114,6 +114,9 @@
 	go s.builds.Run(l)
 	go s.watchConfig(l)
 	go s.watchHosts(l)
+	if process.settings.GetLearnCapacity() {
+		go s.reportEstimates(l)
+	}
 	d := make(chan struct{})
 	context.AfterFunc(ctx, func() { s.drain(d) })
 	e = s.api.Serve(ctx, a)
@@ -132,6 +135,9 @@
 		DataCentre: proto.String(process.settings.GetDataCentre()), PeerAddress: proto.String(process.peerAddress()),
 	}.Build()
 	s.fleet = fleet.New(process.settings.GetName(), process.settings.GetDataCentre())
+	if process.settings.GetLearnCapacity() {
+		s.fleet.LearnCapacity()
+	}
 	s.paths = paths.New(ctx, process.backendDialer(), s.fleet.SampleAddresses, s.applyPathChange, process.logger)
 	s.pool = pool.New(s.paths, process.registry)
 	q := crash.New(process.settings.GetName())
--- a/internal/coordination/direct/attempt.go
+++ b/internal/coordination/direct/attempt.go
@@ -52,9 +52,10 @@
 	t := x.startAttemptTimer(f)
 	defer t.Stop()
 	x.sentAt, x.born, x.exchange, x.hasEvent = time.Now(), 0, trail.Exchange{}, false
+	x.timing = x.startTiming(backendServer)
 	a, e := x.server.upstream.Send(c, backendServer, x.request, x.lastEventID)
 	if e != nil {
-		x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
+		x.release(backendServer, 0)
 		return x.failureResult(c, e)
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -69,7 +70,7 @@
 	if !r.complete || r.serverFailed {
 		h = 0
 	}
-	x.server.fleet.ReleaseOnline(backendServer.GetId(), h)
+	x.release(backendServer, h)
 	return r
 }
 
@@ -143,6 +144,7 @@
 	}
 	x.recordBegun(response.StatusCode)
 	if d {
+		x.timing.addBody(time.Now(), totalBytes(b))
 		response.Header.Set("Content-Length", strconv.Itoa(totalBytes(b)))
 	}
 	x.writeHead(response)
@@ -252,6 +254,7 @@
 		}
 		if !r.Empty() {
 			x.hasEvent = true
+			x.recordEvent()
 			x.recordStream()
 		}
 		x.writeHead(response)
@@ -259,6 +262,7 @@
 		if e != nil {
 			return result{cause: errors.Wrap(e, "write to caller"), verdict: trail.MayHaveRun, callerGone: true}
 		}
+		x.timing.checkWrite(time.Now())
 		if r.ID() != "" {
 			x.lastEventID = strings.Clone(r.ID())
 		}
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -225,6 +225,9 @@
 	if t := x.request.Team(); t != "" {
 		l = l.WithField("team", t)
 	}
+	if f := x.estimateFields(); f != nil {
+		l = l.WithFields(f)
+	}
 	if i := x.request.LastEventID(); i != "" {
 		l = l.WithFields(log.Fields{"resumes": x.request.ResumedAttempt(), "after-event": i, "stream-version": x.build.Version(), "known-by": x.streamSource})
 	}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bulrushtrail.example/trail/internal/coordination/speed"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 )
 
@@ -81,6 +82,9 @@
 	limitChanges uint64
 	// This front stops.
 	leaving bool
+	// Whether the capacity of the servers is learned, and samples to be sent.
+	learning bool
+	samples  []sample
 	// Number of peers to which load changes are sent at once.
 	immediatePeers int
 	// When another front may last have presumed this one dead.
@@ -107,12 +111,20 @@
 	leaving bool
 	limit   rateLimit
 	memory  memory
+	// Zero unless the fleet learns.
+	capacity capacity
 	// Tokens of the largest request that its process has answered to this front.
 	largestAnswered int64
 	// Requests in flight from this front.
 	online, batch int
 	// Requests in flight from other fronts.
 	remoteOnline, remoteBatch int
+	// Tokens of the requests in flight from this front and from others, as far as they
+	// state them.
+	ownTokens, remoteTokens int64
+	// Whether this front gives out the margin of the memory, as of a time.
+	givesOutMargin  bool
+	marginCheckedAt time.Time
 	// After a failure the server is not used before this time.
 	backoffUntil time.Time
 	// Failures since the last successful answer.
@@ -146,6 +158,13 @@
 	expired           int
 	expiryWindowStart time.Time
 	memory            memoryRange
+	// Sizes of the requests that state their tokens.
+	sizes tokenSizes
+	// Estimates of the servers, nil unless the fleet learns; when they were last taken
+	// over; and the latest first byte of an online request that need not wait.
+	model        *speed.Model
+	capacitiesAt time.Time
+	firstBound   time.Duration
 }
 
 // New returns an empty fleet for the front named self.
@@ -189,6 +208,7 @@
 	}
 	f.expireLeavingMarks(now)
 	f.groupByService()
+	f.syncModels(now)
 	f.recountRemote()
 	return a
 }
@@ -339,6 +359,9 @@
 		}
 		o, b := int32(s.online), int32(s.batch)
 		v := wire.ServerLoad_builder{Server: &s.idHash, Online: &o, Batch: &b}.Build()
+		if s.ownTokens > 0 {
+			v.SetTokens(s.ownTokens)
+		}
 		if a {
 			v.SetFailing(true)
 		}
