admit, fleet, direct: who is refused while demand exceeds capacity

A request now has a class by its priority, its team's share of the requests in flight, and whether its caller returns; all classes but the first leave slots free and take no queue place. The counts by team travel with the loads. Only configurations with teams switch it on.

go test ./internal/coordination/fleet ./internal/coordination/direct ./internal/coordination/admit: ok.

--- a/internal/coordination/direct/call.go
+++ b/internal/coordination/direct/call.go
@@ -29,6 +29,8 @@
 	// When the last attempt was sent.
 	sentAt time.Time
 
+	// How the request competes with others while servers are full.
+	demand demand
 	// Ids of backend servers that were tried; none is tried twice.
 	triedServers []string
 	// Number of failed attempts that may have run.
@@ -165,7 +167,7 @@
 	m := x.server.fleet.TooSmall(x.service, x.request.Tokens())
 	return x.server.fleet.AcquireOnline(time.Now(), x.service, t, time.Until(x.request.Deadline()), func(b *wire.BackendServer, listed bool) bool {
 		return !m[b.GetId()] && accepts(b, listed)
-	}, rand.Float64(), fleet.WithTokens(x.request.Tokens()))
+	}, rand.Float64(), fleet.WithTokens(x.request.Tokens()), fleet.WithDemand(x.demand.service, x.request.Team(), x.demand.priority, x.demand.returning))
 }
 
 func (x *call) untried(entry *wire.BackendServer) bool {
--- a/internal/coordination/direct/release.go
+++ b/internal/coordination/direct/release.go
@@ -11,5 +11,5 @@
 // fleet.ReleaseOnline does. Each acquired server must be released with it, since its
 // tokens were counted too.
 func (x *call) release(backendServer *wire.BackendServer, serviceTime time.Duration) {
-	x.server.fleet.ReleaseOnline(backendServer.GetId(), serviceTime, fleet.WithTokens(x.request.Tokens()))
+	x.server.fleet.ReleaseOnline(backendServer.GetId(), serviceTime, fleet.WithTokens(x.request.Tokens()), fleet.WithDemand(x.demand.service, x.request.Team(), x.demand.priority, x.demand.returning))
 }
--- a/internal/coordination/direct/server.go
+++ b/internal/coordination/direct/server.go
@@ -131,6 +131,7 @@
 		fingerprint: fingerprint(request),
 		lastResult:  result{verdict: trail.NotRun},
 	}
+	x.demand = s.demandOf(route, x.service, request)
 	e := x.run()
 	x.reportOutcome(version, e)
 	return e
@@ -214,7 +215,7 @@
 	n := "ok"
 	l := x.server.logger.WithFields(log.Fields{
 		"request-id": x.request.ID(), "route": x.route.GetName(), "service": x.service, "config-version": version,
-		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "process": x.born, "reason": x.selectionReason, "tries": x.attempts, "status": x.status,
+		"server": x.backendServer.GetId(), "version": x.backendServer.GetVersion(), "born": x.backendServer.GetBorn(), "process": x.born, "reason": x.selectionReason, "priority": x.demand.priority, "returning": x.demand.returning, "tries": x.attempts, "status": x.status,
 		"ms": time.Since(x.startTime).Milliseconds(), "first-ms": x.timeToFirstByte.Milliseconds(),
 		"left-ms":             time.Until(x.request.Deadline()).Milliseconds(),
 		"connection-requests": x.exchange.Requests(), "passed-over": x.exchange.PassedOver(),
--- a/internal/coordination/fleet/choose.go
+++ b/internal/coordination/fleet/choose.go
@@ -40,6 +40,7 @@
 	ReasonNoServer = "no-backend-server"
 	ReasonPaused   = "limits-used-up"
 	ReasonMemory   = "memory-full"
+	ReasonReserved = "reserved"
 )
 
 // AcquireOnline chooses a backend server for an online request and counts the
@@ -60,6 +61,7 @@
 	v := f.service(serviceName)
 	v.recordArrival(now)
 	z := f.tokenCheck(now, v, options, 0)
+	d := f.demandOf(now, v, options)
 	var l []candidate
 	// Free places in the queues of all candidates.
 	o := 0
@@ -101,16 +103,20 @@
 		c = spread(l, n, draw)
 	}
 	b := c.server
+	if !v.leavesReserve(now, d, c.rank.tier) {
+		return nil, ReasonReserved, retryAfter(remaining, minOverloadWaitShare, draw)
+	}
 	if c.rank.tier >= tierQueue && b.totalOnline()-b.slots() >= v.maxQueueDepth(b.slots(), target) {
 		return nil, ReasonFull, retryAfter(remaining, minOverloadWaitShare, draw)
 	}
 	// If several fronts see the same free places, each takes one only with the
 	// probability that there are enough for all.
-	if p := float64(o) / n; c.rank.tier == tierQueue && draw >= p {
+	if p := d.Chance(float64(o) / n); c.rank.tier == tierQueue && draw >= p {
 		return nil, ReasonFull, retryAfter(remaining, minOverloadWaitShare, (draw-p)/(1-p))
 	}
 	b.online++
 	v.countTokens(b, z.tokens)
+	f.countTeam(options)
 	return b.entry, tierReasons[c.rank.tier], 0
 }
 
@@ -324,6 +330,7 @@
 func (f *Fleet) ReleaseOnline(id string, serviceTime time.Duration, options ...option) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.releaseTeam(options)
 	s := f.servers[id]
 	if s == nil {
 		return
--- a/internal/coordination/fleet/datacentre.go
+++ b/internal/coordination/fleet/datacentre.go
@@ -26,6 +26,7 @@
 type dataCentreLoad struct {
 	// By the hash of the backend server's id.
 	servers    map[uint64]inFlight
+	teams      []*wire.TeamLoad
 	receivedAt time.Time
 }
 
@@ -49,6 +50,7 @@
 	if !k {
 		t.Tokens = nil
 	}
+	t.Teams = f.ownDataCentreTeams()
 	for _, p := range f.peers {
 		if p.load.GetDataCentre() == f.dataCentre && now.Sub(p.lastSeen) <= recentlyHeard {
 			t.Heard = append(t.Heard, p.nameHash)
@@ -118,6 +120,7 @@
 	}
 	f.adjustDataCentreLoad(t, -1)
 	t.servers = decodeDataCentreLoad(load)
+	t.teams = load.GetTeams()
 	t.receivedAt = now
 	f.adjustDataCentreLoad(t, 1)
 	s := now.Add(-recentlyHeard)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -90,6 +90,8 @@
 	// When fronts timed out without having announced that they stop, by name.
 	lostPeers         map[string]time.Time
 	lastLivenessCheck time.Time
+	// Online requests in flight from this front.
+	teamLoads map[teamKey]int
 }
 
 // server is one backend server.
@@ -150,6 +152,8 @@
 	memory            memoryRange
 	// Sizes of the requests that state their tokens.
 	sizes tokenSizes
+	// When a request of a priority last asked for a server.
+	priorities map[int32]time.Time
 }
 
 // New returns an empty fleet for the front named self.
@@ -159,6 +163,7 @@
 		servers: map[string]*server{}, serversByHash: map[uint64]*server{},
 		services: map[string]*service{}, leavingMarks: map[serverProcess]time.Time{},
 		peers: map[string]*peer{}, peersByHash: map[uint64]*peer{}, dataCentreLoads: map[string]*dataCentreLoad{}, lostPeers: map[string]time.Time{},
+		teamLoads: map[teamKey]int{},
 	}
 }
 
@@ -320,7 +325,7 @@
 func (f *Fleet) service(name string) *service {
 	v := f.services[name]
 	if v == nil {
-		v = &service{meanServiceTime: initialServiceTime}
+		v = &service{meanServiceTime: initialServiceTime, priorities: map[int32]time.Time{}}
 		f.services[name] = v
 	}
 	return v
--- a/internal/coordination/fleet/replay_test.go
+++ b/internal/coordination/fleet/replay_test.go
@@ -49,6 +49,19 @@
 type arrival struct {
 	at, serviceTime time.Duration
 	front           string
+	// Empty if the request states no demand.
+	team     string
+	priority int32
+	// The caller returns after a refusal.
+	returning bool
+}
+
+// service returns the service to which the arrival states a demand, empty for none.
+func (a arrival) service() string {
+	if a.team == "" {
+		return ""
+	}
+	return service
 }
 
 // readPattern reads a recording of arrivals from a file.
@@ -115,12 +128,28 @@
 	refusedWhileFree int
 	// Sum over all refusals of the slots that were occupied.
 	busyAtRefusals int
+	teams          map[string]*teamOutcome
+}
+
+// teamOutcome counts the requests of a team.
+type teamOutcome struct{ asked, onTime, refused int }
+
+// team returns the counts of an arrival's team.
+func (r *outcome) team(name string) *teamOutcome {
+	if r.teams == nil {
+		r.teams = map[string]*teamOutcome{}
+	}
+	if r.teams[name] == nil {
+		r.teams[name] = &teamOutcome{}
+	}
+	return r.teams[name]
 }
 
 // completion is a request that ends at a front.
 type completion struct {
 	front, server   string
 	at, serviceTime time.Duration
+	arrival         arrival
 }
 
 // replay simulates the arrivals with one Fleet for each front.
@@ -150,19 +179,26 @@
 		s.exchangeLoads(f, d)
 		e = slices.DeleteFunc(e, func(x completion) bool {
 			if x.at <= d {
-				f[x.front].ReleaseOnline(x.server, x.serviceTime)
+				f[x.front].ReleaseOnline(x.server, x.serviceTime, fleet.WithDemand(x.arrival.service(), x.arrival.team, x.arrival.priority, x.arrival.returning))
 			}
 			return x.at <= d
 		})
 		for ; n < len(arrivals) && arrivals[n].at <= d; n++ {
-			b, _, _ := f[arrivals[n].front].AcquireOnline(o, service, target, remaining, nil, w.Float64())
+			x := arrivals[n]
+			k := r.team(x.team)
+			k.asked++
+			b, _, _ := f[x.front].AcquireOnline(o, service, target, remaining, nil, w.Float64(), fleet.WithDemand(x.service(), x.team, x.priority, x.returning))
 			if b == nil {
+				k.refused++
 				r.recordRefusal(s, g, d)
 				continue
 			}
-			a, z := g[b.GetId()].run(d, arrivals[n].serviceTime)
+			a, z := g[b.GetId()].run(d, x.serviceTime)
+			if a-d <= target-timeToFirstEvent {
+				k.onTime++
+			}
 			r.waits = append(r.waits, a-d)
-			e = append(e, completion{arrivals[n].front, b.GetId(), z, z - d})
+			e = append(e, completion{x.front, b.GetId(), z, z - d, x})
 		}
 	}
 	return r
@@ -188,7 +224,7 @@
 	}
 	for n, x := range fleets {
 		m := wire.Load_builder{
-			Name: &n, Incarnation: proto.Uint64(1), Sequence: &q, Servers: x.LocalLoads(start.Add(at)),
+			Name: &n, Incarnation: proto.Uint64(1), Sequence: &q, Servers: x.LocalLoads(start.Add(at)), Teams: x.TeamLoads(),
 			DataCentre: proto.String(s.dataCentre(n)),
 		}.Build()
 		for p, y := range fleets {
--- a/internal/coordination/fleet/tokens.go
+++ b/internal/coordination/fleet/tokens.go
@@ -21,6 +21,8 @@
 type placement struct {
 	// Prompt tokens plus the maximum number of output tokens, 0 if not stated.
 	tokens int64
+	// Set by WithDemand.
+	demand *demandOptions
 }
 
 type option = func(*placement)
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -35,6 +35,7 @@
 		m.All = t.fleet.DataCentreLoad(now)
 	} else {
 		m.Servers = t.fleet.LocalLoads(now)
+		m.Teams = t.fleet.TeamLoads()
 	}
 	if totals || t.crashReport.due(now, t.crashes.Changes()) {
 		m.Crashes = t.crashes.Report(now)
