--- a/internal/coordination/direct/rate.go
+++ b/internal/coordination/direct/rate.go
@@ -46,7 +46,7 @@
 	if e == nil && x.ctx.Err() == nil {
 		return nil
 	}
-	x.server.fleet.ReleaseOnline(backendServer.GetId(), 0)
+	x.release(backendServer, 0)
 	x.server.onLoadChange()
 	if x.ctx.Err() != nil {
 		return x.finalError(result{cause: x.ctx.Err(), verdict: trail.NotRun, callerGone: x.callerGone()})
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -95,6 +95,8 @@
 	lostPeers         map[string]time.Time
 	lastLivenessCheck time.Time
 	counters          rateCounters
+	// Online requests in flight from this front.
+	teamLoads map[teamKey]int
 }
 
 // server is one backend server.
@@ -165,6 +167,8 @@
 	model        *speed.Model
 	capacitiesAt time.Time
 	firstBound   time.Duration
+	// When a request of a priority last asked for a server.
+	priorities map[int32]time.Time
 }
 
 // New returns an empty fleet for the front named self.
@@ -174,6 +178,7 @@
 		servers: map[string]*server{}, serversByHash: map[uint64]*server{},
 		services: map[string]*service{}, leavingMarks: map[serverProcess]time.Time{},
 		peers: map[string]*peer{}, peersByHash: map[uint64]*peer{}, dataCentreLoads: map[string]*dataCentreLoad{}, lostPeers: map[string]time.Time{},
+		teamLoads: map[teamKey]int{},
 	}
 }
 
@@ -336,7 +341,7 @@
 func (f *Fleet) service(name string) *service {
 	v := f.services[name]
 	if v == nil {
-		v = &service{meanServiceTime: initialServiceTime}
+		v = &service{meanServiceTime: initialServiceTime, priorities: map[int32]time.Time{}}
 		f.services[name] = v
 	}
 	return v
--- a/internal/coordination/gossip/datagram.go
+++ b/internal/coordination/gossip/datagram.go
@@ -38,6 +38,7 @@
 		if !t.heartbeatOnly {
 			m.Samples = t.fleet.TakeSamples(now)
 		}
+		m.Teams = t.fleet.TeamLoads()
 	}
 	if totals || t.crashReport.due(now, t.crashes.Changes()) {
 		m.Crashes = t.crashes.Report(now)
