direct: the test of fast failures answers with a status that is relayed

With 503 the response of a request that must not be repeated is not relayed, so the test passed without the checks that it guards. It now fails without them.

--- a/internal/coordination/direct/timing_test.go
+++ b/internal/coordination/direct/timing_test.go
@@ -19,7 +19,7 @@
 )
 
 // pacedUpstream answers with a stream of eight events. Each takes 50 ms; at server s1 four
-// times as long, or none at all and a status of 503 if it fails.
+// times as long, or 1 ms and a status of 500 if it fails.
 type pacedUpstream struct {
 	fleet *fleet.Fleet
 	fails bool
@@ -37,7 +37,7 @@
 		d *= 4
 	}
 	if server.GetId() == "s1" && u.fails {
-		d, r.StatusCode = 0, http.StatusServiceUnavailable
+		d, r.StatusCode = time.Millisecond, http.StatusInternalServerError
 	}
 	a, b := io.Pipe()
 	r.Body = a
@@ -66,15 +66,18 @@
 			f.SetServers(time.Now(), l, time.Now(), time.Now())
 			u := &pacedUpstream{fleet: f, fails: k}
 			s := newDirect(f, u)
+			// The failing or slow server has looked fast.
+			h := false
 			for n := range 60 {
 				q := trail.NewRequest(fmt.Sprint("r", n), "POST", "/p", "h", nil, nil).WithTokens(700)
+				f.VisitEstimates(time.Now(), func(i, _ string, v float64, _, _ int) { h = h || i == "s1" && v > 1.1 })
 				_ = s.Serve(t.Context(), route(wire.Repeat_REPEAT_ONCE, true, false, 1), 1, q, httptest.NewRecorder())
 			}
 			// Takes over the estimates.
 			f.VisitEstimates(time.Now().Add(time.Second), func(string, string, float64, int, int) {})
 			v, _, _ := f.Estimate("s1")
 			w, _, _ := f.Estimate("s0")
-			g := []bool{v < w, v > w, len(f.LocalLoads(time.Now())) > 0 && f.LocalLoads(time.Now())[0].GetTokens() > 0}
+			g := []bool{v < w, h, len(f.LocalLoads(time.Now())) > 0 && f.LocalLoads(time.Now())[0].GetTokens() > 0}
 			if d := cmp.Diff([]bool{!k, false, false}, g); d != "" || u.tokens != 700 {
 				t.Error(d, v, w, u.tokens)
 			}
