outage, daemon: few calls to the platform while it does not answer

A circuit breaker in front of the platform's client lets one call through each 300 ms once four in a row have failed, and fails the others at once as not run. Submissions and reads are then refused at once in place of after 2.5 s, and calls go through another front where one is reached, as before.

go test ./internal/coordination/outage: ok; without the breaker TestCallsAreRepeatedInOutage counts 1,200 calls in 6 s.

--- a/internal/command/daemon/process.go
+++ b/internal/command/daemon/process.go
@@ -12,6 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/protobuf/proto"
 
+	trail "bulrushtrail.example/trail"
+	"bulrushtrail.example/trail/internal/coordination/outage"
 	"bulrushtrail.example/trail/internal/protocol/wire"
 	"bulrushtrail.example/trail/internal/state/node"
 	"bulrushtrail.example/trail/internal/transport/httpd"
@@ -32,12 +34,13 @@
 
 // process holds the state that all roles share.
 type process struct {
-	role        string
-	settings    *wire.Node
-	logger      log.Interface
-	registry    *prometheus.Registry
-	dialer      *net.Dialer
-	store       *store.Client
+	role     string
+	settings *wire.Node
+	logger   log.Interface
+	registry *prometheus.Registry
+	dialer   *net.Dialer
+	// Calls the platform, except for most calls while it does not answer.
+	store       trail.StaleStore
 	incarnation uint64
 }
 
@@ -47,7 +50,7 @@
 	d := &net.Dialer{Timeout: time.Second, KeepAliveConfig: keepalive}
 	return &process{
 		role: role, settings: settings, logger: logger, registry: r, dialer: d,
-		store:       store.New(settings, d, logger, r),
+		store:       outage.New(store.New(settings, d, logger, r), logger, r),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 }
