internal/coordination/batch: bounds the items of unfinished jobs

A front kept the items of each job that it had seen for 15 minutes, and accepted any number: 150 jobs of 1 MB whose items do not end took 162 MB on a host of 100, and no ordinary request was answered any more (TestUnfinishedJobs).

LimitItems bounds the bytes of the items of jobs that run here. A job beyond it is refused as not run before anything of it is stored, unless it was accepted before; an accepted one is never dropped. Items of jobs that run elsewhere or have ended are forgotten when the room is needed, and read again for a call on an item. A job that runs keeps its own reference to its items, so that forgetting cannot take them from a run. Jobs that are taken over go beyond the limit.

--- a/internal/coordination/batch/accept.go
+++ b/internal/coordination/batch/accept.go
@@ -37,24 +37,19 @@
 	if s.Knows(id) {
 		return nil
 	}
-	d, e := s.reserveQuota(ctx, route, id, items)
+	f, d, e := s.reserveItems(ctx, id, items)
+	if e != nil || d {
+		return e
+	}
+	defer f()
+	d, e = s.reserveQuota(ctx, route, id, items)
 	if e != nil || d {
 		return e
 	}
 	l := splitItems(items, inputBytes(route), s.payloadBytes)
-	for n, i := range l {
-		v := wire.BatchInput_builder{Items: i}.Build()
-		if n == 0 {
-			v.SetRoute(route.GetName())
-		}
-		_, e := s.createObject(ctx, kindInputs, partName(id, n), v)
-		if e != nil && !errors.Is(e, trail.ErrExists) {
-			if trail.CodeOf(e) == codeRefused && s.isTooLarge(route, i) {
-				return trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
-			}
-			// The verdict is NotRun: no item runs before the job object exists.
-			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").WithPlace(id).WithRetryAfter(acceptRetryAfter)
-		}
+	e = s.storeInputs(ctx, route, id, l)
+	if e != nil {
+		return e
 	}
 	j := wire.BatchJob_builder{
 		Host: &host, Path: &path, Route: proto.String(route.GetName()), Total: proto.Int32(int32(len(items))), Inputs: proto.Int32(int32(len(l))),
@@ -94,6 +89,25 @@
 	return nil
 }
 
+// storeInputs creates the input objects of a job from groups of its items.
+func (s *Jobs) storeInputs(ctx context.Context, route *wire.RouteRule, id string, groups [][]*wire.BatchItem) error {
+	for n, i := range groups {
+		v := wire.BatchInput_builder{Items: i}.Build()
+		if n == 0 {
+			v.SetRoute(route.GetName())
+		}
+		_, e := s.createObject(ctx, kindInputs, partName(id, n), v)
+		if e != nil && !errors.Is(e, trail.ErrExists) {
+			if trail.CodeOf(e) == codeRefused && s.isTooLarge(route, i) {
+				return trail.WrapError(e, codeItemTooLarge, trail.NotRun, "item is larger than an object of the platform").WithPlace(i[0].GetId())
+			}
+			// The verdict is NotRun: no item runs before the job object exists.
+			return trail.WrapError(e, trail.CodeOf(e), trail.NotRun, "items of the job were not kept").WithPlace(id).WithRetryAfter(acceptRetryAfter)
+		}
+	}
+	return nil
+}
+
 // confirmCreated reads a job object that exists after a try of unknown outcome, and returns
 // whether this front has created it. Another one has if the caller has repeated the job
 // there meanwhile, and it runs the items then.
--- a/internal/coordination/batch/giveup.go
+++ b/internal/coordination/batch/giveup.go
@@ -152,7 +152,7 @@
 func (s *Jobs) unsuccessful(job *ownedJob, route *wire.RouteRule, shownAfter time.Time) lostItems {
 	l := s.agenda.Waiting(job.id, true)
 	for _, n := range s.agenda.Waiting(job.id, false) {
-		if !slices.Contains(l, n) && s.fitsNone(route, job.cached.items[n].GetTokens()) {
+		if !slices.Contains(l, n) && s.fitsNone(route, job.items[n].GetTokens()) {
 			l = append(l, n)
 		}
 	}
--- a/internal/coordination/batch/handover.go
+++ b/internal/coordination/batch/handover.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		x := wire.ItemProgress_builder{
-			Item: proto.String(job.cached.items[i].GetId()), Last: &p.lastEventID, Text: p.output,
+			Item: proto.String(job.items[i].GetId()), Last: &p.lastEventID, Text: p.output,
 			Service: proto.String(p.build.Service()), Version: proto.String(p.build.Version()),
 		}.Build()
 		w := proto.Size(x)
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -79,7 +79,9 @@
 	// Bytes that long events hold while they are read.
 	eventRoom *buffer.Limit
 	// Bytes that the outputs of unfinished items may hold together.
-	outputBytes    int64
+	outputBytes int64
+	// Bytes that the items of unfinished jobs may hold together, 0 for no limit.
+	itemLimit      int64
 	dispatchSignal chan struct{}
 	// Holds a value while a reconciliation from current objects is requested.
 	reconcileSignal chan struct{}
@@ -103,6 +105,8 @@
 	// id.
 	inheritedProgress map[string][]*wire.ItemProgress
 	agenda            *agenda.Agenda
+	// Bytes of the items of jobs that are being accepted.
+	acceptingBytes int64
 	// Runs in progress by backend server, oldest first.
 	runs map[string][]*itemRun
 	// The front is stopping; no new items are started.
@@ -151,7 +155,7 @@
 	// The newest version that was read, written or received from another front.
 	object object.Object
 	job    *wire.BatchJob
-	// All items, nil until they are read.
+	// All items, nil while they are not cached.
 	items []*wire.BatchItem
 	// The results objects in order, as last read or written.
 	parts []*part
@@ -205,9 +209,9 @@
 	return m
 }
 
-// item returns the item with an id, nil when the job has none.
-func (k *cachedJob) item(id string) *wire.BatchItem {
-	for _, i := range k.items {
+// findItem returns the item with an id, nil if there is none.
+func findItem(items []*wire.BatchItem, id string) *wire.BatchItem {
+	for _, i := range items {
 		if i.GetId() == id {
 			return i
 		}
--- a/internal/coordination/batch/owner.go
+++ b/internal/coordination/batch/owner.go
@@ -24,6 +24,9 @@
 type ownedJob struct {
 	id     string
 	cached *cachedJob
+	items  []*wire.BatchItem
+	// Bytes that the items take in memory.
+	itemBytes int64
 	// Progress of the items that have started, by index.
 	progress map[int]*itemProgress
 	// Tokens of the items without a result.
@@ -73,7 +76,7 @@
 	}
 	k.items = items
 	h := k.listedIDs()
-	o := &ownedJob{id: d, cached: k, account: k.route, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
+	o := &ownedJob{id: d, cached: k, items: items, itemBytes: itemsSize(items), account: k.route, progress: s.initialProgress(d, items, h), firstOwner: firstOwner, writesSettled: firstOwner, confirmedAt: confirmedAt}
 	o.ctx, o.cancel = context.WithCancelCause(context.Background())
 	s.owned[d] = o
 	l := make([]string, 0, len(items))
@@ -249,8 +252,9 @@
 // confirmedAt and starts the job.
 func (s *Jobs) loadAndStart(ctx context.Context, id string, confirmedAt time.Time) {
 	k, e := s.getJob(ctx, id)
+	var i []*wire.BatchItem
 	if e == nil {
-		e = s.loadItems(ctx, id, k)
+		i, e = s.loadItems(ctx, id, k)
 	}
 	if e == nil {
 		e = s.refreshResults(ctx, id, k)
@@ -261,7 +265,7 @@
 		return
 	}
 	s.mu.Lock()
-	o, j, i := k.object, k.job, k.items
+	o, j := k.object, k.job
 	s.mu.Unlock()
 	s.logger.WithField("job-id", id).Info("batch: job run here from now on")
 	s.startJob(o, j, i, confirmedAt, false)
--- a/internal/coordination/batch/place.go
+++ b/internal/coordination/batch/place.go
@@ -40,7 +40,7 @@
 	if p != nil && p.resumable() && !s.mayGoOn(u, p) {
 		p.reset()
 	}
-	w := job.cached.items[index].GetTokens()
+	w := job.items[index].GetTokens()
 	if s.fitsNone(u, w) {
 		return nil
 	}
@@ -87,7 +87,7 @@
 	if m == 0 {
 		return nil
 	}
-	return func(i int) bool { return o.cached.items[i].GetTokens() > m }
+	return func(i int) bool { return o.items[i].GetTokens() > m }
 }
 
 // mayGoOn reports whether an item may go on after its output: servers of the same
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -310,38 +310,35 @@
 	if e != nil {
 		return nil, e
 	}
-	e = s.loadItems(ctx, id, k)
+	l, e := s.loadItems(ctx, id, k)
 	if e != nil {
 		return nil, e
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i := k.item(item)
+	i := findItem(l, item)
 	if i == nil {
 		return nil, trail.NewError("item-missing", trail.NotRun, "job has no such item").WithPlace(item)
 	}
 	return i.GetBody(), nil
 }
 
-// loadItems reads the items of a job unless they are cached.
-func (s *Jobs) loadItems(ctx context.Context, id string, cached *cachedJob) error {
+// loadItems returns the items of a job, and reads them unless they are cached.
+func (s *Jobs) loadItems(ctx context.Context, id string, cached *cachedJob) ([]*wire.BatchItem, error) {
 	s.mu.Lock()
-	d := cached.items != nil
+	l := cached.items
 	s.mu.Unlock()
-	if d {
-		return nil
+	if l != nil {
+		return l, nil
 	}
-	var l []*wire.BatchItem
 	r := ""
 	for i := range cached.inputCount {
 		o, e := s.getImmutable(ctx, kindInputs, partName(id, i))
 		if e != nil {
-			return trail.WrapError(e, "platform-unavailable", trail.NotRun, "items of the job could not be read").WithPlace(id)
+			return nil, trail.WrapError(e, "platform-unavailable", trail.NotRun, "items of the job could not be read").WithPlace(id)
 		}
 		v := &wire.BatchInput{}
 		e = o.Decode(v)
 		if e != nil {
-			return trail.WrapError(e, "object-unreadable", trail.NotRun, "input object is not decodable").WithPlace(id)
+			return nil, trail.WrapError(e, "object-unreadable", trail.NotRun, "input object is not decodable").WithPlace(id)
 		}
 		l = append(l, v.GetItems()...)
 		r = cmp.Or(r, v.GetRoute())
@@ -349,8 +346,11 @@
 	s.mu.Lock()
 	cached.items = l
 	cached.route = cmp.Or(cached.route, r)
+	if s.itemLimit > 0 {
+		s.trimItems(s.itemLimit)
+	}
 	s.mu.Unlock()
-	return nil
+	return l, nil
 }
 
 // updateJob reads a job's object and changes it by a conditional update. mutate
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -112,7 +112,7 @@
 // startRun starts a run of an item; the caller holds the lock.
 func (s *Jobs) startRun(job *ownedJob, index int, server *wire.BackendServer) {
 	c, f := context.WithCancelCause(job.ctx)
-	r := &itemRun{job: job, index: index, item: job.cached.items[index], server: server, cancel: f}
+	r := &itemRun{job: job, index: index, item: job.items[index], server: server, cancel: f}
 	s.runs[server.GetId()] = append(s.runs[server.GetId()], r)
 	p := job.progress[index]
 	if p == nil {
@@ -247,7 +247,7 @@
 // caller holds the lock.
 func (s *Jobs) addResult(job *ownedJob, index int, failed bool, output string) {
 	delete(job.progress, index)
-	i := job.cached.items[index]
+	i := job.items[index]
 	s.setWaitingTokens(job, job.waitingTokens-i.GetTokens())
 	job.pendingResults = append(job.pendingResults, newResult(i.GetId(), failed, output))
 	if job.committing {
