platform/front, httpd, daemon: a budget for what is held for callers

- httpd: each connection of a caller has a claim, heads are claimed once parsed, and the server tells the budget when it waits for the client.
A connection beyond the limit closes one without progress.
- platform/front: bodies of known length are read in place once their bytes are claimed, also at paths without a route.
Submissions with more than 200 items are refused before they are decoded; the decoded form of others is claimed first.
A request without room is answered with 503, not run, and its connection closed.
- direct, proxy: buffered responses and requests by way of other fronts take their bytes out of the same budget.
- state/node: negative limits are faults.

A submission whose list of more than 200 items is replaced by a later key "Items" is refused now; no other submission changes its meaning.

--- a/internal/command/daemon/front.go
+++ b/internal/command/daemon/front.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bulrushtrail.example/trail/internal/coordination/batch"
+	"bulrushtrail.example/trail/internal/coordination/budget"
 	"bulrushtrail.example/trail/internal/coordination/builds"
 	"bulrushtrail.example/trail/internal/coordination/crash"
 	"bulrushtrail.example/trail/internal/coordination/direct"
@@ -73,6 +74,8 @@
 	direct  *direct.Server
 	jobs    *batch.Jobs
 	api     *httpd.Server
+	// Bounds what this front holds for its callers.
+	clients *budget.Budget
 	// Connections to backend servers.
 	pool  *pool.Pool
 	paths *paths.Monitor
@@ -106,7 +109,7 @@
 	defer f()
 	s := newFront(l, process, n)
 	m := member.New(l, process.store, s.self, process.logger)
-	serveHTTP(l, b, api.Ready(s.api.Ready))
+	process.serveHTTP(l, "ready", b, api.Ready(s.api.Ready))
 	process.serveMetrics(l, s.api)
 	go s.servePeers(l, r)
 	go s.configs.Relist(l, s.rank, s.gossip.TriggerSend)
@@ -149,17 +152,21 @@
 	s.hosts = s.newSharedInformer(ctx, "hosts")
 	s.roster = roster.New(s.self, s.newSharedInformer(ctx, member.Kind), s.fleet, process.logger)
 	s.fanout.SetWatchers(s.roster.Watchers, s.roster.Address)
+	s.clients = process.newCallerBudget()
 	s.proxy = proxy.New(s.connect, s.paths, s.mesh, s.connectedPeers, s.reportsProcess, s.recordNotice, process.logger, process.registry)
+	s.proxy.ShareRoom(s.clients)
 	u := permit.New(process.settings.GetName(), s.fleet, s.proxy, s, process.logger, process.registry)
 	s.relay = relay.New(process.store, s.mesh, s.relayPeers, s.hosts.Refresh, process.logger)
 	s.configs.SetFallback(s.relay)
 	s.builds = builds.New(s.relay, s.fleet, s.resumableServices, s.rank, process.logger)
 	s.streams = resume.New(s.builds, s, func() []string { return s.fleet.Sample(time.Now(), askedFronts) })
 	s.direct = direct.New(s.fleet, q, s.streams, s.builds, u, process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() }, func(id string) { s.jobs.Yield(id) })
+	s.direct.ShareRoom(s.clients)
 	s.jobs = batch.New(ctx, s.self, s.relay, jobrpc.New(s.mesh, s.addressOf), s.fleet, u, s, process.settings.GetValueBytes(), process.bufferBytes(), process.logger, process.registry, func() { s.gossip.TriggerSend() })
+	s.jobs.LimitItems(process.itemBytes())
 	s.gossip = gossip.New(ctx, peerConn, s.self, s.fleet, q, s.roster, s.configs, s.hosts, process.logger, process.registry, s.jobs, u, s.streams, s.builds, s.paths)
 	s.api = httpd.New(api.New(s.direct, s.jobs, process.logger, func() (time.Time, bool) { return s.api.DrainEnd() }), process.logger, process.registry, httpd.WithAnswerReserve(answerReserve),
-		httpd.WithTimeouts(s.callerTimeouts), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
+		httpd.WithTimeouts(s.callerTimeouts), httpd.WithClientBudget(s.clients), httpd.WithReadinessCheck(s.ready), httpd.WithDrainDelay(drainDelay), httpd.WithDrainTimeout(s.stopTimeout()-drainDelay))
 	return s
 }
 
--- a/internal/command/daemon/process.go
+++ b/internal/command/daemon/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -88,14 +87,7 @@
 		p.logger.WithError(e).Warn("bulrushd: could not listen for metrics requests, running without")
 		return
 	}
-	serveHTTP(ctx, n, server.Admin(p.registry))
-}
-
-// serveHTTP serves handler on listener until ctx is cancelled.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
-	context.AfterFunc(ctx, func() { _ = s.Close() })
-	go func() { _ = s.Serve(listener) }()
+	p.serveHTTP(ctx, "metrics", n, server.Admin(p.registry))
 }
 
 func (p *process) peerAddress() string {
--- a/internal/coordination/proxy/serve.go
+++ b/internal/coordination/proxy/serve.go
@@ -52,6 +52,11 @@
 		s.onNotice(server, notice)
 		n = wire.ServerNotice_builder{Born: proto.Int64(notice.Born()), Leaving: proto.Bool(notice.Leaving()), RequestsPerSecond: proto.Float64(notice.RequestsPerSecond())}.Build()
 	})
+	m, e := s.takeRoom(len(request.GetBody()))
+	if e != nil {
+		return errors.CombineErrors(e, stream.Send(s.encodeEnd(ctx, e, nil)))
+	}
+	defer m()
 	b, q := decodeRequest(request)
 	r, e := u.Send(ctx, b, q, request.GetLastEventId())
 	if e != nil {
@@ -95,7 +100,7 @@
 		d.Code, d.Message = &c, proto.String(err.Error())
 		d.Verdict = trail.VerdictOf(err).Proto().Enum()
 		d.RetryAfterMs = proto.Int64(trail.RetryAfterOf(err).Milliseconds())
-		d.CutOff = proto.Bool(c == codeUnreachable && s.monitor.Settle(ctx) || s.monitor.Lost())
+		d.CutOff = proto.Bool(c == codeNoRoom || c == codeUnreachable && s.monitor.Settle(ctx) || s.monitor.Lost())
 	}
 	return wire.ProxyReply_builder{End: d.Build()}.Build()
 }
--- a/internal/coordination/proxy/upstream.go
+++ b/internal/coordination/proxy/upstream.go
@@ -51,6 +51,8 @@
 	sentTotal *prometheus.CounterVec
 	// Attempts of other fronts in progress.
 	active atomic.Int64
+	// Room for requests by way of other fronts, nil for no limit.
+	room trail.Room
 }
 
 var _ trail.Upstream = (*Upstream)(nil)
@@ -130,7 +132,12 @@
 // sendTo sends an attempt through the front at an address. another is true if the
 // attempt did not run and another front may do better.
 func (s *Upstream) sendTo(ctx context.Context, address string, server *wire.BackendServer, request *trail.Request, lastEventID string) (response *trail.Response, another bool, err error) {
+	m, e := s.takeRoom(len(request.Body()))
+	if e != nil {
+		return nil, false, trail.WrapError(e, codePathLost, trail.NotRun, "request not sent to front %s", address)
+	}
 	n, e := s.streams.Open(ctx, address, wire.Open_builder{Proxy: encodeRequest(server, request, lastEventID)}.Build())
+	m()
 	if e != nil {
 		v := trail.VerdictOf(e)
 		return nil, v == trail.NotRun, trail.WrapError(e, codePathLost, v, "front %s did not take the request", address)
--- a/internal/state/node/load.go
+++ b/internal/state/node/load.go
@@ -61,6 +61,14 @@
 	if settings.GetStopSeconds() <= 0 {
 		f("stop-seconds", "is not greater than 0")
 	}
+	for k, v := range map[string]int64{
+		"memory-mb": settings.GetMemoryMb(), "max-descriptors": settings.GetMaxDescriptors(), "caller-connections": settings.GetCallerConnections(),
+		"caller-bytes": settings.GetCallerBytes(), "caller-stall-ms": settings.GetCallerStallMs(),
+	} {
+		if v < 0 {
+			f(k, "is less than 0")
+		}
+	}
 	return l.OrNil()
 }
 
--- a/internal/transport/buffer/limit.go
+++ b/internal/transport/buffer/limit.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	trail "bulrushtrail.example/trail"
 )
 
 const (
@@ -17,6 +19,8 @@
 type Limit struct {
 	// Bytes that may still be taken.
 	free atomic.Int64
+	// Further room that all bytes are taken from, nil for none.
+	within trail.Room
 }
 
 // New returns a limit of a number of bytes.
@@ -26,6 +30,10 @@
 	return l
 }
 
+// Within makes the limit take its bytes from room too. It must be called before the first
+// use.
+func (l *Limit) Within(room trail.Room) { l.within = room }
+
 // Fill reads blocks from reader until it ends, or most bytes are read, or the limit is
 // reached. It reports whether the reader has ended. The caller must release the blocks,
 // also after an error of the reader.
@@ -66,7 +74,7 @@
 // Take takes a number of bytes, which must be returned. It reports whether there is room
 // for them.
 func (l *Limit) Take(bytes int) bool {
-	if l.free.Add(-int64(bytes)) >= 0 {
+	if l.free.Add(-int64(bytes)) >= 0 && (l.within == nil || l.within.Take(bytes)) {
 		return true
 	}
 	l.free.Add(int64(bytes))
@@ -74,7 +82,12 @@
 }
 
 // Return gives back a number of bytes.
-func (l *Limit) Return(bytes int) { l.free.Add(int64(bytes)) }
+func (l *Limit) Return(bytes int) {
+	l.free.Add(int64(bytes))
+	if l.within != nil {
+		l.within.Return(bytes)
+	}
+}
 
 // Release gives back the bytes of blocks, which must not be used any more.
 func (l *Limit) Release(blocks [][]byte) {
--- a/internal/transport/httpd/server.go
+++ b/internal/transport/httpd/server.go
@@ -12,6 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/net/netutil"
+	"golang.org/x/time/rate"
+
+	trail "bulrushtrail.example/trail"
 )
 
 const (
@@ -53,6 +56,10 @@
 	timeouts func() (header, idle time.Duration)
 	// Must return true, besides a running Serve, for the server to be ready.
 	readinessCheck func() bool
+	// Bounds what is held for clients, nil for none.
+	clients trail.ClientBudget
+	// Limits the log lines about clients that gave way or were refused.
+	clientLines rate.Sometimes
 	// Whether Serve is running and its context has not ended.
 	serving  atomic.Bool
 	inFlight prometheus.Gauge
@@ -132,6 +139,7 @@
 		drainTimeout:   defaultDrainTimeout,
 		timeouts:       func() (time.Duration, time.Duration) { return defaultHeaderTimeout, defaultIdleTimeout },
 		readinessCheck: func() bool { return true },
+		clientLines:    rate.Sometimes{Interval: time.Second},
 	}
 	for _, o := range options {
 		o(s)
@@ -164,8 +172,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeoutPlaceholder,
 		ConnState:         n.update,
+		ConnContext:       contextWithClaim,
 	}
-	l := deadlineListener{netutil.LimitListener(listener, s.maxConnections), s.timeouts}
+	l := deadlineListener{s.limit(listener), s.timeouts}
 	a := make(chan struct{})
 	x := func() {
 		_ = l.Close()
@@ -184,6 +193,22 @@
 	return <-d
 }
 
+// limit returns a listener that bounds the connections.
+func (s *Server) limit(listener net.Listener) net.Listener {
+	if s.clients == nil {
+		return netutil.LimitListener(listener, s.maxConnections)
+	}
+	return LimitClients(listener, s.clients, func(remote string) { s.logClient(remote, "client-stalled") })
+}
+
+// logClient logs that a client gave way or was refused. Crowds of them share a line a
+// second; the metrics count all.
+func (s *Server) logClient(remote, reason string) {
+	s.clientLines.Do(func() {
+		s.logger.WithFields(log.Fields{"remote": remote, "reason": reason}).Warn("httpd: client refused or disconnected for want of room, or one of many")
+	})
+}
+
 // DrainEnd returns when the requests in progress are cancelled. It returns false
 // until the drain delay has passed, from when on a request that may take longer
 // should be refused.
