--- a/internal/command/daemon/process.go
+++ b/internal/command/daemon/process.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/protobuf/proto"
@@ -51,9 +53,21 @@
 	}
 }
 
+// Receive buffer of a connection to a backend server. The kernel's own grows to some
+// megabytes for each response that a caller reads slowly. A response of 4 MB at a round
+// trip of 3 ms takes 0.1 s with it.
+const backendBufferBytes = 128 << 10
+
 // backendDialer returns the dialer for connections to backend servers.
 func (p *process) backendDialer() *net.Dialer {
 	d := *p.dialer
+	d.Control = func(_, _ string, conn syscall.RawConn) error {
+		var e error
+		f := conn.Control(func(descriptor uintptr) {
+			e = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, backendBufferBytes)
+		})
+		return errors.CombineErrors(f, e)
+	}
 	if a := net.ParseIP(p.settings.GetDialAddress()); a != nil {
 		d.LocalAddr = &net.TCPAddr{IP: a}
 	}
