inform: a list that arrives while a test ends does not stop it

The watches are closed under the lock as before, and the wait is without it.

go test -count=30 -run Unfit ./internal/coordination/inform: ok.

--- a/internal/coordination/inform/informer_test.go
+++ b/internal/coordination/inform/informer_test.go
@@ -112,19 +112,25 @@
 		synctest.Wait()
 		test(c, s, i)
 		o()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, w := range s.watches {
-			select {
-			case <-w:
-			default:
-				close(w)
-			}
-		}
+		s.closeWatches()
 		synctest.Wait()
 	})
 }
 
+// closeWatches closes the watches that are still open. The lock must not be held when
+// the test waits for the other goroutines: a list that arrives meanwhile takes it.
+func (s *platform) closeWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.watches {
+		select {
+		case <-w:
+		default:
+			close(w)
+		}
+	}
+}
+
 func names(informer *inform.Informer) string {
 	return strings.Join(slices.Sorted(maps.Keys(informer.All())), " ")
 }
