--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -202,18 +202,37 @@
 	}
 	b, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	k := http.NewResponseController(w)
-	t := time.Now()
+	t := s.play.beginRun(r)
 	for n := b + 1; n <= m && ctx.Err() == nil; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("t", eventBytes))
 		_ = k.Flush()
 		pause(ctx, s.interval)
 	}
+	s.play.endRun(t, ctx.Err() == nil)
 	if ctx.Err() != nil {
-		s.play.record.add("run %s %s at %s ended by its sender after %d ms", r.URL.Path, r.Header.Get("X-Attempt-Id"), s.id, time.Since(t).Milliseconds())
+		s.play.record.add("run %s %s at %s ended by its sender after %d ms", r.URL.Path, t.item, s.id, t.end.Sub(t.begin).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// beginRun begins a run, and keeps it if it is one of an item.
+func (p *play) beginRun(r *http.Request) *itemRun {
+	t := &itemRun{item: r.Header.Get("X-Attempt-Id"), begin: time.Now()}
+	if r.Header.Get(headerEvents) == "" {
+		return t
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.itemRuns = append(p.itemRuns, t)
+	return t
+}
+
+func (p *play) endRun(run *itemRun, done bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run.end, run.done = time.Now(), done
+}
+
 // pause waits for a duration, or until ctx ends.
 func pause(ctx context.Context, duration time.Duration) {
 	t := time.NewTimer(duration)
--- a/review/standin-3/caller.go
+++ b/review/standin-3/caller.go
@@ -41,8 +41,22 @@
 // client keeps connections open, as callers do.
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}}
 
+// freshClient opens a connection for each request.
+var freshClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func (t *traffic) client() *http.Client {
+	if t.fresh {
+		return freshClient
+	}
+	return client
+}
+
 // send sends a request to a front and waits until its answer is complete.
 func (p *play) send(f *front, path, prefix string, timeout time.Duration, body string) answer {
+	return p.sendOn(client, f, path, prefix, timeout, body)
+}
+
+func (p *play) sendOn(by *http.Client, f *front, path, prefix string, timeout time.Duration, body string) answer {
 	a := answer{id: randomID(), front: f.name, path: path}
 	c, d := context.WithTimeout(context.Background(), timeout+patience)
 	defer d()
@@ -57,7 +71,7 @@
 		q.Header.Set("X-Prompt-Prefix", prefix)
 	}
 	a.sentAt = time.Now()
-	r, e := client.Do(q)
+	r, e := by.Do(q)
 	if e == nil {
 		a.status = r.StatusCode
 		_, e = io.Copy(io.Discard, r.Body)
@@ -78,6 +92,8 @@
 	mu   sync.Mutex
 	all  []answer
 	wait sync.WaitGroup
+	// Each request comes on a new connection.
+	fresh bool
 }
 
 func (t *traffic) run(ctx context.Context, f *front, perSecond float64, path string, prefix func() string, timeout time.Duration) {
@@ -91,7 +107,7 @@
 			case <-k.C:
 			}
 			t.wait.Go(func() {
-				a := t.play.send(f, path+randomID()[:4], prefix(), timeout, "prompt")
+				a := t.play.sendOn(t.client(), f, path+randomID()[:4], prefix(), timeout, "prompt")
 				t.mu.Lock()
 				t.all = append(t.all, a)
 				t.mu.Unlock()
--- a/review/standin-3/herd.go
+++ b/review/standin-3/herd.go
@@ -17,7 +17,7 @@
 // many callers ask it for the results at the same moment and read at once.
 func readHerd(p *play) (string, bool) {
 	p.startSite(0)
-	j := p.submit(p.fronts[0], jobItems)
+	j, _ := p.submit(p.fronts[0], jobItems)
 	z := p.readAll(p.fronts[0], j, 40*time.Second)
 	time.Sleep(2 * time.Second)
 	f := p.fronts[1]
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,7 @@
 	"prefix-hang":    prefixHang,
 	"prefix-limit":   prefixLimit,
 	"prefix-memory":  prefixMemory,
+	"poll-crowd":     pollCrowd,
 	"prefix-lots":    prefixLots,
 	"read-herd":      readHerd,
 	"results-memory": resultsMemory,
--- a/review/standin-3/play.go
+++ b/review/standin-3/play.go
@@ -39,8 +39,12 @@
 	storeAt  string
 	fronts   []*front
 
-	mu      sync.Mutex
-	servers []*backend
+	// Events of an item of the next job.
+	itemEvents int
+
+	mu       sync.Mutex
+	servers  []*backend
+	itemRuns []*itemRun
 }
 
 // front is one process of the program.
--- a/review/standin-3/results.go
+++ b/review/standin-3/results.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,8 +23,9 @@
 	slowReaders = 200
 )
 
-// submit submits a batch job of a number of items and returns its id.
-func (p *play) submit(f *front, items int) string {
+// submit submits a batch job of a number of items and returns its id and
+// those of its items.
+func (p *play) submit(f *front, items int) (job string, ids []string) {
 	type item struct {
 		ID      string `json:"Id"`
 		Path    string
@@ -32,10 +34,14 @@
 		Tokens  int
 	}
 	var l []item
+	n := cmp.Or(p.itemEvents, itemEvents)
 	for range items {
 		l = append(l, item{randomID(), "/pule252/3/91c4", map[string]string{
-			"X-Model": "m", "X-Token-Usage": "350,400", "X-Prompt-Prefix": "9c2e41:100," + randomID()[:6] + ":250", headerEvents: fmt.Sprint(itemEvents),
-		}, make([]byte, 500), 750})
+			"X-Model": "m", "X-Token-Usage": fmt.Sprintf("350,%d", 2*n), "X-Prompt-Prefix": "9c2e41:100," + randomID()[:6] + ":250", headerEvents: fmt.Sprint(n),
+		}, make([]byte, 500), 350 + 2*n})
+	}
+	for _, x := range l {
+		ids = append(ids, x.ID)
 	}
 	b, e := json.Marshal(map[string]any{"Items": l})
 	check(e)
@@ -51,7 +57,21 @@
 	if r.StatusCode != http.StatusAccepted {
 		panic(fmt.Sprint("batch job not accepted: ", r.StatusCode))
 	}
-	return i
+	return i, ids
+}
+
+// listed returns the ids of the items of a job that have a result.
+func (p *play) listed(f *front, job string) []string {
+	var l []string
+	for n := 0; ; {
+		t, x, k := p.readResults(f, job, n)
+		l = append(l, k.ids...)
+		if x == n || x == t {
+			p.record.add("batch job %s: %d of %d items listed at %s", job, x, t, f.name)
+			return l
+		}
+		n = x
+	}
 }
 
 // readAll reads the results of a job from the start until all are there, and returns the
@@ -62,7 +82,7 @@
 		for {
 			t, x, z := p.readResults(f, job, n)
 			if n == 0 {
-				k = z
+				k = z.bytes
 			}
 			if x == t {
 				return k
@@ -76,9 +96,15 @@
 	panic("batch job has not ended in time")
 }
 
+// page is an answer with results.
+type page struct {
+	bytes int
+	ids   []string
+}
+
 // readResults reads the results of a job from a position on, and returns the number of
-// items, the next position and the bytes of the answer.
-func (p *play) readResults(f *front, job string, after int) (total, next, bytes int) {
+// items and the next position.
+func (p *play) readResults(f *front, job string, after int) (total, next int, read page) {
 	q, e := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s%s%s?After=%d", f.apiAddress, resultsPath, job, after), nil)
 	check(e)
 	q.Host = callerHost
@@ -87,9 +113,18 @@
 	defer func() { _ = r.Body.Close() }()
 	b, e := io.ReadAll(r.Body)
 	check(e)
-	var v struct{ Total, NextToken int }
+	var v struct {
+		Total, NextToken int
+		Results          []struct {
+			ID string `json:"Id"`
+		}
+	}
 	check(json.Unmarshal(b, &v))
-	return v.Total, v.NextToken, len(b)
+	read.bytes = len(b)
+	for _, x := range v.Results {
+		read.ids = append(read.ids, x.ID)
+	}
+	return v.Total, v.NextToken, read
 }
 
 // resultsMemory watches the memory of a front from which many callers read the results
@@ -97,7 +132,7 @@
 func resultsMemory(p *play) (string, bool) {
 	p.startSite(0)
 	f := p.fronts[0]
-	j := p.submit(f, jobItems)
+	j, _ := p.submit(f, jobItems)
 	z := p.readAll(f, j, 40*time.Second)
 	n, _ := f.memoryKB()
 	p.record.add("batch job %s has ended, an answer with its results has %d bytes, memory of %s: %.1f MB", j, z, f.name, float64(n)/1024)
